--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The node daemon and the command line. */
+package org.magnoliabridge.daemon;
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/core/Closer.java
@@ -0,0 +1,54 @@
+package org.magnoliabridge.core;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Gathers resources and closes them in reverse order of registration.
+ *
+ * <pre>{@code
+ * try (Closer closer = new Closer()) {
+ *     ControlLoop loop = closer.register(new ControlLoop("control"));
+ *     ...
+ * }
+ * }</pre>
+ */
+public final class Closer implements AutoCloseable {
+    private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+    /** Registers a resource and returns it. */
+    public synchronized <T extends AutoCloseable> T register(T resource) {
+        resources.push(resource);
+        return resource;
+    }
+
+    /**
+     * Closes all resources, also when some of them fail.
+     *
+     * @throws CloseFailedException with the first failure as cause and the others suppressed
+     */
+    @Override
+    public void close() throws CloseFailedException {
+        CloseFailedException failure = null;
+        AutoCloseable resource = next();
+        while (resource != null) {
+            try {
+                resource.close();
+            } catch (Exception e) {
+                if (failure == null) {
+                    failure = new CloseFailedException(e);
+                } else {
+                    failure.addSuppressed(e);
+                }
+            }
+            resource = next();
+        }
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
+    private synchronized AutoCloseable next() {
+        return resources.poll();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
@@ -0,0 +1,90 @@
+package org.magnoliabridge.core;
+
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Runs all control state of a process on one thread, so that decision cores need no locks.
+ *
+ * <p>Tasks must not block: I/O belongs to traffic threads, which post their results back here.
+ */
+public final class ControlLoop implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(ControlLoop.class.getName());
+    private static final long CLOSE_WAIT_MS = 2_000;
+
+    private final ScheduledThreadPoolExecutor executor;
+
+    public ControlLoop(String name) {
+        executor = new ScheduledThreadPoolExecutor(
+                1, Thread.ofPlatform().name(name).daemon(true).factory());
+        executor.setRemoveOnCancelPolicy(true);
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        executor.setContinueExistingPeriodicTasksAfterShutdownPolicy(false);
+    }
+
+    /** Runs a task on the control thread; after close the task is dropped. */
+    public void post(Runnable task) {
+        try {
+            executor.execute(() -> runLogged(task));
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.FINE, "control task dropped after close", e);
+        }
+    }
+
+    /** Runs a task on the control thread and gives its result. */
+    public <T> CompletableFuture<T> ask(Callable<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        try {
+            executor.execute(() -> complete(result, task));
+        } catch (RejectedExecutionException e) {
+            result.completeExceptionally(e);
+        }
+        return result;
+    }
+
+    /** Runs a task once after a delay in milliseconds. */
+    public ScheduledFuture<?> after(long delayMs, Runnable task) {
+        return executor.schedule(() -> runLogged(task), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task periodically, with the period in milliseconds between the end of a run and the next start. */
+    public ScheduledFuture<?> every(long periodMs, Runnable task) {
+        return executor.scheduleWithFixedDelay(() -> runLogged(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdown();
+        try {
+            if (!executor.awaitTermination(CLOSE_WAIT_MS, TimeUnit.MILLISECONDS)) {
+                executor.shutdownNow();
+            }
+        } catch (InterruptedException e) {
+            executor.shutdownNow();
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static <T> void complete(CompletableFuture<T> result, Callable<T> task) {
+        try {
+            result.complete(task.call());
+        } catch (Exception e) {
+            result.completeExceptionally(e);
+        }
+    }
+
+    // An exception would end a periodic task silently, so it is logged and the task goes on.
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "control task failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/ids/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids, checked when constructed. */
+package org.magnoliabridge.ids;
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/wire/FrameType.java
@@ -0,0 +1,26 @@
+package org.magnoliabridge.wire;
+
+/** Numbers the messages between nodes; the slice that owns a message packs and unpacks its body. */
+public enum FrameType {
+    HELLO(1),
+    PING(2),
+    ACK(3),
+    PING_REQUEST(4),
+    ITEM_REQUEST(5),
+    ITEMS(6),
+    USAGE_COUNTS(7),
+    USAGE_ACK(8),
+    STEP_NUDGE(9),
+    LEAVING(10);
+
+    private final int number;
+
+    FrameType(int number) {
+        this.number = number;
+    }
+
+    /** Returns the number on the wire. */
+    public int number() {
+        return number;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated TCP frames of MessagePack between nodes. */
+package org.magnoliabridge.wire;
