--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/CallException.java
@@ -0,0 +1,34 @@
+package org.magnoliabridge.calls;
+
+import java.util.Objects;
+
+/** Thrown when a call has no whole answer. */
+public final class CallException extends Exception {
+    private final transient Failure failure;
+    private final RunClaim run;
+
+    public CallException(Failure failure, RunClaim run) {
+        this(failure, run, null);
+    }
+
+    public CallException(Failure failure, RunClaim run, Throwable cause) {
+        super(FailureAnswer.of(failure, run).message(), cause);
+        this.failure = Objects.requireNonNull(failure);
+        this.run = Objects.requireNonNull(run);
+    }
+
+    /** Returns a refusal of a request that was not sent to any back end. */
+    public static CallException notRun(Failure failure) {
+        return new CallException(failure, RunClaim.NOT_RUN);
+    }
+
+    /** Returns the reason. */
+    public Failure failure() {
+        return failure;
+    }
+
+    /** Returns whether the request ran. */
+    public RunClaim run() {
+        return run;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/CallTools.java
@@ -0,0 +1,24 @@
+package org.magnoliabridge.calls;
+
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.RequestId;
+
+/**
+ * What calls of every kind need.
+ *
+ * @param endpoints gives slots
+ * @param budget retries of this hop
+ * @param ids a new request id for each hop
+ * @param background runs cancels, so that they never delay the call
+ */
+public record CallTools(
+        EndpointSource endpoints,
+        RetryBudget budget,
+        CallLimits limits,
+        MonotonicClock clock,
+        Supplier<RequestId> ids,
+        Executor background,
+        CallMetrics metrics,
+        Spans spans) {}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
@@ -0,0 +1,72 @@
+package org.magnoliabridge.calls;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Tells a running call to stop, from any thread; the first reason wins. */
+public final class Cancellation {
+    private final List<Runnable> listeners = new ArrayList<>();
+    private Reason reason;
+
+    /** Why a call is stopped. */
+    public enum Reason {
+        /** The caller closed its connection. */
+        CALLER_GONE,
+        /** The caller's key was withdrawn. */
+        KEY_WITHDRAWN,
+        /** Another attempt has given the answer. */
+        SUPERSEDED,
+        /** The drain limit is reached. */
+        SHUTDOWN
+    }
+
+    /** A listener's registration; closing it removes the listener. */
+    public interface Registration extends AutoCloseable {
+        @Override
+        void close();
+    }
+
+    /** Stops the call and runs the listeners on this thread; a repeat does nothing. */
+    public void cancel(Reason why) {
+        List<Runnable> toRun;
+        synchronized (this) {
+            if (reason != null) {
+                return;
+            }
+            reason = why;
+            toRun = List.copyOf(listeners);
+        }
+        toRun.forEach(Runnable::run);
+    }
+
+    /** Returns the reason; empty while the call may go on. */
+    public synchronized Optional<Reason> reason() {
+        return Optional.ofNullable(reason);
+    }
+
+    /** Registers a listener that must not block; it runs at once if the call is already stopped. */
+    public Registration onCancel(Runnable listener) {
+        synchronized (this) {
+            if (reason == null) {
+                listeners.add(listener);
+                return () -> remove(listener);
+            }
+        }
+        listener.run();
+        return () -> {};
+    }
+
+    /** Returns the failure that stands for a reason. */
+    static Failure failure(Reason reason) {
+        return switch (reason) {
+            case CALLER_GONE, SUPERSEDED -> new Failure.CallerGone();
+            case KEY_WITHDRAWN -> new Failure.Unauthenticated();
+            case SHUTDOWN -> new Failure.Draining();
+        };
+    }
+
+    private synchronized void remove(Runnable listener) {
+        listeners.remove(listener);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/FailureAnswer.java
@@ -0,0 +1,73 @@
+package org.magnoliabridge.calls;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A failure as callers see it: the only mapping from failures to statuses and error bodies.
+ *
+ * @param status HTTP status
+ * @param type value of the field {@code type}
+ * @param message text for people; holds no key and no prompt
+ * @param run whether the request ran
+ * @param retryAfterMs hint when to come again; 0 for none
+ */
+public record FailureAnswer(int status, String type, String message, RunClaim run, long retryAfterMs) {
+    private static final JsonMapper JSON = new JsonMapper();
+    // Nobody reads an answer to a caller that is gone; the status appears in metrics only.
+    private static final int CLIENT_CLOSED_REQUEST = 499;
+
+    /** Returns the answer for a call that failed. */
+    public static FailureAnswer of(CallException failed) {
+        return of(failed.failure(), failed.run());
+    }
+
+    /** Returns the answer for a failure. */
+    public static FailureAnswer of(Failure failure, RunClaim run) {
+        return switch (failure) {
+            case Failure.MalformedRequest f -> answer(400, "malformed_request", f.detail(), run);
+            case Failure.Unauthenticated f -> answer(401, "unauthenticated", "a valid key is needed", run);
+            case Failure.Forbidden f ->
+                answer(403, "forbidden", "the key's team may not use service " + f.service(), run);
+            case Failure.NotFound f -> answer(404, "not_found", f.what() + " was not found", run);
+            case Failure.Conflict f -> answer(409, "conflict", f.detail(), run);
+            case Failure.TooLarge f ->
+                answer(413, "too_large", "the body is larger than " + f.maxBytes() + " bytes", run);
+            case Failure.UnsupportedMediaType f ->
+                answer(415, "unsupported_media_type", "the content type must be " + f.expected(), run);
+            case Failure.RateLimited f ->
+                new FailureAnswer(429, "rate_limited", "the team's rate is used up", run, f.retryAfterMs());
+            case Failure.BackEndFailed f -> answer(502, "back_end_failed", f.detail(), run);
+            case Failure.IncompleteAnswer f -> answer(502, "incomplete_answer", f.detail(), run);
+            case Failure.Overloaded f ->
+                new FailureAnswer(503, "overloaded", "too much work is waiting", run, f.retryAfterMs());
+            case Failure.Draining f -> answer(503, "draining", "this node is shutting down; use another address", run);
+            case Failure.StaleConfiguration f ->
+                answer(503, "stale_configuration", "this node can't confirm its configuration", run);
+            case Failure.PlatformUnavailable f -> answer(503, "platform_unavailable", f.detail(), run);
+            case Failure.OutcomeUnknown f ->
+                answer(504, "outcome_unknown", "the request was sent and no answer came", run);
+            case Failure.DeadlineExceeded f -> answer(504, "deadline_exceeded", "the deadline passed", run);
+            case Failure.CallerGone f ->
+                answer(CLIENT_CLOSED_REQUEST, "caller_gone", "the caller closed the connection", run);
+        };
+    }
+
+    /** Returns the JSON body. */
+    public byte[] body() {
+        ObjectNode root = JSON.createObjectNode();
+        ObjectNode error = root.putObject("error");
+        error.put("type", type);
+        error.put("message", message);
+        error.put("run", run.text());
+        if (retryAfterMs > 0) {
+            error.put("retry_after_ms", retryAfterMs);
+        }
+        return root.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static FailureAnswer answer(int status, String type, String message, RunClaim run) {
+        return new FailureAnswer(status, type, message, run, 0);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/FinishReason.java
@@ -0,0 +1,32 @@
+package org.magnoliabridge.calls;
+
+import java.util.Optional;
+
+/** Why a generation ended. */
+public enum FinishReason {
+    /** The model ended its text. */
+    STOP("stop"),
+    /** The token limit was reached. */
+    LENGTH("length");
+
+    private final String text;
+
+    FinishReason(String text) {
+        this.text = text;
+    }
+
+    /** Returns the reason as it is written in JSON. */
+    public String text() {
+        return text;
+    }
+
+    /** Returns the reason for its JSON text, or empty if there is none. */
+    public static Optional<FinishReason> of(String text) {
+        for (FinishReason reason : values()) {
+            if (reason.text.equals(text)) {
+                return Optional.of(reason);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationCaller.java
@@ -0,0 +1,42 @@
+package org.magnoliabridge.calls;
+
+/**
+ * Makes generations: chooses an engine, checks the answer, and retries or resumes on another engine within the budget.
+ *
+ * <pre>{@code
+ * Generation answer = caller.whole(request, new Cancellation());
+ * Generation streamed = caller.streamed(request, cancellation, (index, text, version) -> write(text));
+ * }</pre>
+ *
+ * <p>Calls block, so they are made from traffic threads.
+ */
+public final class GenerationCaller {
+    private final EngineAdapter engines;
+    private final CallTools tools;
+
+    public GenerationCaller(EngineAdapter engines, CallTools tools) {
+        this.engines = engines;
+        this.tools = tools;
+    }
+
+    /**
+     * Generates a whole answer; a failed attempt starts again from the first token.
+     *
+     * @throws CallException if there is no whole answer
+     */
+    public Generation whole(GenerationRequest request, Cancellation cancellation) throws CallException {
+        return new GenerationCall(engines, tools, request, cancellation, null).run();
+    }
+
+    /**
+     * Generates and hands over each token as it arrives; a failed attempt is continued after the last token handed over,
+     * on an engine with the same weights if there is one.
+     *
+     * @return the whole answer, equal to the tokens handed over
+     * @throws CallException if the answer can't be completed; the tokens handed over are then not an answer
+     */
+    public Generation streamed(GenerationRequest request, Cancellation cancellation, TokenReceiver receiver)
+            throws CallException {
+        return new GenerationCall(engines, tools, request, cancellation, receiver).run();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainRequest.java
@@ -0,0 +1,35 @@
+package org.magnoliabridge.calls;
+
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+
+/**
+ * A request to a plain service, without the caller's key.
+ *
+ * @param path path and query below the service, starting with a slash; the key is removed
+ * @param headers the caller's headers with names in lower case; only those on the allow list are sent
+ * @param body the content; the key is removed; not copied
+ * @param idempotent whether the bundle declares the route as repeatable
+ * @param deadlineMs on the node's monotonic clock
+ * @param id the caller's request id
+ * @param trace the caller's span
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record PlainRequest(
+        ServiceId service,
+        TeamId team,
+        String method,
+        String path,
+        Map<String, String> headers,
+        byte[] body,
+        boolean idempotent,
+        long deadlineMs,
+        RequestId id,
+        Optional<TraceContext> trace) {
+    public PlainRequest {
+        headers = Map.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
@@ -0,0 +1,69 @@
+package org.magnoliabridge.calls;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.http.HttpAnswer;
+import org.magnoliabridge.http.HttpCall;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpFailure;
+import org.magnoliabridge.http.HttpLimits;
+
+/**
+ * Sends one request to one endpoint of a plain service and checks that the answer is whole; never retries.
+ *
+ * <p>The outgoing request is built anew from the allow list. Requests that must not be repeated use a fresh connection,
+ * because a pooled one may be closing at the other side while the request is written.
+ */
+public final class PlainServiceAdapter {
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final HttpCaller http;
+
+    public PlainServiceAdapter(HttpCaller http) {
+        this.http = http;
+    }
+
+    /**
+     * Sends the request once.
+     *
+     * @throws HttpFailure if there is no whole answer
+     */
+    public HttpAnswer send(PlainRequest request, InetSocketAddress endpoint, HttpLimits limits, TraceContext trace)
+            throws HttpFailure {
+        Map<String, String> headers = new LinkedHashMap<>(PlainHeaders.ofRequest(request.headers()));
+        headers.put("traceparent", trace.traceparent());
+        headers.put("x-request-id", request.id().value());
+        headers.put("x-deadline-ms", Long.toString(limits.totalMs()));
+        HttpCall call = new HttpCall(
+                request.method(),
+                endpoint,
+                request.path(),
+                headers,
+                request.body(),
+                limits,
+                MAX_ANSWER_BYTES,
+                !request.idempotent());
+        HttpAnswer answer = http.call(call);
+        Optional<String> fault = incompleteness(request.method(), answer);
+        if (fault.isPresent()) {
+            throw new HttpFailure.Lost(fault.get(), null);
+        }
+        return answer;
+    }
+
+    // The client library reports a broken chunk end itself; a short body under Content-Length is checked here as well.
+    private static Optional<String> incompleteness(String method, HttpAnswer answer) {
+        boolean bodyless = method.equals("HEAD") || answer.status() == NO_CONTENT || answer.status() == NOT_MODIFIED;
+        Optional<String> length = answer.header("content-length");
+        if (bodyless || length.isEmpty()) {
+            return Optional.empty();
+        }
+        return length.get().strip().equals(Integer.toString(answer.body().length))
+                ? Optional.empty()
+                : Optional.of("the answer has " + answer.body().length + " of " + length.get() + " bytes");
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/RetryBudget.java
@@ -0,0 +1,28 @@
+package org.magnoliabridge.calls;
+
+/**
+ * Limits retries to a share of calls, so that retries don't multiply the load when many calls fail.
+ *
+ * <p>There is one budget per hop, and only the caller of that hop retries, so retries are never nested. Thread-safe.
+ */
+public final class RetryBudget {
+    private static final double CALL_SHARE = 0.1;
+    // A node that has served few calls can still retry: saved-up retries start at, and never exceed, this number.
+    private static final double MAX_SAVED = 10;
+
+    private double saved = MAX_SAVED;
+
+    /** Counts a call that is not itself a retry. */
+    public synchronized void onCall() {
+        saved = Math.min(MAX_SAVED, saved + CALL_SHARE);
+    }
+
+    /** Takes one retry from the budget; returns false if there is none left. */
+    public synchronized boolean tryRetry() {
+        if (saved < 1) {
+            return false;
+        }
+        saved -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/RunClaim.java
@@ -0,0 +1,22 @@
+package org.magnoliabridge.calls;
+
+/** What a failure says about whether the request ran at a back end. */
+public enum RunClaim {
+    /** No byte of the request was written to a back end, or the back end said that it did not run the request. */
+    NOT_RUN("not_run"),
+    /** The request was sent and its outcome is not known. */
+    UNKNOWN("unknown"),
+    /** The back end answered, so the request ran. */
+    RAN("ran");
+
+    private final String text;
+
+    RunClaim(String text) {
+        this.text = text;
+    }
+
+    /** Returns the value of the field {@code run} in an error body. */
+    public String text() {
+        return text;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/VersionRanges.java
@@ -0,0 +1,40 @@
+package org.magnoliabridge.calls;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliabridge.ids.WeightVersion;
+
+/** Folds the weight version of each token into ranges without gaps. */
+final class VersionRanges {
+    private final List<VersionRange> closed = new ArrayList<>();
+    private WeightVersion version;
+    private int from;
+    private int next;
+
+    /** Adds the next token's version. */
+    void add(WeightVersion stamp) {
+        if (version != null && !version.equals(stamp)) {
+            closed.add(new VersionRange(from, next, version));
+            from = next;
+        }
+        version = stamp;
+        next++;
+    }
+
+    int tokens() {
+        return next;
+    }
+
+    Optional<WeightVersion> last() {
+        return Optional.ofNullable(version);
+    }
+
+    List<VersionRange> ranges() {
+        List<VersionRange> all = new ArrayList<>(closed);
+        if (version != null) {
+            all.add(new VersionRange(from, next, version));
+        }
+        return List.copyOf(all);
+    }
+}
