--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/settings/SocketAddresses.java
@@ -0,0 +1,37 @@
+package org.magnoliabridge.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Parses and prints IP addresses with ports; a host name is not accepted, so nothing is ever resolved. */
+public final class SocketAddresses {
+    private static final Pattern FORM =
+            Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+])" + ":(\\d{1,5})");
+    private static final int MAX_PORT = 65_535;
+
+    private SocketAddresses() {}
+
+    /** Returns the address, or empty if the text is not an IP address with a port from 0 to 65535. */
+    public static Optional<InetSocketAddress> parse(String text) {
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
+            return Optional.empty();
+        }
+        try {
+            InetAddress ip = InetAddress.getByName(matcher.group(1));
+            return Optional.of(new InetSocketAddress(ip, Integer.parseInt(matcher.group(2))));
+        } catch (UnknownHostException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the text form that {@link #parse} reads. */
+    public static String format(InetSocketAddress address) {
+        String ip = address.getAddress().getHostAddress();
+        return (ip.indexOf(':') >= 0 ? "[" + ip + "]" : ip) + ":" + address.getPort();
+    }
+}
