Add the HTTP caller on Undertow's client

Cause: every adapter needs calls with separate limits and a sure end. Change: UndertowHttpCaller tells a call that was not sent from one whose answer was lost, and refuses answers whose end cannot be proved.

--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
@@ -0,0 +1,128 @@
+package org.magnoliabridge.http;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Opens connections and keeps idle ones, per target, for a short time. */
+final class ConnectionPool implements AutoCloseable {
+    // Servers commonly close connections that were idle for 5 s or more; a shorter limit here makes it rare that a
+    // call is written to a connection that the other side is closing.
+    private static final long MAX_IDLE_MS = 3_000;
+    private static final int MAX_IDLE_PER_TARGET = 32;
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private final XnioWorker worker;
+    private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, -1, 4);
+    private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
+    private boolean closed;
+
+    ConnectionPool(int ioThreads) {
+        try {
+            worker = Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_NAME, "http-client")
+                            .set(Options.WORKER_IO_THREADS, ioThreads)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .set(Options.THREAD_DAEMON, true)
+                            .getMap());
+        } catch (IOException e) {
+            throw new IllegalStateException("the I/O threads of the HTTP client cannot start", e);
+        }
+    }
+
+    /** Returns an idle connection, or a new one if there is none or the call asks for a fresh one. */
+    ClientConnection connection(HttpCall call, UndertowHttpCaller.Deadline deadline) throws HttpFailure.NotSent {
+        ClientConnection pooled = call.freshConnection() ? null : takeIdle(call.target());
+        return pooled != null
+                ? pooled
+                : connect(call, deadline.atMost(call.limits().connectMs()));
+    }
+
+    void release(InetSocketAddress target, ClientConnection connection) {
+        if (!connection.isOpen() || !keep(target, connection)) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            idle.values().forEach(queue -> queue.forEach(entry -> IoUtils.safeClose(entry.connection)));
+            idle.clear();
+        }
+        worker.shutdownNow();
+        buffers.close();
+    }
+
+    private synchronized boolean keep(InetSocketAddress target, ClientConnection connection) {
+        Deque<Idle> queue = idle.computeIfAbsent(target, t -> new ArrayDeque<>());
+        if (closed || queue.size() >= MAX_IDLE_PER_TARGET) {
+            return false;
+        }
+        queue.push(new Idle(connection, System.nanoTime()));
+        return true;
+    }
+
+    // The most recently used connection goes first, so that unused ones age and are closed.
+    private synchronized ClientConnection takeIdle(InetSocketAddress target) {
+        Deque<Idle> queue = idle.get(target);
+        if (queue == null) {
+            return null;
+        }
+        long oldest = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MAX_IDLE_MS);
+        Idle entry = queue.poll();
+        while (entry != null && (entry.sinceNanos - oldest < 0 || !entry.connection.isOpen())) {
+            IoUtils.safeClose(entry.connection);
+            entry = queue.poll();
+        }
+        return entry == null ? null : entry.connection;
+    }
+
+    private ClientConnection connect(HttpCall call, long limitMs) throws HttpFailure.NotSent {
+        InetSocketAddress target = call.target();
+        URI uri = URI.create("http://" + Exchange.hostHeader(target));
+        IoFuture<ClientConnection> future = UndertowClient.getInstance().connect(uri, worker, buffers, OptionMap.EMPTY);
+        IoFuture.Status status = future.await(limitMs, TimeUnit.MILLISECONDS);
+        if (status == IoFuture.Status.WAITING) {
+            future.addNotifier(ConnectionPool::closeLate, null);
+            future.cancel();
+            throw new HttpFailure.NotSent("no connection to " + target + " within " + limitMs + " ms", null);
+        }
+        try {
+            return future.get();
+        } catch (IOException | RuntimeException e) {
+            throw new HttpFailure.NotSent("cannot connect to " + target, e);
+        }
+    }
+
+    // A connection that opens after its caller gave up has no owner and would stay open.
+    private static void closeLate(IoFuture<? extends ClientConnection> future, Object ignored) {
+        if (future.getStatus() == IoFuture.Status.DONE) {
+            try {
+                IoUtils.safeClose(future.get());
+            } catch (IOException e) {
+                throw new IllegalStateException("a finished connection attempt has no connection", e);
+            }
+        }
+    }
+
+    private record Idle(ClientConnection connection, long sinceNanos) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -0,0 +1,209 @@
+package org.magnoliabridge.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.magnoliabridge.settings.SocketAddresses;
+import org.xnio.ChannelListeners;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One request and its answer on a connection; passes events from the I/O thread to the calling thread. */
+final class Exchange {
+    private static final int READ_BYTES = 8 * 1024;
+    private static final int MAX_QUEUED_PIECES = 64;
+    private static final int RESUME_BELOW_PIECES = 16;
+
+    private final ClientConnection connection;
+    private final HttpCall call;
+    private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final AtomicInteger queuedPieces = new AtomicInteger();
+    private volatile StreamSourceChannel source;
+
+    Exchange(ClientConnection connection, HttpCall call) {
+        this.connection = connection;
+        this.call = call;
+    }
+
+    /** Sends the request; from here on the call may run at the other side. */
+    void start() {
+        connection.getIoThread().execute(() -> connection.sendRequest(request(), callback(this::requestStarted)));
+    }
+
+    /** Waits for the answer's status and headers. */
+    Head awaitHead(long limitMs) throws HttpFailure.Lost {
+        return switch (next(limitMs, "no answer within ")) {
+            case Head head -> head;
+            case Piece piece -> throw new IllegalStateException("content before the status");
+            case End end -> throw new IllegalStateException("end before the status");
+            case Failed failed -> throw new HttpFailure.Lost("the connection failed before the answer", failed.cause);
+        };
+    }
+
+    /** Waits for the next piece of content; returns null at the answer's proper end. */
+    byte[] awaitContent(long limitMs) throws HttpFailure.Lost {
+        return switch (next(limitMs, "the answer made no progress within ")) {
+            case Piece piece -> taken(piece);
+            case End end -> null;
+            case Head head -> throw new IllegalStateException("second status");
+            case Failed failed -> throw new HttpFailure.Lost("the answer ended early", failed.cause);
+        };
+    }
+
+    static String hostHeader(InetSocketAddress target) {
+        return SocketAddresses.format(target);
+    }
+
+    private Event next(long limitMs, String timeoutText) throws HttpFailure.Lost {
+        try {
+            Event event = events.poll(limitMs, TimeUnit.MILLISECONDS);
+            if (event == null) {
+                throw new HttpFailure.Lost(timeoutText + limitMs + " ms", null);
+            }
+            return event;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new HttpFailure.Lost("interrupted while waiting for the answer", e);
+        }
+    }
+
+    private byte[] taken(Piece piece) {
+        if (queuedPieces.decrementAndGet() == RESUME_BELOW_PIECES) {
+            source.getIoThread().execute(source::resumeReads);
+        }
+        return piece.bytes;
+    }
+
+    private ClientRequest request() {
+        ClientRequest request = new ClientRequest()
+                .setMethod(new HttpString(call.method()))
+                .setPath(call.path())
+                .setProtocol(Protocols.HTTP_1_1);
+        HeaderMap headers = request.getRequestHeaders();
+        call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
+        headers.put(Headers.HOST, hostHeader(call.target()));
+        if (call.body().length > 0 || !"GET".equals(call.method())) {
+            headers.put(Headers.CONTENT_LENGTH, call.body().length);
+        }
+        return request;
+    }
+
+    private void requestStarted(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::answerStarted));
+        StreamSinkChannel sink = exchange.getRequestChannel();
+        ByteBuffer body = ByteBuffer.wrap(call.body());
+        sink.getWriteSetter().set(channel -> write(channel, body));
+        write(sink, body);
+    }
+
+    private void write(StreamSinkChannel sink, ByteBuffer body) {
+        try {
+            while (body.hasRemaining()) {
+                if (sink.write(body) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.getWriteSetter()
+                        .set(ChannelListeners.flushingChannelListener(null, (channel, e) -> events.add(new Failed(e))));
+                sink.resumeWrites();
+            }
+        } catch (IOException e) {
+            events.add(new Failed(e));
+        }
+    }
+
+    private void answerStarted(ClientExchange exchange) {
+        ClientResponse response = exchange.getResponse();
+        events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
+        if (!hasProvableEnd(response)) {
+            events.add(new Failed(new IOException("the answer has neither a length nor chunks")));
+            return;
+        }
+        source = exchange.getResponseChannel();
+        source.getReadSetter().set(this::read);
+        read(source);
+    }
+
+    // An answer that ends with its connection cannot be told from a truncated one.
+    private static boolean hasProvableEnd(ClientResponse response) {
+        HeaderMap headers = response.getResponseHeaders();
+        int status = response.getResponseCode();
+        return headers.contains(Headers.CONTENT_LENGTH)
+                || headers.contains(Headers.TRANSFER_ENCODING)
+                || status == 204
+                || status == 304;
+    }
+
+    private void read(StreamSourceChannel channel) {
+        ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+        try {
+            int count = channel.read(buffer);
+            while (count > 0) {
+                buffer.flip();
+                byte[] bytes = new byte[buffer.remaining()];
+                buffer.get(bytes);
+                buffer.clear();
+                events.add(new Piece(bytes));
+                if (queuedPieces.incrementAndGet() >= MAX_QUEUED_PIECES) {
+                    channel.suspendReads();
+                    return;
+                }
+                count = channel.read(buffer);
+            }
+            if (count < 0) {
+                events.add(new End());
+            } else {
+                channel.resumeReads();
+            }
+        } catch (IOException e) {
+            events.add(new Failed(e));
+        }
+    }
+
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                next.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                events.add(new Failed(e));
+            }
+        };
+    }
+
+    /** What the I/O thread tells the calling thread. */
+    sealed interface Event {}
+
+    /** The answer's status and headers. */
+    record Head(int status, HeaderMap headers) implements Event {
+        boolean keepAlive() {
+            return !"close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
+        }
+    }
+
+    @SuppressWarnings("ArrayRecordComponent")
+    private record Piece(byte[] bytes) implements Event {}
+
+    private record End() implements Event {}
+
+    private record Failed(IOException cause) implements Event {}
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -0,0 +1,123 @@
+package org.magnoliabridge.http;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import java.io.ByteArrayOutputStream;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+
+/** Makes HTTP calls with Undertow's client and keeps idle connections for reuse. */
+public final class UndertowHttpCaller implements HttpCaller {
+    private static final byte[] NO_BODY = {};
+
+    private final ConnectionPool pool;
+
+    /**
+     * Starts the I/O threads.
+     *
+     * @param ioThreads number of I/O threads; one is enough for some thousand calls a second
+     */
+    public UndertowHttpCaller(int ioThreads) {
+        pool = new ConnectionPool(ioThreads);
+    }
+
+    @Override
+    public HttpAnswer call(HttpCall call) throws HttpFailure {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        return run(call, collector(body, call.maxAnswerBytes()), body);
+    }
+
+    @Override
+    public HttpAnswer stream(HttpCall call, LineReceiver lines) throws HttpFailure {
+        return run(call, new LineSplitter(lines, call.maxAnswerBytes()), new ByteArrayOutputStream());
+    }
+
+    @Override
+    public void close() {
+        pool.close();
+    }
+
+    private HttpAnswer run(HttpCall call, ContentReceiver content, ByteArrayOutputStream collected) throws HttpFailure {
+        Deadline deadline = new Deadline(call.limits().totalMs());
+        ClientConnection connection = pool.connection(call, deadline);
+        Exchange exchange = new Exchange(connection, call);
+        boolean reusable = false;
+        try {
+            exchange.start();
+            Exchange.Head head =
+                    exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
+            boolean toReceiver = head.status() == 200 || !(content instanceof LineSplitter);
+            ContentReceiver receiver = toReceiver ? content : collector(collected, call.maxAnswerBytes());
+            reusable = receive(exchange, receiver, call, deadline) && head.keepAlive();
+            byte[] body = collected.size() == 0 ? NO_BODY : collected.toByteArray();
+            return new HttpAnswer(head.status(), headers(head.headers()), body);
+        } finally {
+            if (reusable) {
+                pool.release(call.target(), connection);
+            } else {
+                IoUtils.safeClose(connection);
+            }
+        }
+    }
+
+    /** Returns whether the answer was received up to its end. */
+    private static boolean receive(Exchange exchange, ContentReceiver receiver, HttpCall call, Deadline deadline)
+            throws HttpFailure {
+        byte[] bytes = exchange.awaitContent(deadline.atMost(call.limits().progressMs()));
+        while (bytes != null) {
+            if (!receiver.bytes(bytes)) {
+                return false;
+            }
+            bytes = exchange.awaitContent(deadline.atMost(call.limits().progressMs()));
+        }
+        return receiver.end();
+    }
+
+    private static ContentReceiver collector(ByteArrayOutputStream body, int maxBytes) {
+        return bytes -> {
+            if (body.size() + bytes.length > maxBytes) {
+                throw new HttpFailure.TooLarge(maxBytes);
+            }
+            body.writeBytes(bytes);
+            return true;
+        };
+    }
+
+    private static Map<String, String> headers(HeaderMap map) {
+        Map<String, String> headers = new TreeMap<>();
+        for (HeaderValues values : map) {
+            headers.put(values.getHeaderName().toString().toLowerCase(Locale.ROOT), values.getFirst());
+        }
+        return headers;
+    }
+
+    /** Takes the content of an answer piece by piece. */
+    interface ContentReceiver {
+        /** Takes a piece; returns false to stop. */
+        boolean bytes(byte[] piece) throws HttpFailure;
+
+        /** Takes the end of the content; returns false to stop. */
+        default boolean end() {
+            return true;
+        }
+    }
+
+    /** The time limit of a whole call. */
+    static final class Deadline {
+        private final long endNanos;
+
+        Deadline(long totalMs) {
+            endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(totalMs);
+        }
+
+        /** Returns the milliseconds left, at most the limit and at least 0. */
+        long atMost(long limitMs) {
+            long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+            return Math.max(0, Math.min(limitMs, leftMs));
+        }
+    }
+}
