--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/keys/CallerKey.java
@@ -0,0 +1,149 @@
+package org.magnoliabridge.keys;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliabridge.keys.CallerRequest.Header;
+
+/**
+ * Finds the key in a request and removes it.
+ *
+ * <p>Places: {@code Authorization: Bearer}, {@code X-Api-Key}, cookie {@code api_key}, query parameter {@code api_key},
+ * top-level field {@code api_key} of a JSON body. Bodies of other types are passed on unchanged.
+ *
+ * <pre>{@code
+ * CallerKey key = CallerKey.take(request);
+ * KeyTable.Result result = key.text().map(table::authenticate).orElse(new KeyTable.Unknown());
+ * send(key.stripped());
+ * }</pre>
+ */
+public final class CallerKey {
+    private static final String NAME = "api_key";
+    private static final String BEARER = "bearer ";
+
+    private final Optional<String> text;
+    private final CallerRequest stripped;
+
+    private CallerKey(Optional<String> text, CallerRequest stripped) {
+        this.text = text;
+        this.stripped = stripped;
+    }
+
+    /**
+     * Splits a request into its key and the rest.
+     *
+     * @throws MalformedRequestException if the query or a JSON body cannot be read
+     */
+    public static CallerKey take(CallerRequest request) throws MalformedRequestException {
+        Set<String> found = new LinkedHashSet<>();
+        List<Header> headers = new ArrayList<>();
+        for (Header header : request.headers()) {
+            takeHeader(header, found).ifPresent(headers::add);
+        }
+        String query = takeQuery(request.query(), found);
+        byte[] body = JsonKeyField.isJson(request) ? JsonKeyField.remove(request.body(), NAME, found) : request.body();
+        // A key that was found is also removed from headers and parameters of any other name.
+        headers.removeIf(h -> found.stream().anyMatch(h.value()::contains));
+        return new CallerKey(only(found), new CallerRequest(headers, withoutKeys(query, found), body));
+    }
+
+    /** Returns the key as it came; empty if there is none, or if two places hold different keys. */
+    public Optional<String> text() {
+        return text;
+    }
+
+    /** Returns the request without the key. */
+    public CallerRequest stripped() {
+        return stripped;
+    }
+
+    /** Returns a text without the key. */
+    @Override
+    public String toString() {
+        return text.isPresent() ? "CallerKey[***]" : "CallerKey[none]";
+    }
+
+    private static Optional<String> only(Set<String> found) {
+        return found.size() == 1 ? Optional.of(found.iterator().next()) : Optional.empty();
+    }
+
+    private static Optional<Header> takeHeader(Header header, Set<String> found) {
+        return switch (header.name().toLowerCase(Locale.ROOT)) {
+            case "authorization" -> takeAuthorization(header.value().strip(), found);
+            case "x-api-key" -> {
+                add(header.value(), found);
+                yield Optional.empty();
+            }
+            case "cookie" -> takeCookies(header, found);
+            default -> Optional.of(header);
+        };
+    }
+
+    // The header is dropped whatever its scheme: a key sent without "Bearer" must not pass either.
+    private static Optional<Header> takeAuthorization(String value, Set<String> found) {
+        if (value.toLowerCase(Locale.ROOT).startsWith(BEARER)) {
+            add(value.substring(BEARER.length()), found);
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Header> takeCookies(Header header, Set<String> found) {
+        List<String> kept = new ArrayList<>();
+        for (String cookie : header.value().split(";", -1)) {
+            int equals = cookie.indexOf('=');
+            if (equals >= 0 && cookie.substring(0, equals).strip().equalsIgnoreCase(NAME)) {
+                add(cookie.substring(equals + 1).strip().replace("\"", ""), found);
+            } else if (!cookie.isBlank()) {
+                kept.add(cookie.strip());
+            }
+        }
+        return kept.isEmpty() ? Optional.empty() : Optional.of(new Header(header.name(), String.join("; ", kept)));
+    }
+
+    private static String takeQuery(String query, Set<String> found) throws MalformedRequestException {
+        List<String> kept = new ArrayList<>();
+        for (String parameter : parameters(query)) {
+            int equals = parameter.indexOf('=');
+            String name = decode(equals < 0 ? parameter : parameter.substring(0, equals));
+            if (name.equalsIgnoreCase(NAME)) {
+                add(equals < 0 ? "" : decode(parameter.substring(equals + 1)), found);
+            } else {
+                kept.add(parameter);
+            }
+        }
+        return String.join("&", kept);
+    }
+
+    private static String withoutKeys(String query, Set<String> found) throws MalformedRequestException {
+        List<String> kept = new ArrayList<>();
+        for (String parameter : parameters(query)) {
+            if (found.stream().noneMatch(decode(parameter)::contains)) {
+                kept.add(parameter);
+            }
+        }
+        return String.join("&", kept);
+    }
+
+    private static List<String> parameters(String query) {
+        return query.isEmpty() ? List.of() : List.of(query.split("&", -1));
+    }
+
+    private static String decode(String text) throws MalformedRequestException {
+        try {
+            return URLDecoder.decode(text, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw new MalformedRequestException(MalformedRequestException.Part.QUERY);
+        }
+    }
+
+    private static void add(String value, Set<String> found) {
+        if (!value.isBlank()) {
+            found.add(value.strip());
+        }
+    }
+}
