Test calls against scripted back ends

Cause: I1 and I9 to I12 need proof under truncated, crossed, late and silent answers. Change: fakes on loopback sockets that record every byte; tests of retry, resume, cancel and the run claim.

--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/calls/CallFixture.java
@@ -0,0 +1,67 @@
+package org.magnoliabridge.calls;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.http.UndertowHttpCaller;
+import org.magnoliabridge.ids.RequestId;
+
+/** Callers over two fake engines, with short limits. */
+public final class CallFixture implements AutoCloseable {
+    public static final Spans NO_SPANS = (name, parent) -> new Spans.Span() {
+        @Override
+        public TraceContext context() {
+            return new TraceContext("a".repeat(32), "b".repeat(16), true);
+        }
+
+        @Override
+        public Spans.Span set(String key, String value) {
+            return this;
+        }
+
+        @Override
+        public void end(String outcome) {}
+    };
+
+    public final UndertowHttpCaller http = new UndertowHttpCaller(1);
+    public final FakeEngine one = new FakeEngine();
+    public final FakeEngine two = new FakeEngine();
+    public final FakeEndpoints endpoints =
+            new FakeEndpoints().add("one", one.address()).add("two", two.address());
+    public final MetricRegistry metrics = new MetricRegistry();
+    public final CallTools tools;
+    public final GenerationCaller caller;
+
+    public CallFixture() throws IOException {
+        AtomicInteger ids = new AtomicInteger();
+        tools = new CallTools(
+                endpoints,
+                new RetryBudget(),
+                new CallLimits(500, 400, 400),
+                MonotonicClock.system(),
+                () -> new RequestId("hop-" + ids.incrementAndGet()),
+                task -> Thread.ofVirtual().start(task),
+                new CallMetrics(metrics),
+                NO_SPANS);
+        caller = new GenerationCaller(new HttpEngineAdapter(http, HttpLimits.total(400)), tools);
+    }
+
+    /** Returns the deadline of a request made now. */
+    public long deadline() {
+        return tools.clock().nowMs() + 5_000;
+    }
+
+    public static Optional<TraceContext> noTrace() {
+        return Optional.empty();
+    }
+
+    @Override
+    public void close() throws IOException {
+        http.close();
+        one.close();
+        two.close();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/calls/FakeBackEnd.java
@@ -0,0 +1,153 @@
+package org.magnoliabridge.calls;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A back end on a loopback socket that records every byte it receives and answers as a test scripts it. */
+public final class FakeBackEnd implements AutoCloseable {
+    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
+    private static final Pattern PATH = Pattern.compile("^[A-Z]+ (\\S+)");
+
+    private final ServerSocket server;
+    private final Script script;
+    private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+    private final java.util.Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+    /** Answers one request; returns false to close the connection. */
+    @FunctionalInterface
+    public interface Script {
+        boolean answer(Request request, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    /** A request as it came. */
+    public record Request(String path, String head, String body) {}
+
+    public FakeBackEnd(Script script) throws IOException {
+        this.script = script;
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+    }
+
+    /** Returns all received bytes as text. */
+    public synchronized String recorded() {
+        return recorded.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    public List<Request> requests(String pathPrefix) {
+        return requests.stream().filter(r -> r.path().startsWith(pathPrefix)).toList();
+    }
+
+    public static boolean respond(OutputStream out, int status, String type, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        String head = "HTTP/1.1 " + status + " X\r\nContent-Type: " + type + "\r\nContent-Length: " + bytes.length;
+        out.write((head + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+        out.write(bytes);
+        return true;
+    }
+
+    /** Starts a chunked event stream. */
+    public static void startStream(OutputStream out) throws IOException {
+        out.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                .getBytes(StandardCharsets.UTF_8));
+    }
+
+    public static void event(OutputStream out, String data) throws IOException {
+        byte[] bytes = ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
+        out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.UTF_8));
+        out.write(bytes);
+        out.write("\r\n".getBytes(StandardCharsets.UTF_8));
+    }
+
+    public static boolean endStream(OutputStream out) throws IOException {
+        out.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        return true;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                Thread.ofVirtual().start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // Closed by the test.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            boolean open = true;
+            while (open) {
+                Request request = read(socket.getInputStream());
+                if (request == null) {
+                    return;
+                }
+                requests.add(request);
+                open = script.answer(request, socket.getOutputStream());
+            }
+        } catch (IOException | InterruptedException e) {
+            // The other side closed the connection, as several tests intend.
+        }
+    }
+
+    private Request read(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = take(in);
+            if (b < 0) {
+                return null;
+            }
+            head.append((char) b);
+        }
+        Matcher length = LENGTH.matcher(head);
+        int bytes = length.find() ? Integer.parseInt(length.group(1)) : 0;
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (int i = 0; i < bytes; i++) {
+            body.write(take(in));
+        }
+        Matcher path = PATH.matcher(head);
+        return new Request(
+                path.find() ? path.group(1) : "",
+                head.toString().toLowerCase(Locale.ROOT),
+                body.toString(StandardCharsets.UTF_8));
+    }
+
+    private synchronized void record(int b) {
+        recorded.write(b);
+    }
+
+    private int take(InputStream in) throws IOException {
+        int b = in.read();
+        if (b >= 0) {
+            record(b);
+        }
+        return b;
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/calls/GenerationCallerTest.java
@@ -0,0 +1,207 @@
+package org.magnoliabridge.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.magnoliabridge.calls.FakeEngine.Fault;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WeightVersion;
+
+class GenerationCallerTest {
+    private final CallFixture fixture = new CallFixture();
+    private final List<String> streamed = new ArrayList<>();
+
+    GenerationCallerTest() throws IOException {}
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+    }
+
+    @Test
+    void returnsAWholeAnswerWithItsVersions() throws CallException {
+        Generation answer = whole();
+        assertThat(answer.text(), is(" 2 3 4 5 6"));
+        assertThat(answer.reason(), is(FinishReason.LENGTH));
+        assertThat(answer.versions(), contains(new VersionRange(0, 5, new WeightVersion(7))));
+        assertThat(fixture.endpoints.open.get(), is(0));
+    }
+
+    /** Guards I9: an answer that is not whole, or not for this request, is never taken; another engine gives it. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {
+                "CLOSE",
+                "SILENT",
+                "WRONG_ID",
+                "SKIP_INDEX",
+                "REPEAT_INDEX",
+                "WRONG_COUNT",
+                "NO_DONE",
+                "EXTRA_TOKEN",
+                "DRAINING"
+            })
+    void repeatsAWholeCallOnAnotherEngine(Fault fault) throws CallException {
+        fixture.one.fault = fault;
+        assertThat(whole().text(), is(" 2 3 4 5 6"));
+        assertThat(fixture.two.generations(), hasSize(1));
+    }
+
+    /** Guards I9: at the seam of a resumed stream no token is lost or doubled. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {"CLOSE", "SILENT", "SKIP_INDEX", "REPEAT_INDEX", "WRONG_ID"})
+    void resumesAStreamWithoutASeam(Fault fault) throws CallException {
+        fixture.one.fault = fault;
+        Generation answer = stream();
+        assertThat(answer.text(), is(" 2 3 4 5 6"));
+        assertThat(streamed, contains("0 2", "1 3", "2 4", "3 5", "4 6"));
+        assertThat(fixture.endpoints.needs.get(1).preferred().orElseThrow(), is(new WeightVersion(7)));
+    }
+
+    /** Guards I1: tokens from two engines with other weights are named as such. */
+    @Test
+    void namesTheVersionOfEachRangeAfterAResume() throws CallException {
+        fixture.one.fault = Fault.CLOSE;
+        fixture.two.version = 8;
+        assertThat(
+                stream().versions(),
+                contains(new VersionRange(0, 2, new WeightVersion(7)), new VersionRange(2, 5, new WeightVersion(8))));
+    }
+
+    /** Guards I9: when only the end of an answer is lost, nothing is left to generate and nothing is sent. */
+    @Test
+    void completesAStreamWhoseEndWasLost() throws CallException {
+        fixture.one.fault = Fault.NO_DONE;
+        assertThat(stream().text(), is(" 2 3 4 5 6"));
+        assertThat(fixture.two.generations(), is(empty()));
+    }
+
+    /** Guards I9: a finish event that contradicts the tokens ends a stream with a failure, not with an end mark. */
+    @Test
+    void failsAStreamThatContradictsItself() {
+        fixture.one.fault = Fault.WRONG_COUNT;
+        CallException failed = assertThrows(CallException.class, this::stream);
+        assertThat(failed.failure(), is(instanceOf(Failure.IncompleteAnswer.class)));
+        assertThat(failed.run(), is(RunClaim.RAN));
+    }
+
+    /** Guards I9: a late answer to an earlier request on the same connection is dropped and counted. */
+    @Test
+    void dropsAndCountsForeignEvents() throws CallException {
+        fixture.one.fault = Fault.LATE_FOREIGN;
+        assertThat(whole().text(), is(" 2 3 4 5 6"));
+        assertThat(fixture.metrics.counter("calls.foreign_events_dropped").getCount(), is(1L));
+        assertThat(fixture.two.generations(), is(empty()));
+    }
+
+    /** Guards against blaming an engine for one silent connection. */
+    @Test
+    void blamesAnEngineOnlyIfAFreshConnectionFailsToo() throws CallException {
+        fixture.one.fault = Fault.SILENT;
+        whole();
+        assertThat(fixture.endpoints.observations, not(hasItem("one UNREACHABLE")));
+        fixture.one.fault = Fault.SILENT_ALWAYS;
+        whole();
+        assertThat(fixture.endpoints.observations, hasItem("one UNREACHABLE"));
+    }
+
+    /** Guards I12: the engine's own refusal takes it out of the choice. */
+    @Test
+    void reportsADrainingEngine() throws CallException {
+        fixture.one.fault = Fault.DRAINING;
+        whole();
+        assertThat(fixture.endpoints.observations, hasItem("one DRAINING"));
+    }
+
+    /** Guards I10: refused by each engine before it ran, so the refusal says so; the fake's record agrees. */
+    @Test
+    void saysNotRunWhenEveryEngineRefused() {
+        fixture.one.fault = Fault.DRAINING;
+        fixture.two.fault = Fault.DRAINING;
+        assertThat(assertThrows(CallException.class, this::whole).run(), is(RunClaim.NOT_RUN));
+    }
+
+    /** Guards I10: a refusal of the second wait does not hide that the first attempt ran. */
+    @Test
+    void neverSaysNotRunAfterAnAttemptThatMayHaveRun() {
+        fixture.one.fault = Fault.CLOSE;
+        fixture.two.fault = Fault.CLOSE;
+        assertThat(assertThrows(CallException.class, this::whole).run(), is(RunClaim.RAN));
+        fixture.one.faultAt = 0;
+        fixture.two.faultAt = 0;
+        fixture.one.fault = Fault.SILENT_ALWAYS;
+        fixture.two.fault = Fault.SILENT_ALWAYS;
+        assertThat(assertThrows(CallException.class, this::whole).run(), is(RunClaim.UNKNOWN));
+    }
+
+    /** Guards against a retry storm: failed calls are repeated for a tenth of the calls only. */
+    @Test
+    void stopsRetryingWhenTheBudgetIsUsedUp() {
+        fixture.one.fault = Fault.DRAINING;
+        fixture.two.fault = Fault.DRAINING;
+        for (int i = 0; i < 30; i++) {
+            assertThrows(CallException.class, this::whole);
+        }
+        // 10 saved, a tenth of 30 earned; the first refill is lost because the budget is full.
+        assertTrue(fixture.metrics.counter("calls.retries").getCount() <= 13);
+        assertTrue(fixture.metrics.counter("calls.retries_refused_by_budget").getCount() > 0);
+    }
+
+    /** Guards against an engine working for a caller that is gone. */
+    @Test
+    void cancelsAtTheEngineWhenTheCallerIsGone() throws InterruptedException {
+        fixture.one.fault = Fault.HOLD;
+        Cancellation cancellation = new Cancellation();
+        CallException failed = assertThrows(
+                CallException.class,
+                () -> fixture.caller.streamed(request(), cancellation, (index, text, version) -> {
+                    if (index == 1) {
+                        cancellation.cancel(Cancellation.Reason.CALLER_GONE);
+                    }
+                    return true;
+                }));
+        assertThat(failed.failure(), is(instanceOf(Failure.CallerGone.class)));
+        assertTrue(fixture.one.cancelled.await(5, TimeUnit.SECONDS));
+        assertThat(fixture.two.generations(), is(empty()));
+    }
+
+    private Generation whole() throws CallException {
+        return fixture.caller.whole(request(), new Cancellation());
+    }
+
+    private Generation stream() throws CallException {
+        return fixture.caller.streamed(
+                request(), new Cancellation(), (index, text, version) -> streamed.add(index + text));
+    }
+
+    private GenerationRequest request() {
+        return new GenerationRequest(
+                new ServiceId("coachgen"),
+                new TeamId("anvil"),
+                EndpointSource.Priority.TRAINING,
+                "two words",
+                5,
+                fixture.deadline(),
+                CallFixture.noTrace());
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -0,0 +1,107 @@
+package org.magnoliabridge.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+
+class PlainCallerTest {
+    private static final String JSON = "application/json";
+
+    private final CallFixture fixture = new CallFixture();
+    private volatile FakeBackEnd.Script script = (request, out) -> FakeBackEnd.respond(out, 200, JSON, "{\"a\":1}");
+    private final FakeBackEnd one = new FakeBackEnd((request, out) -> script.answer(request, out));
+    private final FakeBackEnd two = new FakeBackEnd((request, out) -> FakeBackEnd.respond(out, 201, JSON, "{}"));
+    private final PlainCaller caller = new PlainCaller(new PlainServiceAdapter(fixture.http), fixture.tools);
+
+    PlainCallerTest() throws IOException {
+        fixture.endpoints.endpoints.clear();
+        fixture.endpoints.add("one", one.address()).add("two", two.address());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+        one.close();
+        two.close();
+    }
+
+    /** Guards I5: only headers on the allow list are sent. */
+    @Test
+    void sendsOnlyHeadersOnTheAllowList() throws CallException {
+        PlainAnswer answer = call(false);
+        assertThat(new String(answer.body(), StandardCharsets.UTF_8), is("{\"a\":1}"));
+        assertThat(one.recorded(), containsString("POST /bookings?bench=1 HTTP/1.1"));
+        assertThat(one.recorded(), not(containsString("secret")));
+    }
+
+    /** Guards I11 and I10: sent once, no answer, never repeated, and the refusal does not claim "not run". */
+    @Test
+    void neverRepeatsANonIdempotentCallWithALostAnswer() {
+        script = (request, out) -> false;
+        CallException failed = assertThrows(CallException.class, () -> call(false));
+        assertThat(failed.failure(), is(instanceOf(Failure.OutcomeUnknown.class)));
+        assertThat(failed.run(), is(RunClaim.UNKNOWN));
+        assertThat(one.requests("/"), hasSize(1));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
+    @Test
+    void repeatsAnIdempotentCallElsewhere() throws CallException {
+        script = (request, out) -> false;
+        assertThat(call(true).status(), is(201));
+    }
+
+    /** Guards I9: a body shorter than its length is not an answer. */
+    @Test
+    void refusesATruncatedAnswer() {
+        script = (request, out) -> {
+            out.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello".getBytes(StandardCharsets.UTF_8));
+            return false;
+        };
+        CallException failed = assertThrows(CallException.class, () -> call(false));
+        assertThat(failed.run(), is(RunClaim.UNKNOWN));
+    }
+
+    /** Guards I11: a call that a leaving endpoint did not run may go to another one, also if it must not run twice. */
+    @Test
+    void movesACallThatDidNotRun() throws CallException {
+        script = (request, out) -> FakeBackEnd.respond(out, 503, JSON, "{\"error\":{\"type\":\"draining\"}}");
+        assertThat(call(false).status(), is(201));
+    }
+
+    /** Guards I10: nothing listens, so nothing was written. */
+    @Test
+    void saysNotRunWhenNoEndpointCouldBeReached() throws IOException {
+        one.close();
+        two.close();
+        assertThat(assertThrows(CallException.class, () -> call(false)).run(), is(RunClaim.NOT_RUN));
+    }
+
+    private PlainAnswer call(boolean idempotent) throws CallException {
+        PlainRequest request = new PlainRequest(
+                new ServiceId("benchdesk"),
+                new TeamId("anvil"),
+                "POST",
+                "/bookings?bench=1",
+                Map.of("content-type", JSON, "authorization", "Bearer secret", "x-other", "secret"),
+                "{}".getBytes(StandardCharsets.UTF_8),
+                idempotent,
+                fixture.deadline(),
+                new RequestId("r1"),
+                CallFixture.noTrace());
+        return caller.call(request, new Cancellation());
+    }
+}
