--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/telemetry/LogFields.java
@@ -0,0 +1,44 @@
+package org.magnoliabridge.telemetry;
+
+import com.google.common.flogger.MetadataKey;
+
+/**
+ * The structured fields of log lines.
+ *
+ * <pre>{@code
+ * log.atInfo().with(LogFields.SERVICE, service.value()).log("no routable endpoint");
+ * }</pre>
+ */
+public final class LogFields {
+    /** The request id of the hop. */
+    public static final MetadataKey<String> REQUEST = MetadataKey.single("request_id", String.class);
+
+    /** The W3C trace id. */
+    public static final MetadataKey<String> TRACE = MetadataKey.single("trace_id", String.class);
+
+    /** The team. */
+    public static final MetadataKey<String> TEAM = MetadataKey.single("team", String.class);
+
+    /** The service. */
+    public static final MetadataKey<String> SERVICE = MetadataKey.single("service", String.class);
+
+    /** The endpoint. */
+    public static final MetadataKey<String> ENDPOINT = MetadataKey.single("endpoint", String.class);
+
+    /** The other node. */
+    public static final MetadataKey<String> PEER = MetadataKey.single("peer", String.class);
+
+    /** A version of a bundle, of weights or of withdrawals. */
+    public static final MetadataKey<Long> VERSION = MetadataKey.single("version", Long.class);
+
+    /** A fencing token. */
+    public static final MetadataKey<Long> FENCING = MetadataKey.single("fencing", Long.class);
+
+    /** The simple name of a failure type. */
+    public static final MetadataKey<String> FAILURE = MetadataKey.single("failure", String.class);
+
+    /** A number of things. */
+    public static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
+
+    private LogFields() {}
+}
