Add routing: endpoint table, engine choice and fair admission

Change: EndpointTable, EngineChoice, AdmissionCore with start-time fair queueing, token buckets, early refusal and push-out of the largest backlog; Dispatcher lets traffic threads wait for slots.

--- a/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
@@ -58,7 +58,7 @@
     }
 
     /** Returns the failure that stands for a reason. */
-    static Failure failure(Reason reason) {
+    public static Failure failure(Reason reason) {
         return switch (reason) {
             case CALLER_GONE, SUPERSEDED -> new Failure.CallerGone();
             case KEY_WITHDRAWN -> new Failure.Unauthenticated();
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationCaller.java
@@ -29,8 +29,8 @@
     }
 
     /**
-     * Generates and hands over each token as it arrives; a failed attempt is continued after the last token handed over,
-     * on an engine with the same weights if there is one.
+     * Generates and hands over each token as it arrives; a failed attempt is continued after the last token handed
+     * over, on an engine with the same weights if there is one.
      *
      * @return the whole answer, equal to the tokens handed over
      * @throws CallException if the answer can't be completed; the tokens handed over are then not an answer
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
@@ -0,0 +1,174 @@
+package org.magnoliabridge.routing;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.RunClaim;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.EndpointId;
+
+/** Lets calls on traffic threads wait for slots that the admission core hands out on the control thread. */
+public final class Dispatcher implements EndpointSource, AutoCloseable {
+    private static final long TICK_MS = 50;
+
+    private final AdmissionCore core;
+    private final ControlLoop loop;
+    private final MonotonicClock clock;
+    private final Consumer<Endpoint> spreadLeaving;
+    private final AtomicLong tickets = new AtomicLong();
+    private final Timer waits;
+    private final Counter refusals;
+    private final ScheduledFuture<?> ticking;
+    // Used on the control thread only.
+    private final Map<Long, CompletableFuture<AdmissionEffect>> waiting = new HashMap<>();
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param spreadLeaving called on the control thread with each endpoint that this node is the first to see leaving
+     */
+    public Dispatcher(
+            AdmissionCore core,
+            ControlLoop loop,
+            MonotonicClock clock,
+            MetricRegistry metrics,
+            Consumer<Endpoint> spreadLeaving) {
+        this.core = core;
+        this.loop = loop;
+        this.clock = clock;
+        this.spreadLeaving = spreadLeaving;
+        waits = metrics.timer("routing.queue_wait");
+        refusals = metrics.counter("routing.refusals");
+        // Expires deadlines and ends back-offs.
+        ticking = loop.every(TICK_MS, () -> run(new AdmissionInput.Tick()));
+    }
+
+    @Override
+    public void close() {
+        ticking.cancel(false);
+    }
+
+    /** Gives the core an input, from any thread. */
+    public void post(AdmissionInput input) {
+        loop.post(() -> run(input));
+    }
+
+    @Override
+    public Slot acquire(Need need, Cancellation cancellation) throws CallException {
+        long ticket = tickets.incrementAndGet();
+        CompletableFuture<AdmissionEffect> answer = new CompletableFuture<>();
+        long startMs = clock.nowMs();
+        loop.post(() -> {
+            waiting.put(ticket, answer);
+            run(new AdmissionInput.Arrive(ticket, need));
+        });
+        Cancellation.Registration registration = cancellation.onCancel(() -> withdraw(ticket, cancellation));
+        try {
+            return slot(ticket, need, answer.get(waitMs(need), TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            withdraw(ticket, cancellation);
+            Thread.currentThread().interrupt();
+            throw new CallException(new Failure.CallerGone(), RunClaim.NOT_RUN, e);
+        } catch (ExecutionException | TimeoutException e) {
+            withdraw(ticket, cancellation);
+            throw new CallException(new Failure.DeadlineExceeded(), RunClaim.NOT_RUN, e);
+        } finally {
+            registration.close();
+            waits.update(clock.nowMs() - startMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private long waitMs(Need need) {
+        // The core refuses at the deadline; the margin only covers a control thread that has been closed.
+        return Math.max(0, need.deadlineMs() - clock.nowMs()) + 10 * TICK_MS;
+    }
+
+    private Slot slot(long ticket, Need need, AdmissionEffect effect) throws CallException {
+        return switch (effect) {
+            case AdmissionEffect.Dispatch dispatch -> new CoreSlot(ticket, need, dispatch.endpoint());
+            case AdmissionEffect.Refuse refuse -> {
+                refusals.inc();
+                throw CallException.notRun(refuse.failure());
+            }
+            case AdmissionEffect.SpreadLeaving spread -> throw new IllegalStateException("not an answer");
+        };
+    }
+
+    private void withdraw(long ticket, Cancellation cancellation) {
+        Failure failure = cancellation.reason().map(Cancellation::failure).orElse(new Failure.CallerGone());
+        post(new AdmissionInput.Cancel(ticket, failure));
+    }
+
+    private void run(AdmissionInput input) {
+        for (AdmissionEffect effect : core.apply(input, clock.nowMs())) {
+            switch (effect) {
+                case AdmissionEffect.Dispatch dispatch -> answer(dispatch.ticket(), effect);
+                case AdmissionEffect.Refuse refuse -> answer(refuse.ticket(), effect);
+                case AdmissionEffect.SpreadLeaving spread -> spreadLeaving.accept(spread.endpoint());
+            }
+        }
+    }
+
+    private void answer(long ticket, AdmissionEffect effect) {
+        CompletableFuture<AdmissionEffect> answer = waiting.remove(ticket);
+        if (answer != null) {
+            answer.complete(effect);
+        }
+    }
+
+    private final class CoreSlot implements Slot {
+        private final long ticket;
+        private final Need need;
+        private final Endpoint endpoint;
+        private final AtomicBoolean released = new AtomicBoolean();
+
+        CoreSlot(long ticket, Need need, Endpoint endpoint) {
+            this.ticket = ticket;
+            this.need = need;
+            this.endpoint = endpoint;
+        }
+
+        @Override
+        public EndpointId endpoint() {
+            return endpoint.id();
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            return endpoint.socketAddress();
+        }
+
+        @Override
+        public void observed(Observation observation) {
+            post(new AdmissionInput.Observed(ticket, observation));
+        }
+
+        @Override
+        public void release(int usedTokens) {
+            if (released.compareAndSet(false, true)) {
+                post(new AdmissionInput.Finished(ticket, usedTokens));
+            }
+        }
+
+        @Override
+        public void close() {
+            release(need.tokens());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -0,0 +1,190 @@
+package org.magnoliabridge.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ServiceId;
+
+/**
+ * The state of all endpoints as this node knows it. Deterministic and not thread-safe.
+ *
+ * <p>An incarnation that was seen leaving never gets new work again. Its departure is forgotten only when the instance
+ * list has not named it for {@link #FORGET_AFTER_MS}; the same id and address then stand for a new start.
+ */
+public final class EndpointTable {
+    static final long FORGET_AFTER_MS = 60_000;
+    static final long FIRST_BACK_OFF_MS = 1_000;
+    static final long MAX_BACK_OFF_MS = 30_000;
+    // One faulty answer can be the fault of its connection; three in a row are the endpoint's.
+    private static final int MAX_FAULTY_ANSWERS = 3;
+
+    private final Map<EndpointId, Entry> entries = new TreeMap<>();
+    private final Map<Incarnation, Long> left = new HashMap<>();
+
+    private record Incarnation(EndpointId id, String address) {}
+
+    private static final class Entry {
+        private final Endpoint endpoint;
+        private EndpointState state = EndpointState.ROUTABLE;
+        private int faultyAnswers;
+        private long backOffMs = FIRST_BACK_OFF_MS;
+        private long retryAtMs;
+        private long unlistedAtMs;
+
+        Entry(Endpoint endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        Incarnation incarnation() {
+            return new Incarnation(endpoint.id(), endpoint.address());
+        }
+    }
+
+    /** Takes an input; returns the endpoints that this node is the first to see leaving, for other members to learn. */
+    public List<Endpoint> apply(EndpointInput input, long nowMs) {
+        return switch (input) {
+            case EndpointInput.Listed listed -> list(listed.endpoints(), nowMs);
+            case EndpointInput.StopOrdered stop -> leave(entries.get(stop.id()), nowMs);
+            case EndpointInput.ReclaimNotice notice -> leave(entries.get(notice.id()), nowMs);
+            case EndpointInput.LeavingItem item -> {
+                left.put(new Incarnation(item.id(), item.address()), nowMs);
+                matching(item.id(), item.address()).ifPresent(e -> e.state = EndpointState.LEAVING);
+                yield List.of();
+            }
+            case EndpointInput.Observed observed ->
+                matching(observed.id(), observed.address())
+                        .map(e -> observe(e, observed.observation(), nowMs))
+                        .orElse(List.of());
+            case EndpointInput.Tick tick -> {
+                tick(nowMs);
+                yield List.of();
+            }
+        };
+    }
+
+    /** Returns the state of an endpoint; empty if it was never listed. */
+    public Optional<EndpointState> state(EndpointId id) {
+        return Optional.ofNullable(entries.get(id)).map(e -> e.state);
+    }
+
+    /** Returns the endpoints of a service that get new work, in the order of their ids. */
+    public List<Endpoint> choosable(ServiceId service) {
+        return entries.values().stream()
+                .filter(e -> e.endpoint.service().equals(service) && isChoosable(e))
+                .map(e -> e.endpoint)
+                .toList();
+    }
+
+    /** Returns how many requests the endpoint may have in flight from this node. */
+    int slots(EndpointId id, int engineSlots) {
+        Entry entry = entries.get(id);
+        if (entry == null || !isChoosable(entry)) {
+            return 0;
+        }
+        return entry.state == EndpointState.PROBATION ? 1 : engineSlots;
+    }
+
+    /** Returns the number of endpoints in each state, for status pages. */
+    public Map<EndpointState, Integer> counts() {
+        Map<EndpointState, Integer> counts = new TreeMap<>();
+        entries.values().forEach(e -> counts.merge(e.state, 1, Integer::sum));
+        return counts;
+    }
+
+    private List<Endpoint> list(Collection<EndpointInput.ListedEndpoint> listed, long nowMs) {
+        List<Endpoint> leaving = new ArrayList<>();
+        Set<EndpointId> named = new HashSet<>();
+        for (EndpointInput.ListedEndpoint item : listed) {
+            Endpoint endpoint = item.endpoint();
+            named.add(endpoint.id());
+            Entry entry = entries.get(endpoint.id());
+            if (entry == null || !entry.endpoint.equals(endpoint)) {
+                entry = new Entry(endpoint);
+                entries.put(endpoint.id(), entry);
+            }
+            if (left.containsKey(entry.incarnation())) {
+                left.put(entry.incarnation(), nowMs);
+                entry.state = EndpointState.LEAVING;
+            } else if (item.leaving()) {
+                leaving.addAll(leave(entry, nowMs));
+            } else if (entry.state == EndpointState.UNLISTED) {
+                entry.state = EndpointState.ROUTABLE;
+            }
+        }
+        for (Entry entry : entries.values()) {
+            if (!named.contains(entry.endpoint.id()) && isKept(entry)) {
+                entry.state = EndpointState.UNLISTED;
+                entry.unlistedAtMs = nowMs;
+            }
+        }
+        return leaving;
+    }
+
+    private List<Endpoint> leave(Entry entry, long nowMs) {
+        if (entry == null || left.put(entry.incarnation(), nowMs) != null) {
+            return List.of();
+        }
+        entry.state = EndpointState.LEAVING;
+        return List.of(entry.endpoint);
+    }
+
+    private List<Endpoint> observe(Entry entry, EndpointSource.Observation observation, long nowMs) {
+        if (observation == EndpointSource.Observation.DRAINING) {
+            return leave(entry, nowMs);
+        }
+        if (entry.state == EndpointState.LEAVING || entry.state == EndpointState.UNLISTED) {
+            return List.of();
+        }
+        if (observation == EndpointSource.Observation.ANSWERED) {
+            // An answer to a request from before the failure says nothing about the endpoint now.
+            if (entry.state != EndpointState.FAILED) {
+                entry.state = EndpointState.ROUTABLE;
+                entry.faultyAnswers = 0;
+                entry.backOffMs = FIRST_BACK_OFF_MS;
+            }
+            return List.of();
+        }
+        entry.faultyAnswers++;
+        boolean unreachable = observation == EndpointSource.Observation.UNREACHABLE;
+        boolean failing =
+                unreachable || entry.state == EndpointState.PROBATION || entry.faultyAnswers >= MAX_FAULTY_ANSWERS;
+        if (failing && entry.state != EndpointState.FAILED) {
+            entry.state = EndpointState.FAILED;
+            entry.retryAtMs = nowMs + entry.backOffMs;
+            entry.backOffMs = Math.min(MAX_BACK_OFF_MS, entry.backOffMs * 2);
+        }
+        return List.of();
+    }
+
+    private void tick(long nowMs) {
+        for (Entry entry : entries.values()) {
+            if (entry.state == EndpointState.FAILED && nowMs >= entry.retryAtMs) {
+                entry.state = EndpointState.PROBATION;
+            }
+        }
+        left.values().removeIf(seenMs -> nowMs - seenMs > FORGET_AFTER_MS);
+        entries.values().removeIf(e -> e.state == EndpointState.LEAVING && !left.containsKey(e.incarnation()));
+        entries.values().removeIf(e -> e.state == EndpointState.UNLISTED && nowMs - e.unlistedAtMs > FORGET_AFTER_MS);
+    }
+
+    private static boolean isKept(Entry entry) {
+        return entry.state != EndpointState.LEAVING && entry.state != EndpointState.UNLISTED;
+    }
+
+    private Optional<Entry> matching(EndpointId id, String address) {
+        return Optional.ofNullable(entries.get(id))
+                .filter(e -> e.endpoint.address().equals(address));
+    }
+
+    private static boolean isChoosable(Entry entry) {
+        return entry.state == EndpointState.ROUTABLE || entry.state == EndpointState.PROBATION;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/routing/LoadBook.java
@@ -0,0 +1,108 @@
+package org.magnoliabridge.routing;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.calls.LoadReport;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.WeightVersion;
+
+/**
+ * Estimates the load of endpoints in tokens: the node's own work in flight, which is known exactly, plus the work of
+ * other nodes according to lagging reports. Deterministic and not thread-safe.
+ *
+ * <p>An old report is aged out towards the mean of the service, not towards zero: an endpoint without news would
+ * otherwise look idle and draw the work of every node.
+ */
+public final class LoadBook {
+    private static final double HALF_LIFE_MS = 2_000;
+    private static final double FIRST_MEAN_TOKENS = 256;
+    private static final double MEAN_GAIN = 0.05;
+
+    private final Map<EndpointId, Own> own = new HashMap<>();
+    private final Map<EndpointId, Reported> reports = new HashMap<>();
+    private double meanTokens = FIRST_MEAN_TOKENS;
+
+    private static final class Own {
+        private int requests;
+        private long tokens;
+    }
+
+    private record Reported(LoadReport report, int ownRequests, long atMs) {}
+
+    /** Counts a request that goes to the endpoint. */
+    public void begin(EndpointId endpoint, int tokens) {
+        Own work = own.computeIfAbsent(endpoint, id -> new Own());
+        work.requests++;
+        work.tokens += tokens;
+    }
+
+    /** Takes a request out again, with the same estimate as at its beginning. */
+    public void end(EndpointId endpoint, int tokens, int usedTokens) {
+        Own work = own.get(endpoint);
+        work.requests--;
+        work.tokens -= tokens;
+        if (work.requests == 0) {
+            own.remove(endpoint);
+        }
+        meanTokens += MEAN_GAIN * (usedTokens - meanTokens);
+    }
+
+    /** Takes a load report. */
+    public void report(EndpointId endpoint, LoadReport report, long nowMs) {
+        reports.put(endpoint, new Reported(report, requests(endpoint), nowMs));
+    }
+
+    /** Forgets the reports of endpoints that are not among these. */
+    public void retain(Collection<EndpointId> endpoints) {
+        reports.keySet().retainAll(endpoints);
+    }
+
+    /** Returns the number of requests that this node has in flight at the endpoint. */
+    public int requests(EndpointId endpoint) {
+        Own work = own.get(endpoint);
+        return work == null ? 0 : work.requests;
+    }
+
+    /** Returns the weights that the endpoint last reported. */
+    public Optional<WeightVersion> version(EndpointId endpoint) {
+        return Optional.ofNullable(reports.get(endpoint)).map(r -> r.report().version());
+    }
+
+    /** Returns whether the endpoint last reported the prefix as cached. */
+    public boolean reportsPrefix(EndpointId endpoint, String prefix) {
+        Reported reported = reports.get(endpoint);
+        return reported != null && reported.report().cachedPrefixes().contains(prefix);
+    }
+
+    /** Returns the estimated load in tokens of each of these endpoints. */
+    public Map<EndpointId, Double> estimates(Collection<EndpointId> endpoints, long nowMs) {
+        double mean = endpoints.stream()
+                .map(reports::get)
+                .filter(r -> r != null)
+                .mapToDouble(this::others)
+                .average()
+                .orElse(0);
+        Map<EndpointId, Double> loads = new HashMap<>();
+        for (EndpointId id : endpoints) {
+            Own work = own.get(id);
+            double known = work == null ? 0 : work.tokens;
+            loads.put(id, known + others(reports.get(id), mean, nowMs));
+        }
+        return loads;
+    }
+
+    private double others(Reported reported, double mean, long nowMs) {
+        if (reported == null) {
+            return mean;
+        }
+        double fresh = Math.pow(0.5, (nowMs - reported.atMs()) / HALF_LIFE_MS);
+        return fresh * others(reported) + (1 - fresh) * mean;
+    }
+
+    private double others(Reported reported) {
+        LoadReport report = reported.report();
+        return Math.max(0, report.running() + report.waiting() - reported.ownRequests()) * meanTokens;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/routing/TeamRates.java
@@ -0,0 +1,50 @@
+package org.magnoliabridge.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.magnoliabridge.ids.TeamId;
+
+/** The teams' weights and token buckets at this node. Deterministic and not thread-safe. */
+final class TeamRates {
+    private final Map<TeamId, TokenBucket> buckets = new HashMap<>();
+    private Map<TeamId, TeamPolicy> policies = Map.of();
+    private Map<TeamId, Double> shares = Map.of();
+    private double defaultShare = 1;
+
+    void setPolicies(Map<TeamId, TeamPolicy> teams, long nowMs) {
+        policies = teams;
+        buckets.keySet().retainAll(teams.keySet());
+        update(nowMs);
+    }
+
+    void setShares(Map<TeamId, Double> parts, double otherwise, long nowMs) {
+        shares = parts;
+        defaultShare = otherwise;
+        update(nowMs);
+    }
+
+    int weight(TeamId team) {
+        TeamPolicy policy = policies.get(team);
+        return policy == null ? 1 : policy.weight();
+    }
+
+    /** Returns 0 if the team may send a request now, or the time in milliseconds until it may. */
+    long waitMs(TeamId team, long nowMs) {
+        TokenBucket bucket = buckets.get(team);
+        return bucket == null ? 0 : bucket.waitMs(nowMs);
+    }
+
+    void take(TeamId team, int tokens, long nowMs) {
+        TokenBucket bucket = buckets.get(team);
+        if (bucket != null) {
+            bucket.take(tokens, nowMs);
+        }
+    }
+
+    private void update(long nowMs) {
+        policies.forEach((team, policy) -> {
+            double rate = Math.max(1, policy.tokensPerSecond() * shares.getOrDefault(team, defaultShare));
+            buckets.computeIfAbsent(team, t -> new TokenBucket(rate, nowMs)).setRate(rate, nowMs);
+        });
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/routing/TokenBucket.java
@@ -0,0 +1,52 @@
+package org.magnoliabridge.routing;
+
+/**
+ * Limits a team's tokens per second at this node. Deterministic and not thread-safe.
+ *
+ * <p>A request is admitted while the balance is positive and may take it below zero, so no request is too large ever to
+ * be admitted.
+ */
+final class TokenBucket {
+    // Requests come in bursts (a step's samples), so unused rate is kept for this long.
+    private static final double BURST_SECONDS = 10;
+    private static final double MS_PER_SECOND = 1_000;
+
+    private double perSecond;
+    private double balance;
+    private long atMs;
+
+    TokenBucket(double perSecond, long nowMs) {
+        this.perSecond = perSecond;
+        this.balance = perSecond * BURST_SECONDS;
+        this.atMs = nowMs;
+    }
+
+    /** Changes the rate; the balance stays, up to the new burst. */
+    void setRate(double tokensPerSecond, long nowMs) {
+        refill(nowMs);
+        perSecond = tokensPerSecond;
+        balance = Math.min(balance, perSecond * BURST_SECONDS);
+    }
+
+    boolean isPositive(long nowMs) {
+        refill(nowMs);
+        return balance > 0;
+    }
+
+    /** Takes tokens out; negative numbers give tokens back. */
+    void take(double tokens, long nowMs) {
+        refill(nowMs);
+        balance = Math.min(perSecond * BURST_SECONDS, balance - tokens);
+    }
+
+    /** Returns the time in milliseconds until the balance is positive. */
+    long waitMs(long nowMs) {
+        refill(nowMs);
+        return balance > 0 ? 0 : 1 + (long) (-balance / perSecond * MS_PER_SECOND);
+    }
+
+    private void refill(long nowMs) {
+        balance = Math.min(perSecond * BURST_SECONDS, balance + perSecond * (nowMs - atMs) / MS_PER_SECOND);
+        atMs = nowMs;
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
@@ -0,0 +1,198 @@
+package org.magnoliabridge.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.calls.EndpointSource.Priority;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.TeamId;
+
+class AdmissionCoreTest {
+    private static final Map<TeamId, TeamPolicy> NO_TEAMS = Map.of();
+
+    @Test
+    void interactiveWorkGoesFirst() {
+        RoutingFixture f = new RoutingFixture(1, 1, 10, NO_TEAMS);
+        long running = f.arrive("a", Priority.TRAINING, 10);
+        long training = f.arrive("a", Priority.TRAINING, 10);
+        long interactive = f.arrive("b", Priority.INTERACTIVE, 10);
+        f.apply(new AdmissionInput.Finished(running, 10));
+        f.apply(new AdmissionInput.Finished(interactive, 10));
+        assertThat(f.dispatched(), contains(running, interactive, training));
+    }
+
+    /** Guards the worst-served team: a large team's backlog does not delay a small team's request. */
+    @Test
+    void aSmallTeamPassesALargeTeamsBacklog() {
+        RoutingFixture f = new RoutingFixture(1, 1, 100, NO_TEAMS);
+        long first = f.arrive("large", Priority.TRAINING, 100);
+        for (int i = 0; i < 20; i++) {
+            f.arrive("large", Priority.TRAINING, 100);
+        }
+        long small = f.arrive("small", Priority.TRAINING, 100);
+        f.apply(new AdmissionInput.Finished(first, 100));
+        assertThat(f.dispatched(), contains(first, small));
+    }
+
+    @Test
+    void tokensAreSharedByWeight() {
+        Map<TeamId, TeamPolicy> teams =
+                Map.of(new TeamId("a"), new TeamPolicy(3, 1e9), new TeamId("b"), new TeamPolicy(1, 1e9));
+        RoutingFixture f = new RoutingFixture(1, 1, 200, teams);
+        Map<Long, String> team = new HashMap<>();
+        for (int i = 0; i < 80; i++) {
+            team.put(f.arrive("a", Priority.TRAINING, 10), "a");
+            team.put(f.arrive("b", Priority.TRAINING, 10), "b");
+        }
+        for (int i = 0; i < 40; i++) {
+            f.apply(new AdmissionInput.Finished(f.dispatched().getLast(), 10));
+        }
+        long served =
+                f.dispatched().stream().filter(t -> team.get(t).equals("a")).count();
+        assertThat(Math.abs(served - 30), is(lessThanOrEqualTo(2L)));
+    }
+
+    /** Guards I10: work that expired in the queue is refused and never dispatched afterwards. */
+    @Test
+    void refusesExpiredWork() {
+        RoutingFixture f = new RoutingFixture(1, 1, 10, NO_TEAMS);
+        long running = f.arrive("a", Priority.TRAINING, 10);
+        long late = f.arrive(RoutingFixture.need("a", Priority.TRAINING, 10, 5, Set.of()));
+        f.nowMs = 5;
+        f.apply(new AdmissionInput.Tick());
+        f.apply(new AdmissionInput.Finished(running, 10));
+        assertThat(f.refused(), contains(new AdmissionEffect.Refuse(late, new Failure.DeadlineExceeded())));
+        assertThat(f.dispatched(), contains(running));
+    }
+
+    /** Guards the worst-served team: a full queue costs the team that fills it, not the one that arrives last. */
+    @Test
+    void aFullQueuePushesOutTheLargestBacklog() {
+        RoutingFixture f = new RoutingFixture(1, 1, 3, NO_TEAMS);
+        for (int i = 0; i < 4; i++) {
+            f.arrive("large", Priority.TRAINING, 10);
+        }
+        long small = f.arrive("small", Priority.TRAINING, 10);
+        assertThat(f.refused().stream().map(AdmissionEffect.Refuse::ticket).toList(), contains(4L));
+        long more = f.arrive("large", Priority.TRAINING, 10);
+        assertThat(f.refused().getLast().ticket(), is(more));
+        f.apply(new AdmissionInput.Finished(1, 10));
+        f.apply(new AdmissionInput.Finished(f.dispatched().getLast(), 10));
+        assertTrue(f.dispatched().contains(small));
+    }
+
+    /** Guards against work that waits in the queue only to miss its deadline. */
+    @Test
+    void refusesEarlyWithAHintWhenTheWaitWouldExceedTheDeadline() {
+        RoutingFixture f = new RoutingFixture(1, 1, 100, NO_TEAMS);
+        for (int i = 0; i < 12; i++) {
+            f.arrive("a", Priority.TRAINING, 1_000);
+        }
+        for (int i = 0; i < 7; i++) {
+            f.nowMs += 1_000;
+            f.apply(new AdmissionInput.Finished(f.dispatched().getLast(), 1_000));
+        }
+        f.arrive(RoutingFixture.need("a", Priority.TRAINING, 1_000, f.nowMs + 1_000, Set.of()));
+        assertThat(f.refused().getLast().failure(), is(instanceOf(Failure.Overloaded.class)));
+        assertTrue(((Failure.Overloaded) f.refused().getLast().failure()).retryAfterMs() > 1_000);
+    }
+
+    @Test
+    void limitsATeamToItsShareOfItsRate() {
+        TeamId team = new TeamId("a");
+        RoutingFixture f = new RoutingFixture(1, 100, 100, Map.of(team, new TeamPolicy(1, 100)));
+        f.apply(new AdmissionInput.Shares(Map.of(team, 0.5), 0.5));
+        f.arrive("a", Priority.TRAINING, 600);
+        f.arrive("a", Priority.TRAINING, 1);
+        assertThat(f.refused().getLast().failure(), is(new Failure.RateLimited(2_001)));
+        f.nowMs = 2_001;
+        f.arrive("a", Priority.TRAINING, 1);
+        assertThat(f.dispatched(), hasSize(2));
+    }
+
+    /** Guards a resumed call against the engine that has just failed it, and the requests behind it against waiting. */
+    @Test
+    void waitsForAnotherEndpointThanTheExcludedOne() {
+        RoutingFixture f = new RoutingFixture(2, 1, 10, NO_TEAMS);
+        Set<EndpointId> notZero = Set.of(new EndpointId("e0"));
+        long running = f.arrive(RoutingFixture.need("a", Priority.TRAINING, 1, 100, notZero));
+        long waiting = f.arrive(RoutingFixture.need("a", Priority.TRAINING, 1, 100, notZero));
+        long behind = f.arrive("a", Priority.TRAINING, 1);
+        assertThat(f.dispatched(), contains(running, behind));
+        f.apply(new AdmissionInput.Finished(running, 1));
+        assertThat(f.dispatched(), contains(running, behind, waiting));
+    }
+
+    /** Guards a service with one endpoint: a failed connection to it is not the end. */
+    @Test
+    void usesAnExcludedEndpointIfThereIsNoOther() {
+        RoutingFixture f = new RoutingFixture(1, 1, 10, NO_TEAMS);
+        f.arrive(RoutingFixture.need("a", Priority.TRAINING, 1, 100, Set.of(new EndpointId("e0"))));
+        assertThat(f.dispatched(), hasSize(1));
+    }
+
+    /**
+     * Guards three promises under random traffic: each request gets one outcome, no engine exceeds its slots, and nothing
+     * waits while a slot is free.
+     */
+    @Property(tries = 100)
+    void everyRequestGetsOneOutcomeAndNoSlotIdles(@ForAll long seed) {
+        Random random = new Random(seed);
+        RoutingFixture f = new RoutingFixture(3, 2, 5, NO_TEAMS);
+        Map<Long, EndpointId> running = new HashMap<>();
+        Set<Long> answered = new HashSet<>();
+        int seen = 0;
+        for (int i = 0; i < 200; i++) {
+            f.nowMs += random.nextInt(20);
+            step(f, random, running);
+            for (AdmissionEffect effect : f.effects.subList(seen, f.effects.size())) {
+                switch (effect) {
+                    case AdmissionEffect.Dispatch d -> {
+                        assertTrue(answered.add(d.ticket()));
+                        running.put(d.ticket(), d.endpoint().id());
+                    }
+                    case AdmissionEffect.Refuse r -> assertTrue(answered.add(r.ticket()));
+                    case AdmissionEffect.SpreadLeaving s -> assertTrue(false, "nothing leaves here");
+                }
+            }
+            seen = f.effects.size();
+            int waiting = f.core.queued().values().stream().mapToInt(n -> n).sum();
+            assertThat(running.size(), is(lessThanOrEqualTo(6)));
+            assertTrue(waiting == 0 || running.size() == 6, "a request waits while a slot is free");
+            assertThat(f.core.inFlight(), is(running.size()));
+        }
+    }
+
+    private static void step(RoutingFixture f, Random random, Map<Long, EndpointId> running) {
+        List<Long> tickets = new ArrayList<>(running.keySet());
+        if (random.nextBoolean() || tickets.isEmpty()) {
+            Priority priority = random.nextBoolean() ? Priority.INTERACTIVE : Priority.TRAINING;
+            long deadlineMs = f.nowMs + random.nextInt(200);
+            String team = "t" + random.nextInt(3);
+            f.arrive(RoutingFixture.need(team, priority, 1 + random.nextInt(50), deadlineMs + 1, Set.of()));
+        } else {
+            long ticket = tickets.get(random.nextInt(tickets.size()));
+            running.remove(ticket);
+            f.apply(
+                    random.nextBoolean()
+                            ? new AdmissionInput.Finished(ticket, 10)
+                            : new AdmissionInput.Cancel(ticket, new Failure.CallerGone()));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/routing/DispatcherTest.java
@@ -0,0 +1,82 @@
+package org.magnoliabridge.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.RunClaim;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+
+class DispatcherTest {
+    private final RoutingFixture fixture = new RoutingFixture(1, 1, 10, Map.of());
+    private final ControlLoop loop = new ControlLoop("test");
+    private final Dispatcher dispatcher =
+            new Dispatcher(fixture.core, loop, MonotonicClock.system(), new MetricRegistry(), endpoint -> {});
+
+    @AfterEach
+    void stop() {
+        dispatcher.close();
+        loop.close();
+    }
+
+    @Test
+    void aReleasedSlotGoesToTheNextRequest() throws CallException, ExecutionException, InterruptedException {
+        EndpointSource.Slot first = dispatcher.acquire(need(5_000), new Cancellation());
+        CompletableFuture<EndpointSource.Slot> second = inBackground(new Cancellation());
+        first.release(1);
+        assertThat(second.get().endpoint(), is(first.endpoint()));
+    }
+
+    /** Guards I10 and I6: a request whose key is withdrawn while it waits is refused as not run. */
+    @Test
+    void aCancelledWaitEnds() throws CallException, InterruptedException {
+        EndpointSource.Slot first = dispatcher.acquire(need(5_000), new Cancellation());
+        Cancellation cancellation = new Cancellation();
+        CompletableFuture<EndpointSource.Slot> second = inBackground(cancellation);
+        cancellation.cancel(Cancellation.Reason.KEY_WITHDRAWN);
+        ExecutionException failed = assertThrows(ExecutionException.class, second::get);
+        CallException refused = (CallException) failed.getCause();
+        assertThat(refused.failure(), is(instanceOf(Failure.Unauthenticated.class)));
+        assertThat(refused.run(), is(RunClaim.NOT_RUN));
+        first.close();
+    }
+
+    /** Guards against a wait without end when nothing can serve the request. */
+    @Test
+    void aWaitEndsAtItsDeadline() throws CallException {
+        dispatcher.acquire(need(5_000), new Cancellation());
+        CallException refused =
+                assertThrows(CallException.class, () -> dispatcher.acquire(need(20), new Cancellation()));
+        assertThat(refused.failure(), is(instanceOf(Failure.DeadlineExceeded.class)));
+    }
+
+    private CompletableFuture<EndpointSource.Slot> inBackground(Cancellation cancellation) {
+        CompletableFuture<EndpointSource.Slot> result = new CompletableFuture<>();
+        Thread.ofVirtual().start(() -> {
+            try {
+                result.complete(dispatcher.acquire(need(5_000), cancellation));
+            } catch (CallException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result;
+    }
+
+    private static EndpointSource.Need need(long forMs) {
+        long deadlineMs = MonotonicClock.system().nowMs() + forMs;
+        return RoutingFixture.need("a", EndpointSource.Priority.INTERACTIVE, 1, deadlineMs, Set.of());
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
@@ -0,0 +1,117 @@
+package org.magnoliabridge.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.calls.EndpointSource.Observation;
+
+class EndpointTableTest {
+    private final EndpointTable table = new EndpointTable();
+    private final Endpoint endpoint = RoutingFixture.endpoint("e1", 1);
+    private long nowMs;
+
+    @BeforeEach
+    void listOnce() {
+        list(endpoint, false);
+    }
+
+    /** Guards I12: a lagging list that still says "live" does not bring a leaving endpoint back. */
+    @Test
+    void neverReturnsUnderTheSameIncarnation() {
+        assertThat(observe(Observation.DRAINING), contains(endpoint));
+        list(endpoint, false);
+        assertThat(chosen(), is(empty()));
+        nowMs += EndpointTable.FORGET_AFTER_MS + 1;
+        list(endpoint, false);
+        assertThat(chosen(), is(empty()));
+    }
+
+    /** Guards I12: a sighting that arrives before the endpoint is listed counts too. */
+    @Test
+    void remembersALeavingItemOfAnUnlistedEndpoint() {
+        Endpoint later = RoutingFixture.endpoint("e2", 2);
+        table.apply(new EndpointInput.LeavingItem(later.id(), later.address()), nowMs);
+        list(later, false);
+        assertThat(chosen(), is(empty()));
+    }
+
+    @Test
+    void aNewAddressIsANewIncarnation() {
+        observe(Observation.DRAINING);
+        Endpoint again = RoutingFixture.endpoint("e1", 9);
+        list(again, false);
+        assertThat(chosen(), contains(again));
+    }
+
+    /** Guards against an id being lost for ever when the platform starts it again at the same address. */
+    @Test
+    void forgetsADepartureAfterALongAbsence() {
+        observe(Observation.DRAINING);
+        table.apply(new EndpointInput.Listed(List.of()), nowMs);
+        nowMs += EndpointTable.FORGET_AFTER_MS + 1;
+        table.apply(new EndpointInput.Tick(), nowMs);
+        list(endpoint, false);
+        assertThat(chosen(), contains(endpoint));
+    }
+
+    /** Guards against every node spreading the same sighting again and again. */
+    @Test
+    void reportsADepartureOnce() {
+        assertThat(table.apply(new EndpointInput.StopOrdered(endpoint.id()), nowMs), contains(endpoint));
+        assertThat(observe(Observation.DRAINING), is(empty()));
+        assertThat(table.apply(new EndpointInput.ReclaimNotice(endpoint.id()), nowMs), is(empty()));
+    }
+
+    @Test
+    void failedEndpointReturnsThroughProbation() {
+        observe(Observation.UNREACHABLE);
+        assertThat(table.state(endpoint.id()).orElseThrow(), is(EndpointState.FAILED));
+        tick(EndpointTable.FIRST_BACK_OFF_MS);
+        assertThat(table.slots(endpoint.id(), 8), is(1));
+        observe(Observation.ANSWERED);
+        assertThat(table.slots(endpoint.id(), 8), is(8));
+    }
+
+    /** Guards against sending work to a dead endpoint once a second for ever. */
+    @Test
+    void backOffDoublesWhileProbationFails() {
+        observe(Observation.UNREACHABLE);
+        tick(EndpointTable.FIRST_BACK_OFF_MS);
+        observe(Observation.FAULTY_ANSWER);
+        tick(EndpointTable.FIRST_BACK_OFF_MS);
+        assertThat(table.state(endpoint.id()).orElseThrow(), is(EndpointState.FAILED));
+        tick(EndpointTable.FIRST_BACK_OFF_MS);
+        assertThat(table.state(endpoint.id()).orElseThrow(), is(EndpointState.PROBATION));
+    }
+
+    @Test
+    void oneFaultyAnswerIsNotAFailure() {
+        observe(Observation.FAULTY_ANSWER);
+        observe(Observation.FAULTY_ANSWER);
+        assertThat(chosen(), contains(endpoint));
+        observe(Observation.FAULTY_ANSWER);
+        assertThat(chosen(), is(empty()));
+    }
+
+    private void list(Endpoint item, boolean leaving) {
+        table.apply(new EndpointInput.Listed(List.of(new EndpointInput.ListedEndpoint(item, leaving))), nowMs);
+    }
+
+    private List<Endpoint> observe(Observation observation) {
+        return table.apply(new EndpointInput.Observed(endpoint.id(), endpoint.address(), observation), nowMs);
+    }
+
+    private void tick(long ms) {
+        nowMs += ms;
+        table.apply(new EndpointInput.Tick(), nowMs);
+    }
+
+    private List<Endpoint> chosen() {
+        return table.choosable(RoutingFixture.SERVICE);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/routing/RoutingFixture.java
@@ -0,0 +1,74 @@
+package org.magnoliabridge.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.EndpointSource.Priority;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+
+/** A core with a number of engines of one service, on virtual time. */
+final class RoutingFixture {
+    static final ServiceId SERVICE = new ServiceId("coachgen");
+    static final DataCentre OWN = new DataCentre("trent");
+
+    final AdmissionCore core;
+    final List<AdmissionEffect> effects = new ArrayList<>();
+    long nowMs;
+    private long tickets;
+
+    RoutingFixture(int engines, int slots, int maxQueued, Map<TeamId, TeamPolicy> teams) {
+        core = new AdmissionCore(new RoutingSettings(OWN, maxQueued), new Random(1));
+        apply(new AdmissionInput.Policies(teams, slots));
+        List<EndpointInput.ListedEndpoint> listed = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            listed.add(new EndpointInput.ListedEndpoint(endpoint("e" + i, 1 + i), false));
+        }
+        apply(new AdmissionInput.Endpoints(new EndpointInput.Listed(listed)));
+    }
+
+    static Endpoint endpoint(String id, int port) {
+        return new Endpoint(new EndpointId(id), SERVICE, OWN, "127.0.0.1:" + port);
+    }
+
+    static EndpointSource.Need need(String team, Priority priority, int tokens, long deadlineMs, Set<EndpointId> not) {
+        return new EndpointSource.Need(
+                SERVICE, new TeamId(team), priority, tokens, 0, "", deadlineMs, Optional.empty(), not);
+    }
+
+    List<AdmissionEffect> apply(AdmissionInput input) {
+        List<AdmissionEffect> now = core.apply(input, nowMs);
+        effects.addAll(now);
+        return now;
+    }
+
+    long arrive(String team, Priority priority, int tokens) {
+        return arrive(need(team, priority, tokens, nowMs + 60_000, Set.of()));
+    }
+
+    long arrive(EndpointSource.Need need) {
+        long ticket = ++tickets;
+        apply(new AdmissionInput.Arrive(ticket, need));
+        return ticket;
+    }
+
+    List<Long> dispatched() {
+        return effects.stream()
+                .filter(AdmissionEffect.Dispatch.class::isInstance)
+                .map(e -> ((AdmissionEffect.Dispatch) e).ticket())
+                .toList();
+    }
+
+    List<AdmissionEffect.Refuse> refused() {
+        return effects.stream()
+                .filter(AdmissionEffect.Refuse.class::isInstance)
+                .map(AdmissionEffect.Refuse.class::cast)
+                .toList();
+    }
+}
