Close the HTTP caller's buffers after its I/O threads

Cause: closing the pool while an I/O thread handled an event made it allocate from a closed buffer pool. Change: the pool waits for the worker to end before it closes the buffers.

--- a/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
+++ b/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
@@ -23,6 +23,7 @@
     // Servers commonly close connections that were idle for 5 s or more; a shorter limit here makes it rare that a
     // call is written to a connection that the other side is closing.
     private static final long MAX_IDLE_MS = 3_000;
+    private static final long CLOSE_WAIT_MS = 1_000;
     private static final int MAX_IDLE_PER_TARGET = 32;
     private static final int BUFFER_BYTES = 8 * 1024;
 
@@ -69,9 +70,19 @@
             idle.clear();
         }
         worker.shutdownNow();
+        awaitWorker();
         buffers.close();
     }
 
+    // I/O threads that still handle an event take buffers, so the buffers are closed after them.
+    private void awaitWorker() {
+        try {
+            worker.awaitTermination(CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private synchronized boolean keep(InetSocketAddress target, ClientConnection connection) {
         Deque<Idle> queue = idle.computeIfAbsent(target, t -> new ArrayDeque<>());
         if (closed || queue.size() >= MAX_IDLE_PER_TARGET) {
