Add the platform clients: object store, budget, watch and adapters

Cause: cores need the object API and the other platform interfaces, within a fixed budget of calls. Change: HttpObjectStore and one HTTP adapter per outside interface; a BudgetedStore with priorities, shared reads and a deadline on every call; a gapless watch; jittered back-off; StoreRunner, which posts replies to the control loop. Conclusion: a lost answer is unknown on writes and a plain failure on reads; a status of 500 or above on a write also counts as unknown, because it does not prove that nothing happened.

--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/platform/EndpointOrders.java
@@ -0,0 +1,18 @@
+package org.magnoliabridge.platform;
+
+import java.util.List;
+import org.magnoliabridge.ids.FencingToken;
+
+/** The platform's interface for starting and stopping endpoints; calls block. */
+public interface EndpointOrders {
+    /**
+     * Orders a desired state.
+     *
+     * @param orderId names the order in the platform's records
+     * @throws PlatformException.Rejected with status 409 if a higher fencing token has been seen
+     */
+    void order(EndpointOrder order, String orderId, FencingToken fencing) throws PlatformException;
+
+    /** Returns the last desired state of every endpoint that was ever ordered and is still known. */
+    List<EndpointOrder> list() throws PlatformException;
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/platform/HttpUsageReports.java
@@ -0,0 +1,24 @@
+package org.magnoliabridge.platform;
+
+import java.net.InetSocketAddress;
+import org.magnoliabridge.http.HttpAnswer;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.ids.WindowId;
+
+/** {@link UsageReports} over HTTP. */
+public final class HttpUsageReports implements UsageReports {
+    private final PlatformHttp http;
+
+    public HttpUsageReports(HttpCaller caller, InetSocketAddress target, HttpLimits limits) {
+        this.http = new PlatformHttp(caller, target, limits);
+    }
+
+    @Override
+    public void report(WindowId window, byte[] figures) throws PlatformException {
+        HttpAnswer answer = http.change(http.send("PUT", "/usage/" + window, figures));
+        if (answer.status() != 200) {
+            throw PlatformHttp.rejected(answer);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/platform/ObjectWatch.java
@@ -0,0 +1,101 @@
+package org.magnoliabridge.platform;
+
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+/**
+ * Watches a prefix of the object API on its own virtual thread until it is closed.
+ *
+ * <p>It lists once, then polls for changes from the revision it has reached, so no change is missed between two polls
+ * or over a failure. When the store no longer knows the changes since that revision, it lists again.
+ */
+public final class ObjectWatch implements AutoCloseable {
+    private static final long FIRST_BACKOFF_MS = 200;
+    private static final long MAX_BACKOFF_MS = 5_000;
+    private static final long NO_REVISION = -1;
+
+    private final ObjectStore store;
+    private final String prefix;
+    private final long waitMs;
+    private final Listener listener;
+    private final Backoff backoff;
+    private final Thread thread;
+    private volatile boolean closed;
+
+    /**
+     * Starts a watch.
+     *
+     * @param store must end every call by a deadline, as {@link BudgetedStore} does, so that a silent watch is noticed
+     * @param waitMs longest wait of one poll in milliseconds; also the period at which the listener hears that nothing
+     *     changed
+     */
+    public ObjectWatch(ObjectStore store, String prefix, long waitMs, Listener listener, RandomGenerator random) {
+        this.store = Objects.requireNonNull(store);
+        this.prefix = Objects.requireNonNull(prefix);
+        this.waitMs = waitMs;
+        this.listener = Objects.requireNonNull(listener);
+        this.backoff = new Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, random);
+        this.thread = Thread.ofVirtual().name("watch-" + prefix).start(this::run);
+    }
+
+    /** Stops the watch; the listener may still be called once. */
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+    }
+
+    private void run() {
+        long revision = NO_REVISION;
+        while (!closed) {
+            try {
+                revision = step(revision);
+                backoff.reset();
+            } catch (PlatformException.RevisionTooOld e) {
+                revision = NO_REVISION;
+            } catch (PlatformException e) {
+                if (!closed) {
+                    listener.failed(e);
+                    pause();
+                }
+            }
+        }
+    }
+
+    private long step(long revision) throws PlatformException {
+        if (revision == NO_REVISION) {
+            ObjectStore.Listing all = store.list(prefix);
+            listener.listed(all);
+            return all.revision();
+        }
+        ObjectStore.Listing changes = store.watch(prefix, revision, waitMs);
+        // A revision that goes backwards shows a store that lost history, so its changes cannot be trusted.
+        if (changes.revision() < revision) {
+            return NO_REVISION;
+        }
+        listener.changed(changes);
+        return changes.revision();
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(backoff.nextDelayMs());
+        } catch (InterruptedException e) {
+            if (!closed) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Hears what a watch finds; called on the watch's thread. */
+    public interface Listener {
+        /** Takes all keys under the prefix; keys that are absent no longer exist. */
+        void listed(ObjectStore.Listing all);
+
+        /** Takes the changes since the last call; an empty list confirms that there were none. */
+        void changed(ObjectStore.Listing changes);
+
+        /** Hears of a failed poll; the watch tries again after a delay. */
+        void failed(PlatformException cause);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/platform/StoreRunner.java
@@ -0,0 +1,58 @@
+package org.magnoliabridge.platform;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.platform.StoreRequest.Priority;
+
+/** Runs the store requests of decision cores on virtual threads and posts the replies to the control loop. */
+public final class StoreRunner {
+    private final Map<Priority, ObjectStore> stores = new EnumMap<>(Priority.class);
+    private final ControlLoop loop;
+
+    public StoreRunner(BudgetedStore budget, ControlLoop loop) {
+        for (Priority priority : Priority.values()) {
+            stores.put(priority, budget.at(priority));
+        }
+        this.loop = loop;
+    }
+
+    /** Starts a request; the reply is handed over on the control thread. */
+    public void run(StoreRequest request, Priority priority, Consumer<StoreReply> reply) {
+        Thread.ofVirtual().name("store-request").start(() -> {
+            StoreReply answer = perform(stores.get(priority), request);
+            loop.post(() -> reply.accept(answer));
+        });
+    }
+
+    /** Performs a request on this thread and returns the reply; no failure escapes. */
+    static StoreReply perform(ObjectStore store, StoreRequest request) {
+        try {
+            return switch (request) {
+                case StoreRequest.Read read ->
+                    store.read(read.key())
+                            .<StoreReply>map(StoreReply.Found::new)
+                            .orElseGet(StoreReply.NotFound::new);
+                case StoreRequest.Write write ->
+                    new StoreReply.Written(store.write(write.key(), write.expectedVersion(), write.value()));
+                case StoreRequest.Delete delete -> {
+                    store.delete(delete.key(), delete.expectedVersion());
+                    yield new StoreReply.Written(0);
+                }
+                case StoreRequest.List list -> new StoreReply.Listed(store.list(list.prefix()));
+            };
+        } catch (PlatformException.VersionConflict e) {
+            return new StoreReply.Conflict();
+        } catch (PlatformException.OutcomeUnknown e) {
+            return new StoreReply.Unknown();
+        } catch (PlatformException e) {
+            return new StoreReply.Unavailable();
+        } catch (RuntimeException e) {
+            // The call may have been sent before the failure, so only a read certainly took no effect.
+            return request instanceof StoreRequest.Read || request instanceof StoreRequest.List
+                    ? new StoreReply.Unavailable()
+                    : new StoreReply.Unknown();
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/platform/WeightStore.java
@@ -0,0 +1,17 @@
+package org.magnoliabridge.platform;
+
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.WeightVersion;
+
+/** The rate-limited store of model weights; calls block. */
+public interface WeightStore {
+    /** Returns the newest version of a service's weights. */
+    WeightVersion newest(ServiceId service) throws PlatformException;
+
+    /**
+     * Takes a permit for one engine to load a version.
+     *
+     * @throws PlatformException.RateLimited if the store's rate is used up
+     */
+    void permitLoad(ServiceId service, WeightVersion version) throws PlatformException;
+}
