Read bundles with the settings reader

Cause: settings has arrived; faults in a bundle shall name the line too. Conclusion: one reader for all JSON with comments.

--- a/library/src/main/java/org/magnoliabridge/bundle/BundleProblem.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleProblem.java
@@ -1,12 +1,14 @@
 package org.magnoliabridge.bundle;
 
 import java.util.Objects;
+import org.magnoliabridge.settings.SettingsException;
+import org.magnoliabridge.settings.SettingsException.Kind;
 
 /**
  * One fault in a bundle.
  *
- * @param field path of the field, for example {@code teams[2].weight}
- * @param detail what was found and what was expected; holds no secret
+ * @param field path of the field, for example {@code teams[2].weight}; empty for the text as a whole
+ * @param detail what was expected; holds no secret
  */
 public record BundleProblem(Kind kind, String field, String detail) {
     public BundleProblem {
@@ -15,20 +17,13 @@
         Objects.requireNonNull(detail);
     }
 
-    @Override
-    public String toString() {
-        return field + ": " + detail;
+    static BundleProblem of(SettingsException.Problem problem) {
+        return new BundleProblem(
+                problem.kind(), problem.field(), "line " + problem.line() + ": expected " + problem.expected());
     }
 
-    /** What is wrong. */
-    public enum Kind {
-        MALFORMED,
-        MISSING_FIELD,
-        UNKNOWN_FIELD,
-        WRONG_TYPE,
-        OUT_OF_RANGE,
-        INVALID_VALUE,
-        DUPLICATE,
-        DANGLING_REFERENCE
+    @Override
+    public String toString() {
+        return kind + (field.isEmpty() ? "" : " " + field) + ": " + detail;
     }
 }
--- a/library/src/main/java/org/magnoliabridge/bundle/BundleValidation.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleValidation.java
@@ -1,10 +1,5 @@
 package org.magnoliabridge.bundle;
 
-import static org.magnoliabridge.bundle.BundleProblem.Kind.DANGLING_REFERENCE;
-import static org.magnoliabridge.bundle.BundleProblem.Kind.DUPLICATE;
-import static org.magnoliabridge.bundle.BundleProblem.Kind.INVALID_VALUE;
-import static org.magnoliabridge.bundle.BundleProblem.Kind.OUT_OF_RANGE;
-
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -13,14 +8,15 @@
 import java.util.stream.Collectors;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.settings.SettingsException.Kind;
 
 /** Checks a bundle as a whole: unique ids, references that resolve, and values within range. */
 public final class BundleValidation {
-    private static final long MAX_WEIGHT = 1_000;
-    private static final long MAX_TOKENS_PER_SECOND = 100_000_000;
-    private static final long MAX_BODY_BYTES = 64 << 20;
-    private static final long MAX_STALENESS = 1_000;
-    private static final long MAX_ENGINE_SLOTS = 10_000;
+    static final long MAX_WEIGHT = 1_000;
+    static final long MAX_TOKENS_PER_SECOND = 100_000_000;
+    static final long MAX_BODY_BYTES = 64 << 20;
+    static final long MAX_STALENESS = 1_000;
+    static final long MAX_ENGINE_SLOTS = 10_000;
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,16}|\\*");
     private static final Pattern PATH = Pattern.compile("/[\\x21-\\x7e&&[^?#]]{0,255}");
 
@@ -74,7 +70,7 @@
             for (int j = 0; j < team.services().size(); j++) {
                 ServiceId service = team.services().get(j);
                 if (!services.contains(service)) {
-                    add(DANGLING_REFERENCE, field + ".services[" + j + "]", "there is no service " + service);
+                    add(Kind.DANGLING, field + ".services[" + j + "]", "there is no service " + service);
                 }
             }
         }
@@ -85,7 +81,7 @@
         for (int i = 0; i < bundle.keys().size(); i++) {
             TeamId team = bundle.keys().get(i).team();
             if (!teams.contains(team)) {
-                add(DANGLING_REFERENCE, "keys[" + i + "].team", "there is no team " + team);
+                add(Kind.DANGLING, "keys[" + i + "].team", "there is no team " + team);
             }
         }
     }
@@ -96,19 +92,19 @@
             Route route = routes.get(i);
             String name = field + "[" + i + "]";
             if (!METHOD.matcher(route.method()).matches()) {
-                add(INVALID_VALUE, name + ".method", "expected an upper-case method or *");
+                add(Kind.INVALID, name + ".method", "expected an upper-case method or *");
             }
             checkPath(name + ".path_prefix", route.pathPrefix());
             route.outcomePath().ifPresent(p -> checkPath(name + ".outcome_path", p));
             if (!seen.add(route.method() + " " + route.pathPrefix())) {
-                add(DUPLICATE, name, route.method() + " " + route.pathPrefix() + " occurs twice");
+                add(Kind.DUPLICATE, name, route.method() + " " + route.pathPrefix() + " occurs twice");
             }
         }
     }
 
     private void checkPath(String field, String path) {
         if (!PATH.matcher(path).matches() || path.contains("..")) {
-            add(INVALID_VALUE, field, "expected a path that starts with a slash, without query and without ..");
+            add(Kind.INVALID, field, "expected a path that starts with a slash, without query and without ..");
         }
     }
 
@@ -116,18 +112,18 @@
         Set<Object> seen = new HashSet<>();
         for (int i = 0; i < ids.size(); i++) {
             if (!seen.add(ids.get(i))) {
-                add(DUPLICATE, field + "[" + i + "].id", ids.get(i) + " occurs twice");
+                add(Kind.DUPLICATE, field + "[" + i + "].id", ids.get(i) + " occurs twice");
             }
         }
     }
 
     private void range(String field, long value, long min, long max) {
         if (value < min || value > max) {
-            add(OUT_OF_RANGE, field, value + " is not within " + min + " to " + max);
+            add(Kind.OUT_OF_RANGE, field, value + " is not within " + min + " to " + max);
         }
     }
 
-    private void add(BundleProblem.Kind kind, String field, String detail) {
+    private void add(Kind kind, String field, String detail) {
         problems.add(new BundleProblem(kind, field, detail));
     }
 }
