--- a/library/src/main/java/org/magnoliabridge/calls/GenerationCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationCaller.java
@@ -29,7 +29,7 @@
     }
 
     /**
-     * Generates and hands over each token as it arrives; a failed attempt is continued after the last token handed over,
+     * Generates and hands over each token as it arrives; a failed attempt continues after its last handed-over token,
      * on an engine with the same weights if there is one.
      *
      * @return the whole answer, equal to the tokens handed over
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationCheck.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationCheck.java
@@ -6,7 +6,7 @@
 /**
  * Checks that the events of one hop are a whole answer to that hop's request.
  *
- * <p>The request id must match, indexes must be consecutive from 0, the finish event must name the number of tokens, and
+ * <p>The request id must match, indexes must be consecutive from 0, the finish event must name the token count, and
  * the end mark must follow. Events for other requests are dropped and counted. Deterministic and not thread-safe.
  */
 public final class GenerationCheck {
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -8,7 +8,7 @@
 import org.magnoliabridge.ids.EndpointId;
 
 /**
- * Calls plain services; repeats a request only if the route is declared idempotent or the request certainly did not run.
+ * Calls plain services; repeats a request only if the route is idempotent or the request certainly did not run.
  *
  * <p>Calls block, so they are made from traffic threads.
  */
