Add the ledger and its fault matrix

Change: package ledger with a deterministic core. A call is sent only after its claim token is committed to the shard object by conditional update; claims and results of a shard share its next write. A claim whose write has an unknown outcome is written again with the same token; a refused call's claim stays pending until a later version of the shard rules it out.

--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerEffect.java
@@ -0,0 +1,46 @@
+package org.magnoliabridge.ledger;
+
+import org.magnoliabridge.platform.StoreRequest;
+
+/** What {@link LedgerCore} orders. */
+public sealed interface LedgerEffect {
+    /** Make a store request with decision priority and give the answer back with the tag. */
+    record Store(long tag, StoreRequest request) implements LedgerEffect {}
+
+    /**
+     * Send the call to its service, once, and report the result.
+     *
+     * @param sendBeforeMs if the first byte was not written by then, the result is {@link LedgerInput.NotRun}
+     */
+    record Send(long callId, long sendBeforeMs) implements LedgerEffect {}
+
+    /** Answer the caller; given exactly once for each call. */
+    record Answer(long callId, Outcome outcome) implements LedgerEffect {}
+
+    /** What the caller is told. */
+    sealed interface Outcome {}
+
+    /**
+     * The call ran, now or earlier.
+     *
+     * @param repeated whether this is the stored answer of an earlier call
+     */
+    record Ran(StoredAnswer answer, boolean repeated) implements Outcome {}
+
+    /** This call did not run and never will; it may be repeated with the same key. */
+    record NotRun(Reason reason) implements Outcome {}
+
+    /** The call, or an earlier one with the same key, may have run. */
+    record Unknown() implements Outcome {}
+
+    /** The key was used with another body. */
+    record Conflict() implements Outcome {}
+
+    /** Why a call did not run. */
+    enum Reason {
+        PLATFORM_UNAVAILABLE,
+        DEADLINE_EXCEEDED,
+        LEDGER_FULL,
+        BACK_END_REFUSED
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerKey.java
@@ -0,0 +1,44 @@
+package org.magnoliabridge.ledger;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Objects;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+
+/**
+ * Identifies a call that must run at most once; keys of different teams or services never meet.
+ *
+ * @param key the caller's idempotency key, any text
+ */
+public record LedgerKey(TeamId team, ServiceId service, String key) {
+    /** Length of the hashes in a shard; 128 bits keep a record small and make a collision within a team unlikely. */
+    static final int HASH_BYTES = 16;
+
+    public LedgerKey {
+        Objects.requireNonNull(team);
+        Objects.requireNonNull(service);
+        Objects.requireNonNull(key);
+    }
+
+    /** Returns the hash under which the call is recorded, as 32 hexadecimal digits. */
+    String hash() {
+        return hash((team + "\n" + service + "\n" + key).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the digest of a request body in the form that {@link LedgerInput.Call} takes. */
+    public static String digestOf(byte[] body) {
+        return hash(body);
+    }
+
+    static String hash(byte[] bytes) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
+            return HexFormat.of().formatHex(digest, 0, HASH_BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerShard.java
@@ -0,0 +1,315 @@
+package org.magnoliabridge.ledger;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.magnoliabridge.ledger.LedgerEffect.Reason;
+import org.magnoliabridge.ledger.LedgerRecord.State;
+import org.magnoliabridge.ledger.ShardImage.MalformedShardException;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+
+/**
+ * One shard of the ledger: its last known content, and the calls and results that wait for its next write.
+ *
+ * <p>After a conflict or a lost answer the shard is read, and every waiting claim is looked up by its token. A claim
+ * that is not there is written again with the same token: whichever of the two writes takes effect commits the same
+ * claim, and the other one fails on its expected version.
+ */
+final class LedgerShard {
+    static final long RETENTION_MS = 3_600_000;
+
+    /** Age of a claim up to which a repeat waits for its result, and up to which the claim may be sent. */
+    static final long YOUNG_CLAIM_MS = 30_000;
+
+    /** Longest wait for a store answer; longer than the client's own timeout, whose answer is then "unknown". */
+    static final long STORE_TIMEOUT_MS = 5_000;
+
+    static final long RETRY_MS = 200;
+    static final long POLL_MS = 500;
+
+    private final ObjectKey object;
+    private final ToLongFunction<LedgerShard> tags;
+    private final Set<Mechanism> mechanisms;
+    private final Map<Long, PendingCall> calls = new LinkedHashMap<>();
+    private final List<ClaimResult> results = new ArrayList<>();
+    private ShardImage image;
+    private long version;
+    private long imageMs;
+    private boolean stale = true;
+    private long tag;
+    private long requestMs;
+    private ShardImage written;
+    private List<ClaimResult> writtenResults = List.of();
+    private long notBeforeMs = Long.MIN_VALUE;
+
+    LedgerShard(ObjectKey object, ToLongFunction<LedgerShard> tags, Set<Mechanism> mechanisms) {
+        this.object = object;
+        this.tags = tags;
+        this.mechanisms = mechanisms;
+    }
+
+    boolean isInFlight(long other) {
+        return tag == other;
+    }
+
+    boolean knows(long callId) {
+        return calls.containsKey(callId);
+    }
+
+    int pending() {
+        return calls.size() + results.size();
+    }
+
+    void add(PendingCall call, long nowMs, List<LedgerEffect> effects) {
+        calls.put(call.callId, call);
+        proceed(nowMs, effects);
+    }
+
+    void sent(long callId, LedgerInput.SendResult result, long nowMs, List<LedgerEffect> effects) {
+        PendingCall call = calls.get(callId);
+        if (call == null || !call.sent) {
+            return;
+        }
+        calls.remove(callId);
+        switch (result) {
+            case LedgerInput.Ran ran -> {
+                answer(call, new LedgerEffect.Ran(ran.answer(), false), effects);
+                results.add(new ClaimResult(call.key, call.token, ran.answer(), call.claimBase));
+            }
+            case LedgerInput.NotRun notRun -> {
+                answer(call, new LedgerEffect.NotRun(Reason.BACK_END_REFUSED), effects);
+                results.add(new ClaimResult(call.key, call.token, null, call.claimBase));
+            }
+            case LedgerInput.Unknown unknown -> answer(call, new LedgerEffect.Unknown(), effects);
+        }
+        proceed(nowMs, effects);
+    }
+
+    void reply(long replyTag, StoreReply reply, long nowMs, List<LedgerEffect> effects) {
+        if (replyTag != tag) {
+            return;
+        }
+        boolean write = written != null;
+        switch (reply) {
+            case StoreReply.Found found ->
+                read(found.object().value(), found.object().version(), nowMs, effects);
+            case StoreReply.NotFound none -> loaded(new ShardImage(), ObjectStore.ABSENT);
+            case StoreReply.Written done -> committed(done.version());
+            case StoreReply.Unavailable down -> unavailable(nowMs, effects);
+            case StoreReply.Conflict conflict -> stale = true;
+            case StoreReply.Unknown unknown -> lost(write, nowMs);
+            case StoreReply.Listed listed -> stale = true;
+        }
+        finishRequest();
+        proceed(nowMs, effects);
+    }
+
+    void tick(long nowMs, List<LedgerEffect> effects) {
+        if (tag != 0 && nowMs - requestMs >= STORE_TIMEOUT_MS) {
+            lost(written != null, nowMs);
+            finishRequest();
+        }
+        for (PendingCall call : List.copyOf(calls.values())) {
+            if (nowMs >= call.deadlineMs && !call.answered) {
+                expire(call, effects);
+            } else if (nowMs - call.arrivedMs > RETENTION_MS) {
+                calls.remove(call.callId);
+            }
+        }
+        proceed(nowMs, effects);
+    }
+
+    private void expire(PendingCall call, List<LedgerEffect> effects) {
+        if (call.sent) {
+            // The call stays known, so that a late result is still recorded.
+            answer(call, new LedgerEffect.Unknown(), effects);
+            call.answered = true;
+        } else {
+            refuse(call, Reason.DEADLINE_EXCEEDED, effects);
+        }
+    }
+
+    private void read(byte[] value, long readVersion, long nowMs, List<LedgerEffect> effects) {
+        try {
+            loaded(ShardImage.decode(value), readVersion);
+        } catch (MalformedShardException e) {
+            unavailable(nowMs, effects);
+        }
+    }
+
+    private void loaded(ShardImage read, long readVersion) {
+        image = read;
+        version = readVersion;
+        imageMs = requestMs;
+        stale = false;
+        results.removeIf(r -> r.isSettled(image, version) || (!uses(Mechanism.FENCE) && !r.isIn(image)));
+    }
+
+    private void committed(long newVersion) {
+        if (written == null) {
+            stale = true;
+            return;
+        }
+        results.removeAll(writtenResults);
+        loaded(written, newVersion);
+    }
+
+    private void lost(boolean write, long nowMs) {
+        if (write && !uses(Mechanism.READ_BACK)) {
+            committed(version + 1);
+        } else {
+            stale = true;
+            notBeforeMs = nowMs + RETRY_MS;
+        }
+    }
+
+    private void unavailable(long nowMs, List<LedgerEffect> effects) {
+        stale = true;
+        notBeforeMs = nowMs + RETRY_MS;
+        for (PendingCall call : List.copyOf(calls.values())) {
+            if (!call.sent) {
+                refuse(call, Reason.PLATFORM_UNAVAILABLE, effects);
+            }
+        }
+    }
+
+    private void finishRequest() {
+        tag = 0;
+        written = null;
+        writtenResults = List.of();
+    }
+
+    /** Answers what the image decides and starts the next store request, unless one is in flight. */
+    private void proceed(long nowMs, List<LedgerEffect> effects) {
+        if (tag != 0) {
+            return;
+        }
+        if (!stale) {
+            for (PendingCall call : List.copyOf(calls.values())) {
+                decide(call, nowMs, effects);
+            }
+        }
+        boolean waiting = calls.values().stream().anyMatch(c -> !c.sent);
+        if (nowMs < notBeforeMs || (!waiting && results.isEmpty())) {
+            return;
+        }
+        boolean poll = calls.values().stream().anyMatch(c -> c.waitsForOther) && nowMs - imageMs >= POLL_MS;
+        if (stale || poll) {
+            request(new StoreRequest.Read(object), nowMs, effects);
+        } else {
+            write(nowMs, effects);
+        }
+    }
+
+    private void decide(PendingCall call, long nowMs, List<LedgerEffect> effects) {
+        LedgerRecord entry = image.get(call.key);
+        if (call.sent || (isFree(entry, nowMs) && !isOwn(call, entry))) {
+            call.waitsForOther = false;
+        } else if (isOwn(call, entry)) {
+            send(call, entry, nowMs, effects);
+        } else if (!entry.digest().equals(call.digest) && uses(Mechanism.DIGEST_CHECK)) {
+            decideFinal(call, entry, new LedgerEffect.Conflict(), effects);
+        } else if (entry.state() == State.DONE) {
+            decideFinal(call, entry, new LedgerEffect.Ran(entry.answer(), true), effects);
+        } else if (nowMs - entry.timeMs() >= YOUNG_CLAIM_MS) {
+            decideFinal(call, entry, new LedgerEffect.Unknown(), effects);
+        } else {
+            call.waitsForOther = true;
+        }
+    }
+
+    /** Answers from a record; a claim may have changed since the image was read, so it is read once more. */
+    private void decideFinal(
+            PendingCall call, LedgerRecord entry, LedgerEffect.Outcome outcome, List<LedgerEffect> effects) {
+        if (entry.state() == State.DONE || imageMs >= call.arrivedMs) {
+            drop(call);
+            answer(call, outcome, effects);
+        } else {
+            stale = true;
+        }
+    }
+
+    private void send(PendingCall call, LedgerRecord entry, long nowMs, List<LedgerEffect> effects) {
+        long sendBefore = Math.min(call.deadlineMs, entry.timeMs() + YOUNG_CLAIM_MS);
+        if (nowMs < sendBefore) {
+            call.sent = true;
+            call.waitsForOther = false;
+            effects.add(new LedgerEffect.Send(call.callId, sendBefore));
+        } else {
+            refuse(call, Reason.DEADLINE_EXCEEDED, effects);
+        }
+    }
+
+    private void write(long nowMs, List<LedgerEffect> effects) {
+        ShardImage next = image.copy();
+        next.prune(nowMs - RETENTION_MS);
+        boolean change = !results.isEmpty();
+        results.forEach(r -> r.applyTo(next, nowMs));
+        for (PendingCall call : List.copyOf(calls.values())) {
+            if (call.sent || !isFree(next.get(call.key), nowMs)) {
+                continue;
+            }
+            if (next.get(call.key) == null && !next.makeSpace()) {
+                refuse(call, Reason.LEDGER_FULL, effects);
+                continue;
+            }
+            change = true;
+            call.claimBase = version;
+            next.put(LedgerRecord.claim(call.key, call.digest, call.token, nowMs));
+            if (!uses(Mechanism.CLAIM_BEFORE_SEND)) {
+                call.sent = true;
+                effects.add(new LedgerEffect.Send(call.callId, call.deadlineMs));
+            }
+        }
+        if (change) {
+            next.dropBodies();
+            written = next;
+            writtenResults = List.copyOf(results);
+            long expected = uses(Mechanism.CONDITIONAL_UPDATE) ? version : -1;
+            request(new StoreRequest.Write(object, expected, next.encode()), nowMs, effects);
+        }
+    }
+
+    private void request(StoreRequest request, long nowMs, List<LedgerEffect> effects) {
+        tag = tags.applyAsLong(this);
+        requestMs = nowMs;
+        effects.add(new LedgerEffect.Store(tag, request));
+    }
+
+    /** Ends a call that was not sent; its claim, if it may exist, is turned into a "not run" record. */
+    private void refuse(PendingCall call, Reason reason, List<LedgerEffect> effects) {
+        drop(call);
+        answer(call, call.waitsForOther ? new LedgerEffect.Unknown() : new LedgerEffect.NotRun(reason), effects);
+    }
+
+    private void drop(PendingCall call) {
+        calls.remove(call.callId);
+        if (call.claimBase != PendingCall.NEVER) {
+            results.add(new ClaimResult(call.key, call.token, null, call.claimBase));
+        }
+    }
+
+    private static void answer(PendingCall call, LedgerEffect.Outcome outcome, List<LedgerEffect> effects) {
+        if (!call.answered) {
+            effects.add(new LedgerEffect.Answer(call.callId, outcome));
+        }
+    }
+
+    private static boolean isOwn(PendingCall call, LedgerRecord entry) {
+        return entry != null && entry.token().equals(call.token) && entry.state() == State.CLAIMED;
+    }
+
+    private static boolean isFree(LedgerRecord entry, long nowMs) {
+        return entry == null || entry.state() == State.NOT_RUN || nowMs - entry.timeMs() > RETENTION_MS;
+    }
+
+    private boolean uses(Mechanism mechanism) {
+        return mechanisms.contains(mechanism);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/ledger/StoredAnswer.java
@@ -0,0 +1,54 @@
+package org.magnoliabridge.ledger;
+
+import java.util.Arrays;
+import java.util.Objects;
+
+/**
+ * The back end's answer to a call that ran.
+ *
+ * @param status the HTTP status
+ * @param contentType the media type of the body; empty if there was none
+ * @param body the body; not copied, callers must not change it
+ * @param whole false if the ledger did not keep the body, which is then empty
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record StoredAnswer(int status, String contentType, byte[] body, boolean whole) {
+    /** Longest body that the ledger keeps, in bytes. */
+    public static final int MAX_BODY_BYTES = 4 * 1024;
+
+    private static final int MAX_CONTENT_TYPE_CHARS = 100;
+
+    public StoredAnswer {
+        Objects.requireNonNull(contentType);
+        Objects.requireNonNull(body);
+    }
+
+    /** Returns an answer with its whole body. */
+    public static StoredAnswer of(int status, String contentType, byte[] body) {
+        return new StoredAnswer(status, contentType, body, true);
+    }
+
+    /** Returns this answer, without its body if that is too large for the ledger. */
+    StoredAnswer limited() {
+        boolean fits = body.length <= MAX_BODY_BYTES && contentType.length() <= MAX_CONTENT_TYPE_CHARS;
+        return fits ? this : withoutBody();
+    }
+
+    StoredAnswer withoutBody() {
+        return new StoredAnswer(status, "", new byte[0], false);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoredAnswer that
+                && status == that.status
+                && whole == that.whole
+                && contentType.equals(that.contentType)
+                && Arrays.equals(body, that.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * status + Arrays.hashCode(body);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once execution of calls that carry an idempotency key. */
+package org.magnoliabridge.ledger;
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/ledger/LedgerFaultMatrixTest.java
@@ -0,0 +1,36 @@
+package org.magnoliabridge.ledger;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+
+import java.io.IOException;
+import java.util.EnumSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.magnoliabridge.sim.FaultMatrix;
+
+class LedgerFaultMatrixTest {
+    private static final int PAIRS = 3_000;
+
+    /** Guards against a second execution, an untrue "not run" and a wrong stored answer under one or two faults. */
+    @Test
+    void invariantsHoldUnderEveryFault() throws IOException {
+        FaultMatrix matrix = matrix(EnumSet.allOf(Mechanism.class)).singles().pairs(PAIRS);
+        matrix.write("Ledger: at most one execution per team, service and key", "fault-matrix-ledger.txt");
+        assertThat(matrix.failures(), empty());
+    }
+
+    /** Guards against a checker that can't fail: without any one mechanism it must report violations. */
+    @ParameterizedTest
+    @EnumSource(Mechanism.class)
+    void checkerReportsAMissingMechanism(Mechanism missing) {
+        EnumSet<Mechanism> rest = EnumSet.complementOf(EnumSet.of(missing));
+        assertThat(matrix(rest).singles().violations(), greaterThan(0));
+    }
+
+    private static FaultMatrix matrix(EnumSet<Mechanism> mechanisms) {
+        return new FaultMatrix(faults -> new LedgerWorld(faults, mechanisms).run());
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/sim/SimWorld.java
@@ -0,0 +1,237 @@
+package org.magnoliabridge.sim;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+
+/** Virtual time, hosts that crash and pause, and numbered effects that a fault plan may disturb. */
+public abstract class SimWorld {
+    static final long LATENCY_MS = 1;
+    static final long CLIENT_TIMEOUT_MS = 1_000;
+    /** Past a lease (10 s). */
+    static final long DELAY_MS = 15_000;
+    /** Past a lease (10 s) and past a young claim (30 s). */
+    protected static final long PAUSE_MS = 40_000;
+
+    static final long RESTART_MS = 2_000;
+
+    /** What a call does at its target. */
+    @FunctionalInterface
+    protected interface Action<T> {
+        T take();
+    }
+
+    private record Event(long time, long order, Runnable action) {}
+
+    protected final SimStore store = new SimStore();
+    protected long now;
+
+    /** Whether the current action left its host long ago, so that a check made when sending was made then. */
+    protected boolean inTransit;
+
+    private final Map<Integer, Fault> faults;
+    private final List<String> kinds = new ArrayList<>();
+    private final List<String> violations = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparingLong(Event::order));
+    private long order;
+    private long checks;
+
+    protected SimWorld(Map<Integer, Fault> faults) {
+        this.faults = faults;
+    }
+
+    /** One process; its inputs stop when it crashes and wait while it is paused. */
+    protected final class Host {
+        final Runnable start;
+        private int life;
+        private boolean up = true;
+        private long resumeMs;
+
+        public Host(Runnable start) {
+            this.start = start;
+        }
+
+        public void after(long delayMs, Runnable input) {
+            int target = life;
+            at(delayMs, () -> deliver(target, input));
+        }
+
+        private void deliver(int target, Runnable input) {
+            if (up && life == target) {
+                if (resumeMs > now) {
+                    after(resumeMs - now, input);
+                } else {
+                    input.run();
+                }
+            }
+        }
+
+        public void every(long periodMs, Runnable input) {
+            after(periodMs, () -> {
+                input.run();
+                every(periodMs, input);
+            });
+        }
+
+        public boolean isUp() {
+            return up;
+        }
+
+        public void crash() {
+            if (up) {
+                up = false;
+                life++;
+                crashed(this);
+                at(RESTART_MS, () -> {
+                    up = true;
+                    resumeMs = 0;
+                    start.run();
+                });
+            }
+        }
+    }
+
+    /** Told when a host has crashed, for checkers that allow something then. */
+    protected void crashed(Host host) {}
+
+    /** Told when a host is paused. */
+    protected void paused(Host host) {}
+
+    /** Runs all invariant checks; called after every event. */
+    protected abstract void check();
+
+    protected final void at(long delayMs, Runnable action) {
+        events.add(new Event(now + delayMs, order++, action));
+    }
+
+    protected final void runUntil(long endMs) {
+        while (!events.isEmpty() && events.peek().time() <= endMs) {
+            Event next = events.poll();
+            now = next.time();
+            next.action().run();
+            check();
+            checks++;
+        }
+    }
+
+    protected final void storeCall(Host host, StoreRequest request, Consumer<StoreReply> reply) {
+        String kind = "store " + request.getClass().getSimpleName();
+        exchange(host, kind, true, () -> store.apply(request), reply, new StoreReply.Unknown());
+    }
+
+    /** Makes a call that has an answer; {@code lost} is what the client reports when it gives up. */
+    protected final <T> void exchange(
+            Host host, String kind, boolean repeatable, Action<T> action, Consumer<T> reply, T lost) {
+        if (!host.up) {
+            return;
+        }
+        if (host.resumeMs > now) {
+            host.after(0, () -> exchange(host, kind, repeatable, action, reply, lost));
+            return;
+        }
+        Consumer<T> back = answer -> host.after(LATENCY_MS, () -> reply.accept(answer));
+        Fault fault = next(kind);
+        switch (fault) {
+            case CRASH_BEFORE -> host.crash();
+            case CRASH_AFTER -> {
+                at(LATENCY_MS, action::take);
+                host.crash();
+            }
+            case REPLY_LOST -> {
+                at(LATENCY_MS, action::take);
+                host.after(CLIENT_TIMEOUT_MS, () -> reply.accept(lost));
+            }
+            case REPLY_DELAYED -> {
+                host.after(CLIENT_TIMEOUT_MS, () -> reply.accept(lost));
+                at(LATENCY_MS, () -> {
+                    T answer = action.take();
+                    host.after(DELAY_MS, () -> reply.accept(answer));
+                });
+            }
+            case EFFECT_LATE -> {
+                host.after(CLIENT_TIMEOUT_MS, () -> reply.accept(lost));
+                at(DELAY_MS, () -> {
+                    inTransit = true;
+                    action.take();
+                    inTransit = false;
+                });
+            }
+            case DUPLICATE ->
+                at(LATENCY_MS, () -> {
+                    T answer = action.take();
+                    back.accept(answer);
+                    at(LATENCY_MS, () -> back.accept(repeatable ? action.take() : answer));
+                });
+            case PAUSE -> {
+                pause(host);
+                host.after(0, () -> at(0, () -> back.accept(action.take())));
+            }
+            case SILENT -> {}
+            case null, default -> at(LATENCY_MS, () -> back.accept(action.take()));
+        }
+    }
+
+    /** Sends a message that has no answer. */
+    protected final void message(Host host, String kind, Runnable delivery) {
+        if (!host.up) {
+            return;
+        }
+        if (host.resumeMs > now) {
+            host.after(0, () -> message(host, kind, delivery));
+            return;
+        }
+        Fault fault = next(kind);
+        switch (fault) {
+            case CRASH_BEFORE -> host.crash();
+            case CRASH_AFTER -> {
+                at(LATENCY_MS, delivery);
+                host.crash();
+            }
+            case REPLY_LOST, SILENT -> {}
+            case REPLY_DELAYED, EFFECT_LATE -> at(DELAY_MS, delivery);
+            case DUPLICATE -> {
+                at(LATENCY_MS, delivery);
+                at(LATENCY_MS + 1, delivery);
+            }
+            case PAUSE -> {
+                pause(host);
+                host.after(0, delivery);
+            }
+            case null, default -> at(LATENCY_MS, delivery);
+        }
+    }
+
+    private void pause(Host host) {
+        host.resumeMs = now + PAUSE_MS;
+        paused(host);
+    }
+
+    private Fault next(String kind) {
+        kinds.add(kind);
+        return faults.get(kinds.size() - 1);
+    }
+
+    protected final void require(boolean holds, String invariant) {
+        if (!holds && !violations.contains(invariant)) {
+            violations.add(invariant);
+        }
+    }
+
+    public final List<String> kinds() {
+        return kinds;
+    }
+
+    public final List<String> violations() {
+        return violations;
+    }
+
+    final long checks() {
+        return checks;
+    }
+}
