--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleEffect.java
@@ -0,0 +1,29 @@
+package org.magnoliabridge.bundle;
+
+import org.magnoliabridge.platform.StoreRequest;
+
+/** What {@link BundleCore} wants done. */
+public sealed interface BundleEffect {
+    /** Replace the snapshot that traffic threads read. */
+    record Publish(ConfigSnapshot snapshot) implements BundleEffect {}
+
+    /** Call the object API and give the reply back as {@link BundleInput.Answered}; every call gets one reply. */
+    record Call(long callId, StoreRequest request) implements BundleEffect {}
+
+    /** Spread a new version to all members: the bundle in the form of {@link SignedBundle#pack}. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record SpreadBundle(long version, byte[] payload) implements BundleEffect {}
+
+    /** Spread a new version to all members: the withdrawals in the form of {@link Withdrawals#write}. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record SpreadWithdrawals(long version, byte[] payload) implements BundleEffect {}
+
+    /** Log and count something that was not accepted. */
+    record Reject(Source source, UnacceptableBundleException.Reason reason) implements BundleEffect {}
+
+    /** Where something came from. */
+    enum Source {
+        PLATFORM,
+        PEER
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleInput.java
@@ -0,0 +1,42 @@
+package org.magnoliabridge.bundle;
+
+import java.util.Objects;
+import org.magnoliabridge.platform.StoreReply;
+
+/** What can happen to {@link BundleCore}. */
+public sealed interface BundleInput {
+    /** Time has passed; comes at least once a second. */
+    record Tick() implements BundleInput {}
+
+    /** Whether this node is one of the members that watch the object API for its region. */
+    record Watcher(boolean watcher) implements BundleInput {}
+
+    /** The platform reported a change of an object; late, duplicate and false reports are harmless. */
+    record Changed() implements BundleInput {}
+
+    /** The answer to a {@link BundleEffect.Call}. */
+    record Answered(long callId, StoreReply reply) implements BundleInput {
+        public Answered {
+            Objects.requireNonNull(reply);
+        }
+    }
+
+    /** A peer sent the accepted bundle in the form of {@link SignedBundle#pack}. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record BundleFromPeer(byte[] payload) implements BundleInput {}
+
+    /** A peer sent the withdrawals in the form of {@link Withdrawals#write}. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record WithdrawalsFromPeer(byte[] payload) implements BundleInput {}
+
+    /**
+     * A peer that has these versions answered a ping.
+     *
+     * @param confirmedAtMs when that peer's configuration was last confirmed: own time at which the ping was
+     *     <em>sent</em> minus the age in the answer, so a delay on the way makes the result older, never newer
+     */
+    record PeerConfirmed(long bundleVersion, long withdrawalsVersion, long confirmedAtMs) implements BundleInput {}
+
+    /** Whether this node reaches more than half of the members; holds for 2.5 s, so it comes every second. */
+    record Majority(boolean reached) implements BundleInput {}
+}
