Add the caller-facing and operator servers

Change: CallerServer on Undertow with virtual threads (chat, plain services, rollouts, addresses, health), checks of key, team, route, path form, size, media type and deadline; streams end with an error event when their key is withdrawn; a closed caller connection is noticed while the engine is silent (CloseWatch); drain gate; operator server with metrics and status; spans through OpenTelemetry. A back end's not-run claim now needs status 503 and run=not_run. Conclusion: the edge is ready to be wired.

--- a/library/src/main/java/org/magnoliabridge/calls/BackEndRefusal.java
+++ b/library/src/main/java/org/magnoliabridge/calls/BackEndRefusal.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
 import org.magnoliabridge.http.HttpAnswer;
 
@@ -14,30 +15,30 @@
  */
 public record BackEndRefusal(int status, boolean draining, boolean notRun) {
     private static final JsonMapper JSON = new JsonMapper();
-    private static final int FIRST_ERROR_STATUS = 400;
+    private static final int UNAVAILABLE = 503;
 
     /**
-     * Reads an error answer: {@code {"error":"draining"}} or {@code {"error":{"type":"draining","run":"not_run"}}}.
+     * Reads an error answer: {@code {"error":"draining","run":"not_run"}} or
+     * {@code {"error":{"type":"draining","run":"not_run"}}}.
      *
-     * <p>Any other body says nothing about whether the request ran.
+     * <p>Only status 503 with {@code not_run} says that the request did not run: a service may quote a caller's words
+     * in the error of another status.
      */
     public static BackEndRefusal of(HttpAnswer answer) {
-        JsonNode error = answer.status() < FIRST_ERROR_STATUS ? null : error(answer.body());
-        if (error == null) {
-            return new BackEndRefusal(answer.status(), false, false);
-        }
+        JsonNode root = answer.status() == UNAVAILABLE ? parse(answer.body()) : MissingNode.getInstance();
+        JsonNode error = root.path("error");
         String type = error.isTextual() ? error.asText() : error.path("type").asText();
+        JsonNode run = error.isTextual() ? root.path("run") : error.path("run");
         boolean draining = type.equals("draining");
-        boolean notRun = draining || error.path("run").asText().equals(RunClaim.NOT_RUN.text());
+        boolean notRun = run.asText().equals(RunClaim.NOT_RUN.text());
         return new BackEndRefusal(answer.status(), draining, notRun);
     }
 
-    private static JsonNode error(byte[] body) {
+    private static JsonNode parse(byte[] body) {
         try {
-            JsonNode root = JSON.readTree(body);
-            return root == null ? null : root.get("error");
+            return JSON.readTree(body);
         } catch (IOException e) {
-            return null;
+            return MissingNode.getInstance();
         }
     }
 }
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationRequest.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationRequest.java
@@ -1,5 +1,9 @@
 package org.magnoliabridge.calls;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.Optional;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
@@ -22,6 +26,8 @@
         Optional<TraceContext> trace) {
     // Long enough to tell system prompts apart, short enough that prompts with the same beginning share a hash.
     private static final int PREFIX_CHARS = 256;
+    private static final int BLOCK_CHARS = 64;
+    private static final int HASH_BYTES = 8;
 
     public GenerationRequest {
         if (maxTokens < 1) {
@@ -34,10 +40,19 @@
         return countTokens(prompt);
     }
 
-    /** Returns the hash of the prompt's beginning, in hexadecimal. */
+    /**
+     * Returns the hash of the prompt's beginning as engines name it in load reports: the first 8 bytes of SHA-256 in
+     * hexadecimal, at a whole number of cache blocks.
+     */
     public String prefixHash() {
-        String prefix = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
-        return Integer.toHexString(prefix.hashCode());
+        int whole = prompt.length() / BLOCK_CHARS * BLOCK_CHARS;
+        String prefix = whole == 0 ? prompt : prompt.substring(0, Math.min(PREFIX_CHARS, whole));
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(prefix.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest, 0, HASH_BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
     }
 
     static int countTokens(String text) {
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/Access.java
@@ -0,0 +1,76 @@
+package org.magnoliabridge.edge;
+
+import java.util.Optional;
+import org.magnoliabridge.bundle.Bundle;
+import org.magnoliabridge.bundle.ConfigSnapshot;
+import org.magnoliabridge.bundle.Route;
+import org.magnoliabridge.bundle.Service;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.RunClaim;
+import org.magnoliabridge.ids.InvalidIdException;
+import org.magnoliabridge.ids.KeyId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.keys.KeyTable;
+
+/** Decides for which team a request runs; judges one request by one snapshot. */
+final class Access {
+    /** Stands for callers of open routes in the queue; it is no team, has no weight of its own and is not billed. */
+    static final TeamId OPEN = new TeamId("open-route");
+
+    private final ConfigSnapshot config;
+    private final long nowMs;
+
+    Access(ConfigSnapshot config, long nowMs) {
+        this.config = config;
+        this.nowMs = nowMs;
+    }
+
+    /** Who a request runs for; the key is empty on open routes. */
+    record Principal(TeamId team, Optional<KeyId> key) {}
+
+    /** Returns the team of a key. */
+    Principal team(Optional<String> key) throws CallException {
+        if (!config.servesKeyed(nowMs)) {
+            throw CallException.notRun(new Failure.StaleConfiguration());
+        }
+        KeyTable.Result result = key.map(config.keys()::authenticate).orElseGet(KeyTable.Unknown::new);
+        return switch (result) {
+            case KeyTable.Known known -> new Principal(known.team(), Optional.of(known.key()));
+            case KeyTable.Unknown unknown -> throw CallException.notRun(new Failure.Unauthenticated());
+            case KeyTable.Withdrawn withdrawn -> throw CallException.notRun(new Failure.Unauthenticated());
+        };
+    }
+
+    /** Checks that the team may use a service of the kind. */
+    Service service(Principal principal, String name, Service.Kind kind) throws CallException {
+        Service service = find(name, kind);
+        if (!bundle().allows(principal.team(), service.id())) {
+            throw CallException.notRun(new Failure.Forbidden(service.id().value()));
+        }
+        return service;
+    }
+
+    /** Returns a service without a check of the team, for open routes. */
+    Service find(String name, Service.Kind kind) throws CallException {
+        ServiceId id;
+        try {
+            id = ServiceId.parse(name);
+        } catch (InvalidIdException e) {
+            throw new CallException(new Failure.NotFound("the service"), RunClaim.NOT_RUN, e);
+        }
+        return bundle().service(id)
+                .filter(s -> s.kind() == kind)
+                .orElseThrow(() -> CallException.notRun(new Failure.NotFound("service " + id)));
+    }
+
+    /** Returns the rules for a call of a plain service. */
+    static Route route(Service service, String method, String path) throws CallException {
+        return service.route(method, path).orElseThrow(() -> CallException.notRun(new Failure.NotFound("the route")));
+    }
+
+    private Bundle bundle() throws CallException {
+        return config.bundle().orElseThrow(() -> CallException.notRun(new Failure.StaleConfiguration()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -0,0 +1,271 @@
+package org.magnoliabridge.edge;
+
+import com.codahale.metrics.Timer;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.magnoliabridge.bundle.Bundle;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.FailureAnswer;
+import org.magnoliabridge.calls.RunClaim;
+import org.magnoliabridge.calls.Spans;
+import org.magnoliabridge.calls.TraceContext;
+import org.magnoliabridge.ids.InvalidIdException;
+import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.keys.CallerKey;
+import org.magnoliabridge.keys.CallerRequest;
+import org.magnoliabridge.keys.MalformedRequestException;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+
+/** Reads a caller's request on the I/O thread, serves it on a virtual thread and answers failures in one form. */
+final class CallerHandler implements HttpHandler {
+    private static final Logger LOG = Logger.getLogger(CallerHandler.class.getName());
+    private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+    private static final HttpString TRACEPARENT = new HttpString("traceparent");
+    private static final HttpString DEADLINE = new HttpString("X-Deadline-Ms");
+    // Before a bundle is accepted only open routes answer, and none of them takes a body.
+    private static final int FIRST_MAX_BODY_BYTES = 64 * 1024;
+    private static final long MAX_DEADLINE_MS = 15 * 60_000;
+    private static final long DEFAULT_LIMIT_MS = 60_000;
+    // Time to write an answer after the deadline, before a connection that takes no bytes is closed.
+    private static final long WRITE_MARGIN_MS = 5_000;
+
+    private final EdgeTools tools;
+    private final DrainGate gate;
+    private final Timer timer;
+    private final ChatRoute chat;
+    private final PlainRoute plain;
+    private final RolloutRoutes rollouts;
+    private final AddressRoute addresses;
+
+    CallerHandler(EdgeTools tools, DrainGate gate, OpenCalls openCalls) {
+        this.tools = tools;
+        this.gate = gate;
+        timer = tools.metrics().timer("edge.requests");
+        chat = new ChatRoute(tools, openCalls);
+        plain = new PlainRoute(tools);
+        rollouts = new RolloutRoutes(tools);
+        addresses = new AddressRoute(tools.addresses());
+    }
+
+    /** A request of which the body has not been read yet. */
+    private record Start(RequestId id, Spans.Span span, long startMs) {}
+
+    /** A request that was read to its end. */
+    @SuppressWarnings("ArrayRecordComponent")
+    private record Received(Start start, byte[] body, Optional<Long> limitMs) {}
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        RequestId id = requestId(exchange);
+        exchange.getResponseHeaders().put(REQUEST_ID, id.value());
+        if (exchange.getRequestPath().equals("/healthz")) {
+            health(exchange);
+            return;
+        }
+        Spans.Span span = tools.spans()
+                .start("caller", TraceContext.parse(exchange.getRequestHeaders().getFirst(TRACEPARENT)));
+        exchange.getResponseHeaders().put(TRACEPARENT, span.context().traceparent());
+        Start start = new Start(id, span, tools.clock().nowMs());
+        if (!gate.tryEnter()) {
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+            refuse(exchange, start, new Failure.Draining());
+            return;
+        }
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            gate.exit();
+            timer.update(tools.clock().nowMs() - start.startMs(), TimeUnit.MILLISECONDS);
+            next.proceed();
+        });
+        readBody(exchange, start);
+    }
+
+    private void health(HttpServerExchange exchange) {
+        DrainGate.State state = gate.state();
+        exchange.setStatusCode(state == DrainGate.State.ACCEPTING ? 200 : 503);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Reply.JSON_TYPE);
+        exchange.getResponseSender().send("{\"state\":\"" + state.name().toLowerCase(Locale.ROOT) + "\"}");
+    }
+
+    private void readBody(HttpServerExchange exchange, Start start) {
+        int maxBytes = tools.config()
+                .get()
+                .bundle()
+                .map(Bundle::bounds)
+                .map(b -> b.maxBodyBytes())
+                .orElse(FIRST_MAX_BODY_BYTES);
+        if (exchange.getRequestContentLength() > maxBytes) {
+            // The rest of the body is not read, so the connection can't be used again.
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+            refuse(exchange, start, new Failure.TooLarge(maxBytes));
+            return;
+        }
+        Optional<Long> limitMs;
+        try {
+            limitMs = deadline(exchange);
+        } catch (CallException e) {
+            refuse(exchange, start, e.failure());
+            return;
+        }
+        closeWhenLate(exchange, limitMs.orElse(DEFAULT_LIMIT_MS) + WRITE_MARGIN_MS);
+        Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(maxBytes);
+        receiver.receiveFullBytes(
+                (ex, body) -> {
+                    Cancellation cancellation = new Cancellation();
+                    CloseWatch.start(ex, () -> cancellation.cancel(Cancellation.Reason.CALLER_GONE));
+                    ex.dispatch(
+                            task -> Thread.ofVirtual().name("caller").start(task),
+                            later -> serve(later, new Received(start, body, limitMs), cancellation));
+                },
+                (ex, e) -> {
+                    ex.getResponseHeaders().put(Headers.CONNECTION, "close");
+                    boolean large = e instanceof Receiver.RequestToLargeException;
+                    refuse(
+                            ex,
+                            start,
+                            large
+                                    ? new Failure.TooLarge(maxBytes)
+                                    : new Failure.MalformedRequest("the body ended early"));
+                });
+    }
+
+    // Bounds slow bodies and callers that stop reading; neither may hold up a drain for ever.
+    private static void closeWhenLate(HttpServerExchange exchange, long limitMs) {
+        XnioExecutor.Key key = exchange.getIoThread()
+                .executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), limitMs, TimeUnit.MILLISECONDS);
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            key.remove();
+            next.proceed();
+        });
+    }
+
+    private void serve(HttpServerExchange exchange, Received received, Cancellation cancellation) {
+        Start start = received.start();
+        Reply reply = new Reply(exchange);
+        String outcome = "ok";
+        try {
+            try {
+                route(request(exchange, received), reply, cancellation);
+            } catch (CallException e) {
+                FailureAnswer failure = FailureAnswer.of(e);
+                outcome = failure.type();
+                reply.failure(failure);
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "request " + start.id() + " failed unexpectedly", e);
+                outcome = "internal";
+                reply.failure(FailureAnswer.of(new Failure.BackEndFailed("the node failed"), RunClaim.UNKNOWN));
+            }
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "the caller of request " + start.id() + " closed the connection", e);
+            outcome = "caller_gone";
+            cancellation.cancel(Cancellation.Reason.CALLER_GONE);
+            IoUtils.safeClose(exchange.getConnection());
+        }
+        tools.metrics().counter("edge.answers." + outcome).inc();
+        start.span().end(outcome);
+    }
+
+    private void route(EdgeRequest request, Reply reply, Cancellation cancellation) throws CallException, IOException {
+        SafePath.check(request.path());
+        String call = request.method() + " " + request.path();
+        if (call.equals("POST /v1/chat/completions")) {
+            chat.handle(request, reply, cancellation);
+        } else if (request.path().startsWith(PlainRoute.PREFIX)) {
+            plain.handle(request, reply, cancellation);
+        } else if (request.path().startsWith(RolloutRoutes.PREFIX)) {
+            rollouts.handle(request, reply);
+        } else if (call.equals("GET " + AddressRoute.PATH)) {
+            addresses.handle(request, reply);
+        } else {
+            throw CallException.notRun(new Failure.NotFound("the route"));
+        }
+    }
+
+    private EdgeRequest request(HttpServerExchange exchange, Received received) throws CallException {
+        Start start = received.start();
+        List<CallerRequest.Header> headers = new ArrayList<>();
+        exchange.getRequestHeaders()
+                .forEach(values -> values.forEach(value -> headers.add(
+                        new CallerRequest.Header(values.getHeaderName().toString(), value))));
+        CallerKey key;
+        try {
+            key = CallerKey.take(new CallerRequest(headers, exchange.getQueryString(), received.body()));
+        } catch (MalformedRequestException e) {
+            Failure failure = e.part() == MalformedRequestException.Part.ENCODING
+                    ? new Failure.UnsupportedMediaType("without a content encoding")
+                    : new Failure.MalformedRequest(e.getMessage());
+            throw new CallException(failure, RunClaim.NOT_RUN, e);
+        }
+        // Path parameters are not part of the request path, so they are looked for in the raw target.
+        String path = exchange.getRequestURI().contains(";") ? ";" : exchange.getRequestPath();
+        if (key.text().filter(path::contains).isPresent()) {
+            throw ChatBody.malformed("the key must not be part of the path");
+        }
+        return new EdgeRequest(
+                exchange.getRequestMethod().toString(),
+                path,
+                key.text(),
+                key.stripped(),
+                start.id(),
+                received.limitMs().map(ms -> start.startMs() + ms),
+                start.span().context(),
+                exchange.getSourceAddress().getAddress().getHostAddress());
+    }
+
+    /** Refuses a body that is not declared as JSON. */
+    static void requireJson(EdgeRequest request) throws CallException {
+        String type = request.header("content-type").orElse("");
+        String media = type.split(";", -1)[0].strip();
+        if (!media.equalsIgnoreCase(Reply.JSON_TYPE)) {
+            throw CallException.notRun(new Failure.UnsupportedMediaType(Reply.JSON_TYPE));
+        }
+    }
+
+    private RequestId requestId(HttpServerExchange exchange) {
+        String given = exchange.getRequestHeaders().getFirst(REQUEST_ID);
+        // Keys have the form of ids; one in this header must not be sent on or logged.
+        if (given == null || given.startsWith("mb_")) {
+            return tools.ids().get();
+        }
+        try {
+            return RequestId.parse(given);
+        } catch (InvalidIdException e) {
+            return tools.ids().get();
+        }
+    }
+
+    private static Optional<Long> deadline(HttpServerExchange exchange) throws CallException {
+        String text = exchange.getRequestHeaders().getFirst(DEADLINE);
+        if (text == null) {
+            return Optional.empty();
+        }
+        if (!text.matches("\\d{1,9}") || Long.parseLong(text) < 1 || Long.parseLong(text) > MAX_DEADLINE_MS) {
+            throw ChatBody.malformed("header X-Deadline-Ms must be a whole number from 1 to " + MAX_DEADLINE_MS);
+        }
+        return Optional.of(Long.parseLong(text));
+    }
+
+    private void refuse(HttpServerExchange exchange, Start start, Failure failure) {
+        FailureAnswer answer = FailureAnswer.of(failure, RunClaim.NOT_RUN);
+        tools.metrics().counter("edge.answers." + answer.type()).inc();
+        start.span().end(answer.type());
+        exchange.setStatusCode(answer.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Reply.JSON_TYPE);
+        exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
@@ -0,0 +1,69 @@
+package org.magnoliabridge.edge;
+
+import com.codahale.metrics.Gauge;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import java.net.InetSocketAddress;
+
+/**
+ * The HTTP server that callers use.
+ *
+ * <pre>{@code
+ * CallerServer server = new CallerServer(tools, listen);
+ * ...
+ * server.gate().drain();
+ * int cut = server.gate().awaitIdle(limitMs);
+ * server.close();
+ * }</pre>
+ */
+public final class CallerServer implements AutoCloseable {
+    private static final int IO_THREADS = 2;
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int MAX_HEADERS = 100;
+    private static final int REQUEST_HEAD_LIMIT_MS = 10_000;
+    private static final int IDLE_CONNECTION_LIMIT_MS = 60_000;
+
+    private final Undertow undertow;
+    private final DrainGate gate = new DrainGate();
+    private final OpenCalls openCalls = new OpenCalls();
+
+    /** Starts to serve at an address; port 0 lets the system choose. */
+    public CallerServer(EdgeTools tools, InetSocketAddress listen) {
+        Gauge<Integer> open = gate::open;
+        tools.metrics().register("edge.open_requests", open);
+        undertow = Undertow.builder()
+                .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
+                .setIoThreads(IO_THREADS)
+                .setWorkerThreads(1)
+                // The bundle's rules match the raw path.
+                .setServerOption(UndertowOptions.DECODE_URL, false)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_LIMIT_MS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_LIMIT_MS)
+                .setHandler(new CallerHandler(tools, gate, openCalls))
+                .build();
+        undertow.start();
+    }
+
+    /** Returns the address in use. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) undertow.getListenerInfo().getFirst().getAddress();
+    }
+
+    /** Returns the gate that counts open requests and begins the drain. */
+    public DrainGate gate() {
+        return gate;
+    }
+
+    /** Returns the running generations, to be told of each new key table. */
+    public OpenCalls openCalls() {
+        return openCalls;
+    }
+
+    /** Closes the server at once; open requests are cut, so the gate is drained first. */
+    @Override
+    public void close() {
+        undertow.stop();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/ChatRoute.java
@@ -0,0 +1,140 @@
+package org.magnoliabridge.edge;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.magnoliabridge.bundle.Service;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.Generation;
+import org.magnoliabridge.calls.GenerationRequest;
+import org.magnoliabridge.calls.VersionRange;
+import org.magnoliabridge.edge.Access.Principal;
+import org.magnoliabridge.ids.KeyId;
+
+/** Serves chat completions, whole or as server-sent events. */
+final class ChatRoute {
+    private static final JsonMapper JSON = new JsonMapper();
+    private static final long DEFAULT_DEADLINE_MS = 60_000;
+
+    private final EdgeTools tools;
+    private final OpenCalls openCalls;
+
+    ChatRoute(EdgeTools tools, OpenCalls openCalls) {
+        this.tools = tools;
+        this.openCalls = openCalls;
+    }
+
+    void handle(EdgeRequest request, Reply reply, Cancellation cancellation) throws CallException, IOException {
+        long nowMs = tools.clock().nowMs();
+        Access access = new Access(tools.config().get(), nowMs);
+        Principal principal = access.team(request.key());
+        CallerHandler.requireJson(request);
+        ChatBody body = ChatBody.parse(request.body());
+        Service service = access.service(principal, body.model(), Service.Kind.MODEL);
+        GenerationRequest generation = new GenerationRequest(
+                service.id(),
+                principal.team(),
+                service.priority() == Service.Priority.INTERACTIVE
+                        ? EndpointSource.Priority.INTERACTIVE
+                        : EndpointSource.Priority.TRAINING,
+                body.prompt(),
+                body.maxTokens(),
+                request.deadlineMs().orElse(nowMs + DEFAULT_DEADLINE_MS),
+                Optional.of(request.trace()));
+        openCalls.add(cancellation, principal.key());
+        try {
+            Generation answer = body.stream()
+                    ? stream(request, body, generation, reply, cancellation, principal.key())
+                    : whole(request, body, generation, reply, cancellation);
+            tools.usage()
+                    .delivered(new UsageSink.Delivery(
+                            principal.team(), service.id(), 1, answer.promptTokens(), answer.tokens()));
+        } finally {
+            openCalls.remove(cancellation);
+        }
+    }
+
+    private Generation whole(
+            EdgeRequest request, ChatBody body, GenerationRequest generation, Reply reply, Cancellation cancellation)
+            throws CallException, IOException {
+        Generation answer = tools.generations().whole(generation, cancellation);
+        ObjectNode root = root(request, body);
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        choice.putObject("message").put("role", "assistant").put("content", answer.text());
+        choice.put("finish_reason", answer.reason().text());
+        addFigures(root, answer);
+        reply.json(root.toString().getBytes(StandardCharsets.UTF_8));
+        return answer;
+    }
+
+    private Generation stream(
+            EdgeRequest request,
+            ChatBody body,
+            GenerationRequest generation,
+            Reply reply,
+            Cancellation cancellation,
+            Optional<KeyId> key)
+            throws CallException, IOException {
+        try {
+            Generation answer = tools.generations().streamed(generation, cancellation, (index, text, version) -> {
+                if (!isActive(key)) {
+                    cancellation.cancel(Cancellation.Reason.KEY_WITHDRAWN);
+                    return false;
+                }
+                ObjectNode root = root(request, body);
+                root.putArray("choices")
+                        .addObject()
+                        .put("index", 0)
+                        .putObject("delta")
+                        .put("content", text);
+                return send(reply, root);
+            });
+            ObjectNode last = root(request, body);
+            ObjectNode choice = last.putArray("choices").addObject().put("index", 0);
+            choice.putObject("delta");
+            choice.put("finish_reason", answer.reason().text());
+            addFigures(last, answer);
+            reply.event(last.toString());
+            reply.event("[DONE]");
+            reply.endStream();
+            return answer;
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
+        }
+    }
+
+    // Checked for each token, so a withdrawal also ends a stream if no change was announced to the open calls.
+    private boolean isActive(Optional<KeyId> key) {
+        return key.map(id -> tools.config().get().keys().isActive(id)).orElse(true);
+    }
+
+    private static boolean send(Reply reply, ObjectNode event) {
+        try {
+            reply.event(event.toString());
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static ObjectNode root(EdgeRequest request, ChatBody body) {
+        return JSON.createObjectNode().put("id", request.id().value()).put("model", body.model());
+    }
+
+    private static void addFigures(ObjectNode root, Generation answer) {
+        root.putObject("usage").put("prompt_tokens", answer.promptTokens()).put("completion_tokens", answer.tokens());
+        ArrayNode versions = root.putArray("weight_versions");
+        for (VersionRange range : answer.versions()) {
+            versions.addObject()
+                    .put("from", range.from())
+                    .put("to", range.to())
+                    .put("version", range.version().value());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/EdgeTools.java
@@ -0,0 +1,29 @@
+package org.magnoliabridge.edge;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.function.Supplier;
+import org.magnoliabridge.bundle.ConfigSnapshot;
+import org.magnoliabridge.calls.GenerationCaller;
+import org.magnoliabridge.calls.PlainCaller;
+import org.magnoliabridge.calls.Spans;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.RequestId;
+
+/**
+ * What the caller-facing server needs.
+ *
+ * @param config the current snapshot; read for each request
+ * @param ids a new request id for each request that brings none
+ */
+public record EdgeTools(
+        Supplier<ConfigSnapshot> config,
+        GenerationCaller generations,
+        PlainCaller plain,
+        IdempotentCalls idempotent,
+        RolloutService rollouts,
+        AddressSource addresses,
+        UsageSink usage,
+        Supplier<RequestId> ids,
+        MonotonicClock clock,
+        MetricRegistry metrics,
+        Spans spans) {}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/OpenCalls.java
@@ -0,0 +1,36 @@
+package org.magnoliabridge.edge;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.ids.KeyId;
+import org.magnoliabridge.keys.KeyTable;
+
+/** The running generations, so that they can be ended when their key is withdrawn. Thread-safe. */
+public final class OpenCalls {
+    private final Map<Cancellation, Optional<KeyId>> calls = new ConcurrentHashMap<>();
+
+    /** Adds a call; it must be removed when it has ended. */
+    void add(Cancellation call, Optional<KeyId> key) {
+        calls.put(call, key);
+    }
+
+    void remove(Cancellation call) {
+        calls.remove(call);
+    }
+
+    /** Ends the calls whose key does not work any more; called after each change of the key table. */
+    public void keysChanged(KeyTable keys) {
+        calls.forEach((call, key) -> {
+            if (key.isPresent() && !keys.isActive(key.get())) {
+                call.cancel(Cancellation.Reason.KEY_WITHDRAWN);
+            }
+        });
+    }
+
+    /** Ends all calls, when the drain limit is reached. */
+    public void cancelAll() {
+        calls.keySet().forEach(call -> call.cancel(Cancellation.Reason.SHUTDOWN));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/edge/PlainRoute.java
@@ -0,0 +1,99 @@
+package org.magnoliabridge.edge;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.magnoliabridge.bundle.Route;
+import org.magnoliabridge.bundle.Service;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.PlainAnswer;
+import org.magnoliabridge.calls.PlainRequest;
+import org.magnoliabridge.edge.Access.Principal;
+
+/** Relays calls to plain services. */
+final class PlainRoute {
+    static final String PREFIX = "/services/";
+    private static final long DEFAULT_DEADLINE_MS = 30_000;
+    private static final Pattern IDEMPOTENCY_KEY = Pattern.compile("[\\x21-\\x7e]{1,255}");
+
+    private final EdgeTools tools;
+
+    PlainRoute(EdgeTools tools) {
+        this.tools = tools;
+    }
+
+    void handle(EdgeRequest request, Reply reply, Cancellation cancellation) throws CallException, IOException {
+        String rest = request.path().substring(PREFIX.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        long nowMs = tools.clock().nowMs();
+        Access access = new Access(tools.config().get(), nowMs);
+        Principal principal = principal(access, request, name, path);
+        Service service = access.find(name, Service.Kind.PLAIN);
+        Route route = Access.route(service, request.method(), path);
+        String query = request.content().query();
+        PlainRequest call = new PlainRequest(
+                service.id(),
+                principal.team(),
+                request.method(),
+                query.isEmpty() ? path : path + "?" + query,
+                request.headers(),
+                request.body(),
+                route.idempotent(),
+                request.deadlineMs().orElse(nowMs + DEFAULT_DEADLINE_MS),
+                request.id(),
+                Optional.of(request.trace()));
+        PlainAnswer answer = call(request, route, principal, call, cancellation);
+        reply.whole(answer.status(), answer.headers(), answer.body());
+        if (principal.key().isPresent()) {
+            tools.usage().delivered(new UsageSink.Delivery(principal.team(), service.id(), 1, 0, 0));
+        }
+    }
+
+    // The key is checked before the route, so that callers without one learn nothing about routes that need one.
+    private Principal principal(Access access, EdgeRequest request, String name, String path) throws CallException {
+        boolean open = isOpen(access, request, name, path);
+        if (open && request.key().isEmpty()) {
+            return new Principal(Access.OPEN, Optional.empty());
+        }
+        try {
+            Principal principal = access.team(request.key());
+            access.service(principal, name, Service.Kind.PLAIN);
+            return principal;
+        } catch (CallException e) {
+            if (open) {
+                return new Principal(Access.OPEN, Optional.empty());
+            }
+            throw e;
+        }
+    }
+
+    private static boolean isOpen(Access access, EdgeRequest request, String name, String path) throws CallException {
+        try {
+            Service service = access.find(name, Service.Kind.PLAIN);
+            return service.route(request.method(), path).map(Route::open).orElse(false);
+        } catch (CallException e) {
+            if (e.failure() instanceof Failure.NotFound) {
+                return false;
+            }
+            throw e;
+        }
+    }
+
+    private PlainAnswer call(
+            EdgeRequest request, Route route, Principal principal, PlainRequest call, Cancellation cancellation)
+            throws CallException {
+        Optional<String> key = request.header("idempotency-key");
+        // Without a team two callers' keys could meet, so on open routes the header is only passed on.
+        if (key.isEmpty() || route.idempotent() || principal.key().isEmpty()) {
+            return tools.plain().call(call, cancellation);
+        }
+        if (!IDEMPOTENCY_KEY.matcher(key.get()).matches()) {
+            throw ChatBody.malformed("header Idempotency-Key must have 1 to 255 printable characters");
+        }
+        return tools.idempotent().call(key.get(), route.outcomePath(), call, cancellation);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/telemetry/TracerSpans.java
@@ -0,0 +1,76 @@
+package org.magnoliabridge.telemetry;
+
+import io.opentelemetry.api.trace.SpanBuilder;
+import io.opentelemetry.api.trace.SpanContext;
+import io.opentelemetry.api.trace.StatusCode;
+import io.opentelemetry.api.trace.TraceFlags;
+import io.opentelemetry.api.trace.TraceState;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.context.Context;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.magnoliabridge.calls.Spans;
+import org.magnoliabridge.calls.TraceContext;
+
+/** Records spans with a tracer; without a recording tracer it still passes trace ids on from hop to hop. */
+public final class TracerSpans implements Spans {
+    private static final String OK = "ok";
+
+    private final Tracer tracer;
+
+    public TracerSpans(Tracer tracer) {
+        this.tracer = tracer;
+    }
+
+    @Override
+    public Span start(String name, Optional<TraceContext> parent) {
+        SpanBuilder builder = tracer.spanBuilder(name);
+        builder.setParent(parent.map(TracerSpans::context).orElse(Context.root()));
+        io.opentelemetry.api.trace.Span span = builder.startSpan();
+        SpanContext own = span.getSpanContext();
+        boolean isNew = own.isValid() && !parent.map(TraceContext::spanId).equals(Optional.of(own.getSpanId()));
+        TraceContext context = isNew
+                ? new TraceContext(own.getTraceId(), own.getSpanId(), own.isSampled())
+                : new TraceContext(
+                        parent.map(TraceContext::traceId).orElseGet(() -> randomHex(2)),
+                        randomHex(1),
+                        parent.map(TraceContext::sampled).orElse(false));
+        return new Recorded(span, context);
+    }
+
+    private static Context context(TraceContext parent) {
+        SpanContext remote = SpanContext.createFromRemoteParent(
+                parent.traceId(),
+                parent.spanId(),
+                parent.sampled() ? TraceFlags.getSampled() : TraceFlags.getDefault(),
+                TraceState.getDefault());
+        return Context.root().with(io.opentelemetry.api.trace.Span.wrap(remote));
+    }
+
+    // An id of all zeros is not valid; setting the lowest bit of each word avoids it.
+    private static String randomHex(int words) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < words; i++) {
+            text.append(HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong() | 1));
+        }
+        return text.toString();
+    }
+
+    private record Recorded(io.opentelemetry.api.trace.Span span, TraceContext context) implements Span {
+        @Override
+        public Span set(String name, String value) {
+            span.setAttribute(name, value);
+            return this;
+        }
+
+        @Override
+        public void end(String outcome) {
+            span.setAttribute("outcome", outcome);
+            if (!outcome.equals(OK)) {
+                span.setStatus(StatusCode.ERROR);
+            }
+            span.end();
+        }
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/calls/FakeEngine.java
+++ b/library/src/test/java/org/magnoliabridge/calls/FakeEngine.java
@@ -68,7 +68,7 @@
             return FakeBackEnd.respond(out, 200, "application/json", "{}");
         }
         if (fault == Fault.DRAINING) {
-            return FakeBackEnd.respond(out, 503, "application/json", "{\"error\":\"draining\"}");
+            return FakeBackEnd.respond(out, 503, "application/json", "{\"error\":\"draining\",\"run\":\"not_run\"}");
         }
         return generate(body, out);
     }
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -78,10 +78,21 @@
     /** Guards I11: a call that a leaving endpoint did not run may go to another one, also if it must not run twice. */
     @Test
     void movesACallThatDidNotRun() throws CallException {
-        script = (request, out) -> FakeBackEnd.respond(out, 503, JSON, "{\"error\":{\"type\":\"draining\"}}");
+        script = (request, out) ->
+                FakeBackEnd.respond(out, 503, JSON, "{\"error\":{\"type\":\"draining\",\"run\":\"not_run\"}}");
         assertThat(call(false).status(), is(201));
     }
 
+    /** Guards I11: words in an answer are no proof that a call did not run, unless the service says just that. */
+    @Test
+    void takesNoOtherRefusalForNotRun() throws CallException {
+        script = (request, out) -> FakeBackEnd.respond(out, 503, JSON, "{\"error\":\"draining\"}");
+        assertThat(call(false).status(), is(503));
+        script = (request, out) -> FakeBackEnd.respond(out, 400, JSON, "{\"error\":\"a\",\"run\":\"not_run\"}");
+        assertThat(call(false).status(), is(400));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
     /** Guards I10: nothing listens, so nothing was written. */
     @Test
     void saysNotRunWhenNoEndpointCouldBeReached() throws IOException {
