--- a/standins/src/main/java/org/magnoliabridge/standins/ModelEngine.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/ModelEngine.java
@@ -154,7 +154,7 @@
 
     private synchronized void abandon(Generation generation) {
         if (waiting.remove(generation) || running.remove(generation)) {
-            generation.abandon();
+            generation.abandon("abandoned");
         }
     }
 
@@ -165,7 +165,7 @@
             if (generation.requestId().equals(requestId)) {
                 waiting.remove(generation);
                 running.remove(generation);
-                generation.end("cancelled");
+                generation.abandon("cancelled");
                 return Answer.json(200, Json.object().put("cancelled", true));
             }
         }
