--- a/standins/src/main/java/org/magnoliabridge/standins/SampleChecks.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/SampleChecks.java
@@ -1,13 +1,19 @@
 package org.magnoliabridge.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 
 /** Checks samples and generated answers against the tokens that the engines recorded: I1, I2, I3, I9. */
 final class SampleChecks {
+    private record Accepted(JsonNode sample, JsonNode line) {
+        String text() {
+            return sample.path("text").asText();
+        }
+    }
+
     private final DemoRecords records;
 
     SampleChecks(DemoRecords records) {
@@ -17,8 +23,8 @@
     /** I1: the version named for each token is the one that produced it. */
     Verdict attribution() {
         Verdict verdict = new Verdict("I1", "tokens attributed");
-        for (JsonNode sample : acceptedSamples().keySet()) {
-            attribution(verdict, sample.path("text").asText(), sample.path("weight_versions"));
+        for (Accepted accepted : acceptedSamples()) {
+            attribution(verdict, accepted.text(), accepted.sample().path("weight_versions"));
         }
         for (JsonNode call : records.observed("call")) {
             if (isAnswered(call, "chat")) {
@@ -56,18 +62,18 @@
     Verdict staleness() {
         Verdict verdict = new Verdict("I2", "samples delivered");
         long oldest = 0;
-        for (Map.Entry<JsonNode, JsonNode> entry : acceptedSamples().entrySet()) {
-            long trainer = entry.getValue().path("trainer_version").asLong();
-            long bound = entry.getValue().path("max_staleness").asLong();
+        for (Accepted entry : acceptedSamples()) {
+            long trainer = entry.line().path("trainer_version").asLong();
+            long bound = entry.line().path("max_staleness").asLong();
             long staleness = 0;
-            for (String token : DemoRecords.tokensOf(entry.getKey().path("text").asText())) {
+            for (String token : DemoRecords.tokensOf(entry.text())) {
                 DemoRecords.Origin origin = records.origin(token);
                 staleness = Math.max(staleness, origin == null ? 0 : trainer - origin.version());
             }
             oldest = Math.max(oldest, staleness);
             verdict.check(
                     staleness <= bound,
-                    "a sample of " + entry.getValue().path("run").asText() + " is " + staleness + " versions old");
+                    "a sample of " + entry.line().path("run").asText() + " is " + staleness + " versions old");
         }
         verdict.note("oldest " + oldest + " versions");
         return verdict;
@@ -81,10 +87,10 @@
         }
         offersRepeat(verdict);
         Map<String, String> samplesOfGeneration = new HashMap<>();
-        for (Map.Entry<JsonNode, JsonNode> entry : acceptedSamples().entrySet()) {
-            JsonNode line = entry.getValue();
-            String sample = slot(line, entry.getKey());
-            for (String token : DemoRecords.tokensOf(entry.getKey().path("text").asText())) {
+        for (Accepted entry : acceptedSamples()) {
+            JsonNode line = entry.line();
+            String sample = slot(line, entry.sample());
+            for (String token : DemoRecords.tokensOf(entry.text())) {
                 String earlier = samplesOfGeneration.putIfAbsent(token, sample);
                 if (earlier != null && !earlier.equals(sample)) {
                     verdict.check(false, "samples " + earlier + " and " + sample + " share token " + token);
@@ -97,11 +103,11 @@
 
     private void step(Verdict verdict, JsonNode step) {
         Map<String, Integer> counts = new HashMap<>();
-        acceptedSamples().forEach((sample, line) -> {
-            if (sameStep(line, step)) {
-                counts.merge(slot(line, sample), 1, Integer::sum);
+        for (Accepted accepted : acceptedSamples()) {
+            if (sameStep(accepted.line(), step)) {
+                counts.merge(slot(accepted.line(), accepted.sample()), 1, Integer::sum);
             }
-        });
+        }
         int expected = 0;
         for (JsonNode group : step.path("groups")) {
             for (int i = 0; i < step.path("samples_per_group").asInt(); i++) {
@@ -150,11 +156,11 @@
                         "call " + call.path("marker").asText() + " got another request's answer");
             }
         }
-        for (Map.Entry<JsonNode, JsonNode> entry : acceptedSamples().entrySet()) {
-            JsonNode sample = entry.getKey();
-            String marker = entry.getValue()
+        for (Accepted entry : acceptedSamples()) {
+            JsonNode sample = entry.sample();
+            String marker = entry.line()
                     .path("markers")
-                    .path(entry.getValue().path("group").asText())
+                    .path(entry.line().path("group").asText())
                     .asText();
             String fault = answerFault(
                     sample.path("text").asText(),
@@ -194,11 +200,11 @@
         return ended && last.index() == produced - 1 ? "" : "ends before its generation did";
     }
 
-    private Map<JsonNode, JsonNode> acceptedSamples() {
-        Map<JsonNode, JsonNode> samples = new IdentityHashMap<>();
+    private List<Accepted> acceptedSamples() {
+        List<Accepted> samples = new ArrayList<>();
         for (JsonNode line : records.observed("delivery")) {
             if (line.path("acknowledged").asBoolean()) {
-                line.path("samples").forEach(sample -> samples.put(sample, line));
+                line.path("samples").forEach(sample -> samples.add(new Accepted(sample, line)));
             }
         }
         return samples;
--- a/standins/src/test/java/org/magnoliabridge/standins/DemoCheckerTest.java
+++ b/standins/src/test/java/org/magnoliabridge/standins/DemoCheckerTest.java
@@ -18,7 +18,9 @@
         generation("e1", "g1", "m-oak-1-m", 1_000, "a b c", "1,1,2", "length");
         generation("e1", "g2", "m-run-1-m", 2_000, "d e", "2,2", "length");
         records.add("bookings-b1", json("[" + booking("m-oak-2-m", 3_000, "{}") + "]"));
-        records.add("orders", json("[{'order_id':'o1','fencing':4,'status':200},{'order_id':'o2','fencing':3,'status':409}]"));
+        records.add(
+                "orders",
+                json("[{'order_id':'o1','fencing':4,'status':200},{'order_id':'o2','fencing':3,'status':409}]"));
         records.add("usage", json("[{'window':'w1','figures':{'oak':3}},{'window':'w1','figures':{'oak':3}}]"));
         records.key("k1", "mb_k1_5ec4e7");
         chat("m-oak-1-m", "a b c", "[{'from':0,'to':2,'version':1},{'from':2,'to':3,'version':2}]", 3);
@@ -27,7 +29,7 @@
                 + "'start_ms':2600,'end_ms':2700,'node':'n1'");
         call("'kind':'chat','marker':'m-oak-3-m','outcome':'refused','expect':'refuse'");
         call("'kind':'chat','marker':'m-oak-4-m','outcome':'refused','expect':'ok','key_id':'k1','start_ms':40000");
-        delivery(1, "d1", 0, 3, "[{'index':0,'text':'d e','weight_versions':[{'from':0,'to':2,'version':2}]}]");
+        delivery(1, 1, "d1", 0, 3, "[{'index':0,'text':'d e','weight_versions':[{'from':0,'to':2,'version':2}]}]");
         observe("{'type':'step_done','run':'run','step':1,'groups':['g'],'samples_per_group':1}");
         observe("{'type':'status','node':'n1','at_ms':1,'bundle_version':1}");
         observe("{'type':'status','node':'n1','at_ms':90000,'bundle_version':2}");
@@ -62,7 +64,7 @@
     @Test
     void staleSampleBreaksI2() {
         generation("e1", "g9", "m-run-1-m", 1, "x", "1", "length");
-        delivery(2, "d2", 0, 3, "[{'index':1,'text':'x','weight_versions':[{'from':0,'to':1,'version':1}]}]");
+        delivery(2, 1, "d2", 0, 3, "[{'index':1,'text':'x','weight_versions':[{'from':0,'to':1,'version':1}]}]");
         assertOnlyViolated(2);
     }
 
@@ -80,7 +82,7 @@
 
     @Test
     void sampleDeliveredTwiceBreaksI3() {
-        delivery(2, "d2", 1, 3, "[{'index':0,'text':'d e','weight_versions':[{'from':0,'to':2,'version':2}]}]");
+        delivery(1, 2, "d2", 1, 3, "[{'index':0,'text':'d e','weight_versions':[{'from':0,'to':2,'version':2}]}]");
         assertOnlyViolated(3);
     }
 
@@ -200,8 +202,8 @@
         observe("{'type':'call'," + fields + "}");
     }
 
-    private void delivery(int seq, String digest, int before, int trainer, String samples) {
-        observe("{'type':'delivery','run':'run','step':1,'seq':" + seq + ",'group':'g','digest':'" + digest
+    private void delivery(int step, int seq, String digest, int before, int trainer, String samples) {
+        observe("{'type':'delivery','run':'run','step':" + step + ",'seq':" + seq + ",'group':'g','digest':'" + digest
                 + "','acknowledged':true,'acknowledged_before':" + before + ",'trainer_version':" + trainer
                 + ",'max_staleness':1,'markers':{'g':'m-run-1-m'},'samples':" + samples + "}");
     }
