Hold refusing ports in tests

Cause: two tests closed a listener and expected its port to refuse; another process took the port meanwhile, and the call was answered. Ruled out: the caller, which reported exactly what happened. Change: RefusingPort keeps a bound socket that does not listen. Conclusion: the verdict no longer depends on other processes.

--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.http.RefusingPort;
 import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
@@ -85,9 +86,12 @@
     /** Guards I10: nothing listens, so nothing was written. */
     @Test
     void saysNotRunWhenNoEndpointCouldBeReached() throws IOException {
-        one.close();
-        two.close();
-        assertThat(assertThrows(CallException.class, () -> call(false)).run(), is(RunClaim.NOT_RUN));
+        fixture.endpoints.endpoints.clear();
+        try (RefusingPort first = new RefusingPort();
+                RefusingPort second = new RefusingPort()) {
+            fixture.endpoints.add("one", first.address()).add("two", second.address());
+            assertThat(assertThrows(CallException.class, () -> call(false)).run(), is(RunClaim.NOT_RUN));
+        }
     }
 
     private PlainAnswer call(boolean idempotent) throws CallException {
--- a/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
@@ -119,9 +119,9 @@
     /** Guards against calling a refused connection a lost answer. */
     @Test
     void reportsARefusedConnectionAsNotSent() throws IOException {
-        InetSocketAddress target = target();
-        server.close();
-        assertThrows(HttpFailure.NotSent.class, () -> caller.call(HttpCall.get(target, "/")));
+        try (RefusingPort port = new RefusingPort()) {
+            assertThrows(HttpFailure.NotSent.class, () -> caller.call(HttpCall.get(port.address(), "/")));
+        }
     }
 
     @Test
