Add authenticated frames and connections between nodes

Cause: nodes need connections that refuse forged and replayed frames and that notice silence. Conclusion: a connection that goes silent although it looks open is closed 2 s after a send, and the next send opens another one.

--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/wire/FrameCodec.java
@@ -0,0 +1,138 @@
+package org.magnoliabridge.wire;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import org.magnoliabridge.ids.InvalidIdException;
+import org.magnoliabridge.ids.NodeId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Turns frames into bytes and back: 4-byte length, version byte, HMAC-SHA256, MessagePack array
+ * {@code [type, sender, request_id, sequence, body]}.
+ */
+final class FrameCodec {
+    /** Largest value of the length field, in bytes. */
+    static final int MAX_BYTES = 1 << 20;
+
+    /** Largest Hello, in bytes; bounds what a peer that is not authenticated can make a node hold. */
+    static final int MAX_HELLO_BYTES = 1 << 10;
+
+    private static final byte VERSION = 1;
+    private static final int FIXED_BYTES = 1 + MacKey.BYTES;
+    private static final int FIELDS = 5;
+    private static final int MAX_ID_BYTES = 128;
+
+    private FrameCodec() {}
+
+    /** Returns the bytes of a frame with its length; fails if the body makes it too large. */
+    static byte[] encode(Frame frame, long sequence, MacKey key) throws FrameException {
+        byte[] array = pack(frame, sequence);
+        if (FIXED_BYTES + array.length > MAX_BYTES) {
+            throw new FrameException(FrameException.Reason.OVERSIZED);
+        }
+        return ByteBuffer.allocate(Integer.BYTES + FIXED_BYTES + array.length)
+                .putInt(FIXED_BYTES + array.length)
+                .put(VERSION)
+                .put(key.sign(new byte[] {VERSION}, array))
+                .put(array)
+                .array();
+    }
+
+    /** Reads the length and the bytes after it; nothing is set aside for a length above the limit. */
+    static byte[] read(DataInputStream in, int maxBytes) throws IOException {
+        try {
+            int length = in.readInt();
+            if (length < 0 || length > maxBytes) {
+                throw new FrameException(FrameException.Reason.OVERSIZED);
+            }
+            if (length < FIXED_BYTES) {
+                throw new FrameException(FrameException.Reason.TRUNCATED);
+            }
+            byte[] bytes = new byte[length];
+            in.readFully(bytes);
+            return bytes;
+        } catch (EOFException e) {
+            throw new FrameException(FrameException.Reason.TRUNCATED);
+        }
+    }
+
+    /** Returns the frame if the HMAC matches and the sequence is the expected one. */
+    static Frame decode(byte[] bytes, long expectedSequence, MacKey key) throws FrameException {
+        if (bytes.length < FIXED_BYTES) {
+            throw new FrameException(FrameException.Reason.TRUNCATED);
+        }
+        if (bytes[0] != VERSION) {
+            throw new FrameException(FrameException.Reason.UNKNOWN_VERSION);
+        }
+        byte[] mac = Arrays.copyOfRange(bytes, 1, FIXED_BYTES);
+        byte[] array = Arrays.copyOfRange(bytes, FIXED_BYTES, bytes.length);
+        if (!MessageDigest.isEqual(mac, key.sign(new byte[] {VERSION}, array))) {
+            throw new FrameException(FrameException.Reason.BAD_MAC);
+        }
+        return unpack(array, expectedSequence);
+    }
+
+    private static byte[] pack(Frame frame, long sequence) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(FIELDS)
+                    .packInt(frame.type().number())
+                    .packString(frame.sender().value())
+                    .packLong(frame.requestId())
+                    .packLong(sequence)
+                    .packBinaryHeader(frame.body().length)
+                    .writePayload(frame.body());
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("packing into memory does no I/O", e);
+        }
+    }
+
+    private static Frame unpack(byte[] array, long expectedSequence) throws FrameException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(array)) {
+            if (unpacker.unpackArrayHeader() != FIELDS) {
+                throw new FrameException(FrameException.Reason.MALFORMED);
+            }
+            FrameType type = type(unpacker.unpackInt());
+            NodeId sender = NodeId.parse(new String(
+                    payload(unpacker, unpacker.unpackRawStringHeader(), MAX_ID_BYTES), StandardCharsets.UTF_8));
+            long requestId = unpacker.unpackLong();
+            long sequence = unpacker.unpackLong();
+            byte[] body = payload(unpacker, unpacker.unpackBinaryHeader(), array.length);
+            if (unpacker.hasNext()) {
+                throw new FrameException(FrameException.Reason.MALFORMED);
+            }
+            if (sequence != expectedSequence) {
+                throw new FrameException(FrameException.Reason.BAD_SEQUENCE);
+            }
+            return new Frame(type, sender, requestId, body);
+        } catch (FrameException e) {
+            throw e;
+        } catch (IOException | MessagePackException | InvalidIdException e) {
+            throw new FrameException(FrameException.Reason.MALFORMED);
+        }
+    }
+
+    private static byte[] payload(MessageUnpacker unpacker, int length, int max) throws IOException {
+        if (length > max) {
+            throw new FrameException(FrameException.Reason.MALFORMED);
+        }
+        return unpacker.readPayload(length);
+    }
+
+    private static FrameType type(int number) throws FrameException {
+        for (FrameType type : FrameType.values()) {
+            if (type.number() == number) {
+                return type;
+            }
+        }
+        throw new FrameException(FrameException.Reason.UNKNOWN_TYPE);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/wire/PeerConnections.java
@@ -0,0 +1,138 @@
+package org.magnoliabridge.wire;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.wire.PeerEvents.CloseReason;
+
+/**
+ * Sends frames to other nodes, over a connection from either side, and opens one where there is none.
+ *
+ * <p>Sending never blocks: a frame that can't be queued is dropped and counted. A connection that gives no sign of life
+ * within 2 s of a send is closed, although its socket may look open; the next send opens another one.
+ *
+ * <pre>{@code
+ * PeerConnections peers = closer.register(new PeerConnections(self, incarnation, secrets, events, clock));
+ * PeerListener listener = closer.register(new PeerListener(bindAddress, peers));
+ * peers.send(node, address, frame);
+ * }</pre>
+ */
+public final class PeerConnections implements AutoCloseable {
+    private static final long WATCH_PERIOD_MS = 100;
+    private static final long REDIAL_AFTER_MS = 500;
+
+    private final Handshake handshake;
+    private final PeerEvents events;
+    private final MonotonicClock clock;
+    private final WireStats stats = new WireStats();
+    private final Set<PeerLink> links = new HashSet<>();
+    private final Map<NodeId, PeerLink> byNode = new HashMap<>();
+    private final Map<InetSocketAddress, PeerLink> byAddress = new HashMap<>();
+    private final Map<InetSocketAddress, Long> dialledAtMs = new HashMap<>();
+    private final Thread watchdog;
+    private boolean closed;
+
+    public PeerConnections(
+            NodeId self, Incarnation incarnation, ClusterSecrets secrets, PeerEvents events, MonotonicClock clock) {
+        handshake = new Handshake(self, incarnation, secrets, new SecureRandom());
+        this.events = events;
+        this.clock = clock;
+        watchdog = Thread.ofPlatform().name("peer-watch").daemon(true).start(this::watch);
+    }
+
+    /** Returns the counters. */
+    public WireStats stats() {
+        return stats;
+    }
+
+    /**
+     * Sends a frame to a node, if it can be queued.
+     *
+     * @param to the node that is meant; empty for a seed, whose name is not known yet
+     * @param address where the node listens
+     * @return false if the frame was dropped
+     */
+    public synchronized boolean send(Optional<NodeId> to, InetSocketAddress address, Frame frame) {
+        if (closed) {
+            return false;
+        }
+        PeerLink link = to.map(byNode::get).orElse(null);
+        if (link == null || link.isClosed()) {
+            link = byAddress.get(address);
+        }
+        if (link == null || link.isClosed()) {
+            Long before = dialledAtMs.get(address);
+            if (before != null && clock.nowMs() - before < REDIAL_AFTER_MS) {
+                stats.dropped.increment();
+                return false;
+            }
+            link = dial(to.orElse(null), address);
+        }
+        return link.send(frame);
+    }
+
+    /** Takes over an accepted connection; closes it if there are too many. */
+    synchronized void accept(Socket socket, int maxLinks) {
+        PeerLink link = new PeerLink(socket, handshake, events, clock, stats);
+        if (closed || links.size() >= maxLinks) {
+            link.close(CloseReason.LOCAL);
+            return;
+        }
+        links.add(link);
+        link.serve(() -> register(link));
+    }
+
+    private PeerLink dial(NodeId expected, InetSocketAddress address) {
+        PeerLink link = new PeerLink(new Socket(), handshake, events, clock, stats);
+        links.add(link);
+        byAddress.put(address, link);
+        dialledAtMs.put(address, clock.nowMs());
+        link.dial(address, expected, () -> register(link));
+        return link;
+    }
+
+    private synchronized void register(PeerLink link) {
+        byNode.put(link.peer(), link);
+    }
+
+    private void watch() {
+        try {
+            while (!Thread.interrupted()) {
+                for (PeerLink link : open()) {
+                    link.watch();
+                }
+                Thread.sleep(WATCH_PERIOD_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized List<PeerLink> open() {
+        links.removeIf(PeerLink::isClosed);
+        byNode.values().removeIf(PeerLink::isClosed);
+        byAddress.values().removeIf(PeerLink::isClosed);
+        dialledAtMs.values().removeIf(at -> clock.nowMs() - at > REDIAL_AFTER_MS);
+        return List.copyOf(links);
+    }
+
+    @Override
+    public void close() {
+        watchdog.interrupt();
+        List<PeerLink> rest;
+        synchronized (this) {
+            closed = true;
+            rest = List.copyOf(links);
+        }
+        rest.forEach(link -> link.close(CloseReason.LOCAL));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/wire/PeerLink.java
@@ -0,0 +1,234 @@
+package org.magnoliabridge.wire;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicReference;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.wire.Handshake.Session;
+import org.magnoliabridge.wire.PeerEvents.CloseReason;
+
+/** One connection to a node, with a thread that writes and one that reads. */
+final class PeerLink {
+    /** Longest time for connecting and the handshake, in milliseconds. */
+    static final long HANDSHAKE_MS = 2_000;
+
+    /** A connection is asked for a sign of life when something was sent and nothing came for this long. */
+    static final long HEARTBEAT_AFTER_MS = 500;
+
+    /** A connection is replaced when something was sent and nothing came for this long. */
+    static final long SILENT_AFTER_MS = 2_000;
+
+    private static final int MAX_QUEUED_FRAMES = 256;
+    private static final int MAX_QUEUED_BYTES = 4 << 20;
+    private static final int CONNECT_MS = 1_000;
+    private static final int READ_BUFFER_BYTES = 2 << 10;
+    private static final long PROBE = 1;
+    private static final long ECHO = 2;
+    private static final byte[] NO_BODY = {};
+
+    private final Handshake handshake;
+    private final PeerEvents events;
+    private final MonotonicClock clock;
+    private final WireStats stats;
+    private final Socket socket;
+    private final AtomicReference<CloseReason> closed = new AtomicReference<>();
+    private final Queue<Frame> queue = new ArrayDeque<>();
+    private final long openedAtMs;
+    private int queuedBytes;
+    private boolean probed;
+    // Time of the oldest frame that was sent since something last came in; 0 if there is none.
+    private long unansweredSinceMs;
+    private volatile Session session;
+    private volatile boolean usable;
+
+    PeerLink(Socket socket, Handshake handshake, PeerEvents events, MonotonicClock clock, WireStats stats) {
+        this.socket = socket;
+        this.handshake = handshake;
+        this.events = events;
+        this.clock = clock;
+        this.stats = stats;
+        openedAtMs = clock.nowMs();
+    }
+
+    /** Opens the connection on threads of its own; the callback gets the link once it is usable. */
+    void dial(InetSocketAddress address, NodeId expected, Runnable ready) {
+        Thread.ofVirtual().name("peer-dial").start(() -> {
+            try {
+                socket.connect(address, CONNECT_MS);
+            } catch (IOException e) {
+                close(CloseReason.UNREACHABLE);
+                return;
+            }
+            run(expected, true, ready);
+        });
+    }
+
+    /** Serves an accepted connection on threads of its own. */
+    void serve(Runnable ready) {
+        Thread.ofVirtual().name("peer-accept").start(() -> run(null, false, ready));
+    }
+
+    /** Queues a frame; returns false if it was dropped because the link is closed or its queue is full. */
+    boolean send(Frame frame) {
+        synchronized (queue) {
+            boolean full = queue.size() >= MAX_QUEUED_FRAMES || queuedBytes + frame.body().length > MAX_QUEUED_BYTES;
+            if (closed.get() != null || full) {
+                stats.dropped.increment();
+                return false;
+            }
+            queue.add(frame);
+            queuedBytes += frame.body().length;
+            queue.notifyAll();
+            return true;
+        }
+    }
+
+    boolean isClosed() {
+        return closed.get() != null;
+    }
+
+    /** Returns the node at the other side; null before the handshake. */
+    NodeId peer() {
+        return session == null ? null : session.peer();
+    }
+
+    /** Sends a heartbeat on, or closes, a connection that gives no sign of life. */
+    void watch() {
+        long nowMs = clock.nowMs();
+        // A recorded Hello gets past the handshake but not to a session frame, so both are under the limit.
+        if (!usable) {
+            if (nowMs - openedAtMs > HANDSHAKE_MS) {
+                close(CloseReason.NO_HANDSHAKE);
+            }
+            return;
+        }
+        boolean probe = false;
+        boolean silent = false;
+        synchronized (queue) {
+            if (unansweredSinceMs != 0) {
+                silent = nowMs - unansweredSinceMs > SILENT_AFTER_MS;
+                probe = !probed && nowMs - unansweredSinceMs > HEARTBEAT_AFTER_MS;
+                probed |= probe;
+            }
+        }
+        if (silent) {
+            close(CloseReason.SILENT);
+        } else if (probe) {
+            send(new Frame(FrameType.HELLO, handshake.self(), PROBE, NO_BODY));
+        }
+    }
+
+    void close(CloseReason reason) {
+        if (!closed.compareAndSet(null, reason)) {
+            return;
+        }
+        synchronized (queue) {
+            queue.clear();
+            queue.notifyAll();
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            stats.closeFailures.increment();
+        }
+        stats.closed(reason);
+        events.closed(reason);
+    }
+
+    private void run(NodeId expected, boolean caller, Runnable ready) {
+        try {
+            socket.setTcpNoDelay(true);
+            DataInputStream in =
+                    new DataInputStream(new BufferedInputStream(socket.getInputStream(), READ_BUFFER_BYTES));
+            OutputStream out = socket.getOutputStream();
+            Session agreed = caller ? handshake.call(in, out) : handshake.accept(in, out);
+            if (expected != null && !expected.equals(agreed.peer())) {
+                close(CloseReason.WRONG_NODE);
+                return;
+            }
+            session = agreed;
+            Thread.ofVirtual().name("peer-write").start(() -> write(out, agreed));
+            if (caller) {
+                usable = true;
+                ready.run();
+            }
+            read(in, agreed, caller ? () -> {} : ready);
+        } catch (FrameException e) {
+            stats.rejected(e.reason());
+            boolean ended = e.reason() == FrameException.Reason.TRUNCATED;
+            close(ended ? CloseReason.BROKEN : CloseReason.INVALID_FRAME);
+        } catch (IOException e) {
+            close(CloseReason.BROKEN);
+        }
+    }
+
+    // An accepted link is used for sending only after the first session frame: before it, the peer's Hello may be a
+    // recorded one.
+    private void read(DataInputStream in, Session agreed, Runnable authenticated) throws IOException {
+        for (long sequence = 1; closed.get() == null; sequence++) {
+            byte[] bytes = FrameCodec.read(in, FrameCodec.MAX_BYTES);
+            Frame frame = FrameCodec.decode(bytes, sequence, agreed.readKey());
+            if (!frame.sender().equals(agreed.peer())) {
+                throw new FrameException(FrameException.Reason.WRONG_SENDER);
+            }
+            stats.bytesReceived.add(Integer.BYTES + bytes.length);
+            synchronized (queue) {
+                unansweredSinceMs = 0;
+                probed = false;
+            }
+            if (sequence == 1) {
+                usable = true;
+                authenticated.run();
+            }
+            if (frame.type() != FrameType.HELLO) {
+                events.received(agreed.peer(), agreed.incarnation(), frame);
+            } else if (frame.requestId() == PROBE) {
+                send(new Frame(FrameType.HELLO, handshake.self(), ECHO, NO_BODY));
+            }
+        }
+    }
+
+    private void write(OutputStream out, Session agreed) {
+        try {
+            for (long sequence = 1; ; sequence++) {
+                Frame frame = next();
+                if (frame == null) {
+                    return;
+                }
+                byte[] bytes = FrameCodec.encode(frame, sequence, agreed.writeKey());
+                out.write(bytes);
+                stats.bytesSent.add(bytes.length);
+            }
+        } catch (IOException e) {
+            close(CloseReason.BROKEN);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            close(CloseReason.LOCAL);
+        }
+    }
+
+    private Frame next() throws InterruptedException {
+        synchronized (queue) {
+            while (queue.isEmpty()) {
+                if (closed.get() != null) {
+                    return null;
+                }
+                queue.wait();
+            }
+            Frame frame = queue.remove();
+            queuedBytes -= frame.body().length;
+            boolean echo = frame.type() == FrameType.HELLO && frame.requestId() == ECHO;
+            if (unansweredSinceMs == 0 && !echo) {
+                unansweredSinceMs = Math.max(1, clock.nowMs());
+            }
+            return frame;
+        }
+    }
+}
