--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -0,0 +1,291 @@
+package org.magnoliabridge.lease;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+
+/**
+ * Decides when this process takes, renews and hands back the lease of one scope.
+ *
+ * <p>The lease is an object that is changed by conditional update only. A candidate takes it after having seen the same
+ * version for the lease duration on its own clock. The holder's own view of the expiry counts from before it sent the
+ * renewal, so it always ends before any candidate's.
+ *
+ * <pre>{@code
+ * LeaseCore lease = new LeaseCore(new ObjectKey("leases/orders"), node, incarnation, LeaseSettings.DEFAULT);
+ * lease.setCandidate(true);
+ * List<LeaseEffect> effects = lease.onTick(clock.nowMs());
+ * }</pre>
+ */
+public final class LeaseCore {
+    // Store calls have their own shorter deadline; this one is for a reply that never comes.
+    private static final long CALL_LIMIT_MS = 2_500;
+
+    private final ObjectKey key;
+    private final NodeId self;
+    private final Incarnation incarnation;
+    private final LeaseSettings settings;
+    private final Set<LeaseMechanism> off;
+
+    private final LostWrites lostWrites = new LostWrites();
+    private final List<LeaseEffect> effects = new ArrayList<>();
+    private boolean candidate;
+    private boolean handingBack;
+    private boolean handedBack;
+    private boolean readNeeded = true;
+    private long version = ObjectStore.ABSENT;
+    private Optional<LeaseRecord> seen = Optional.empty();
+    private long seenSinceMs;
+    private InFlight inFlight;
+    private long nextCallId = 1;
+    private long nextActionMs = Long.MIN_VALUE;
+    private LeaseView view = LeaseView.NOT_HELD;
+
+    /** Creates a core that holds nothing; the incarnation must be unique for every start of the node. */
+    public LeaseCore(ObjectKey key, NodeId self, Incarnation incarnation, LeaseSettings settings) {
+        this(key, self, incarnation, settings, EnumSet.noneOf(LeaseMechanism.class));
+    }
+
+    LeaseCore(ObjectKey key, NodeId self, Incarnation incarnation, LeaseSettings settings, Set<LeaseMechanism> off) {
+        this.key = Objects.requireNonNull(key);
+        this.self = Objects.requireNonNull(self);
+        this.incarnation = Objects.requireNonNull(incarnation);
+        this.settings = Objects.requireNonNull(settings);
+        this.off = Set.copyOf(off);
+    }
+
+    /** Returns what this process may do; check {@link LeaseView#maySend} with the current time before each send. */
+    public LeaseView view() {
+        return view;
+    }
+
+    /** Sets whether this process may take the lease; a holder goes on holding it when it is no longer a candidate. */
+    public void setCandidate(boolean isCandidate) {
+        candidate = isCandidate;
+    }
+
+    /** Stops sending and gives the lease back, for a shutdown; ends with {@link LeaseEffect.HandedBack}. */
+    public List<LeaseEffect> handBack(long nowMs) {
+        handingBack = true;
+        nextActionMs = nowMs;
+        stop();
+        act(nowMs);
+        return takeEffects();
+    }
+
+    /** Takes the time; call it several times a second. */
+    public List<LeaseEffect> onTick(long nowMs) {
+        expire(nowMs);
+        if (inFlight != null && nowMs - inFlight.sentMs() >= CALL_LIMIT_MS) {
+            settle(
+                    nowMs,
+                    inFlight,
+                    inFlight.write().isPresent() ? new StoreReply.Unknown() : new StoreReply.Unavailable());
+        }
+        act(nowMs);
+        return takeEffects();
+    }
+
+    /** Takes the reply to a call; a reply to a call that was given up is ignored. */
+    public List<LeaseEffect> onReply(long nowMs, long callId, StoreReply reply) {
+        expire(nowMs);
+        if (inFlight != null && inFlight.callId() == callId) {
+            settle(nowMs, inFlight, reply);
+            act(nowMs);
+        }
+        return takeEffects();
+    }
+
+    private List<LeaseEffect> takeEffects() {
+        List<LeaseEffect> taken = List.copyOf(effects);
+        effects.clear();
+        return taken;
+    }
+
+    private void expire(long nowMs) {
+        if (view.held() && nowMs >= view.sendUntilMs()) {
+            stop();
+        }
+    }
+
+    private void stop() {
+        if (view.held()) {
+            effects.add(new LeaseEffect.MustStop(view.fencing()));
+            view = LeaseView.NOT_HELD;
+        }
+    }
+
+    private void act(long nowMs) {
+        if (inFlight != null || nowMs < nextActionMs || handedBack) {
+            return;
+        }
+        if (readNeeded) {
+            call(nowMs, new StoreRequest.Read(key), Optional.empty());
+        } else if (handingBack) {
+            actWhileHandingBack(nowMs);
+        } else if (view.held()) {
+            write(nowMs, record(self.value(), view.fencing()));
+        } else if (candidate && mayTake(nowMs)) {
+            write(nowMs, record(self.value(), nextFencing()));
+        } else if (candidate) {
+            call(nowMs, new StoreRequest.Read(key), Optional.empty());
+        }
+    }
+
+    private void actWhileHandingBack(long nowMs) {
+        if (isMine()) {
+            write(nowMs, record("", seen.orElseThrow().fencing()));
+        } else {
+            handedBack = true;
+            effects.add(new LeaseEffect.HandedBack());
+        }
+    }
+
+    private boolean isMine() {
+        return seen.filter(r -> r.holder().equals(self.value()) && r.incarnation() == incarnation.value())
+                .isPresent();
+    }
+
+    private boolean mayTake(long nowMs) {
+        if (version == ObjectStore.ABSENT) {
+            return true;
+        }
+        // An object that cannot be read has no known fencing token, so taking it could repeat one.
+        if (seen.isEmpty()) {
+            return false;
+        }
+        long waitMs = Math.max(seen.get().durationMs(), settings.durationMs());
+        return seen.get().released() || isMine() || nowMs - seenSinceMs >= waitMs;
+    }
+
+    private FencingToken nextFencing() {
+        long last = seen.map(r -> r.fencing().value()).orElse(0L);
+        return new FencingToken(isOff(LeaseMechanism.FENCING) ? Math.max(last, 1) : last + 1);
+    }
+
+    private LeaseRecord record(String holder, FencingToken fencing) {
+        String writer = self + "-" + incarnation + "-" + nextCallId;
+        return new LeaseRecord(holder, incarnation.value(), fencing, settings.durationMs(), writer);
+    }
+
+    private void write(long nowMs, LeaseRecord record) {
+        LostWrites.Attempt attempt = new LostWrites.Attempt(record, version, nowMs);
+        call(nowMs, new StoreRequest.Write(key, version, record.encode()), Optional.of(attempt));
+    }
+
+    private void call(long nowMs, StoreRequest request, Optional<LostWrites.Attempt> attempt) {
+        inFlight = new InFlight(nextCallId++, nowMs, attempt);
+        effects.add(new LeaseEffect.Call(inFlight.callId(), request));
+    }
+
+    private void settle(long nowMs, InFlight call, StoreReply reply) {
+        inFlight = null;
+        readNeeded = false;
+        nextActionMs = nowMs + settings.renewMs();
+        switch (reply) {
+            case StoreReply.Written written -> call.write().ifPresent(w -> took(nowMs, w, written.version()));
+            case StoreReply.Found found -> observe(nowMs, found);
+            case StoreReply.NotFound absent -> observeAbsent(nowMs);
+            case StoreReply.Conflict conflict -> readSoon(nowMs);
+            case StoreReply.Unknown unknown -> lost(nowMs, call);
+            case StoreReply.Unavailable unavailable -> retry(nowMs, call);
+            case StoreReply.Listed listed -> throw new IllegalStateException("no list was asked for");
+        }
+    }
+
+    private void took(long nowMs, LostWrites.Attempt write, long newVersion) {
+        see(nowMs, newVersion, Optional.of(write.record()));
+        confirm(nowMs, write);
+    }
+
+    private void see(long nowMs, long newVersion, Optional<LeaseRecord> record) {
+        if (newVersion != version) {
+            seenSinceMs = nowMs;
+        }
+        version = newVersion;
+        seen = record;
+        lostWrites.keepThoseAt(newVersion);
+    }
+
+    // The lease counts from before the write was sent: no candidate can have seen the version earlier.
+    private void confirm(long nowMs, LostWrites.Attempt write) {
+        if (write.record().released() || handingBack) {
+            nextActionMs = nowMs;
+            return;
+        }
+        long marginMs = isOff(LeaseMechanism.MARGIN) ? 0 : settings.marginMs();
+        long sendUntilMs = write.sentMs() + settings.durationMs() - marginMs;
+        if (nowMs >= sendUntilMs) {
+            nextActionMs = nowMs;
+            return;
+        }
+        FencingToken fencing = write.record().fencing();
+        boolean renewal = view.held() && view.fencing().equals(fencing);
+        long waitMs = isOff(LeaseMechanism.TAKEOVER_WAIT) ? 0 : settings.takeoverWaitMs();
+        view = new LeaseView(true, fencing, renewal ? view.sendFromMs() : nowMs + waitMs, sendUntilMs);
+        nextActionMs = write.sentMs() + settings.renewMs();
+        if (!renewal) {
+            effects.add(new LeaseEffect.Acquired(fencing));
+        }
+    }
+
+    private void observe(long nowMs, StoreReply.Found found) {
+        Optional<LeaseRecord> record = LeaseRecord.decode(found.object().value());
+        Optional<LostWrites.Attempt> own = record.flatMap(r -> lostWrites.find(r.writer()));
+        see(nowMs, found.object().version(), record);
+        if (own.isPresent()) {
+            confirm(nowMs, own.get());
+        } else if (view.held() && !(isMine() && record.orElseThrow().fencing().equals(view.fencing()))) {
+            stop();
+        } else if (view.held() || handingBack || mayTake(nowMs)) {
+            nextActionMs = nowMs;
+        } else {
+            long expiryMs =
+                    seenSinceMs + Math.max(record.map(LeaseRecord::durationMs).orElse(0L), settings.durationMs());
+            nextActionMs = Math.min(nextActionMs, Math.max(expiryMs, nowMs + settings.retryMs()));
+        }
+    }
+
+    private void observeAbsent(long nowMs) {
+        see(nowMs, ObjectStore.ABSENT, Optional.empty());
+        stop();
+        nextActionMs = nowMs;
+    }
+
+    private void readSoon(long nowMs) {
+        readNeeded = true;
+        nextActionMs = nowMs;
+    }
+
+    private void lost(long nowMs, InFlight call) {
+        if (call.write().isEmpty()) {
+            retry(nowMs, call);
+        } else if (isOff(LeaseMechanism.READ_BACK)) {
+            took(nowMs, call.write().get(), call.write().get().expectedVersion() + 1);
+        } else {
+            lostWrites.add(call.write().get());
+            readSoon(nowMs);
+        }
+    }
+
+    private void retry(long nowMs, InFlight call) {
+        readNeeded = call.write().isEmpty();
+        nextActionMs = nowMs + settings.retryMs();
+    }
+
+    private boolean isOff(LeaseMechanism mechanism) {
+        return off.contains(mechanism);
+    }
+
+    private record InFlight(long callId, long sentMs, Optional<LostWrites.Attempt> write) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/orders/OrderBook.java
@@ -0,0 +1,76 @@
+package org.magnoliabridge.orders;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.platform.EndpointOrder;
+
+/**
+ * The content of an intents object: the orders that its holder may have sent and has not settled.
+ *
+ * @param fencing token of the holder that wrote it
+ * @param writer token of the write, unique over all writers; shows whose lost write it was
+ */
+record OrderBook(FencingToken fencing, String writer, List<Intent> intents) {
+    static final OrderBook EMPTY = new OrderBook(new FencingToken(0), "", List.of());
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    OrderBook {
+        intents = List.copyOf(intents);
+    }
+
+    /** An order that was recorded before it was sent. */
+    record Intent(String orderId, EndpointOrder order) {}
+
+    byte[] encode() {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("fencing", fencing.value());
+        node.put("writer", writer);
+        ArrayNode array = node.putArray("intents");
+        for (Intent intent : intents) {
+            ObjectNode item = array.addObject();
+            item.put("order_id", intent.orderId());
+            item.put("endpoint", intent.order().endpoint().value());
+            item.put("dc", intent.order().dc().value());
+            item.put("service", intent.order().service().value());
+            item.put("kind", intent.order().kind().word());
+            item.put("running", intent.order().running());
+        }
+        try {
+            return JSON.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("an order book is always valid JSON", e);
+        }
+    }
+
+    /** Parses an intents object, or returns empty if it is not one. */
+    static Optional<OrderBook> decode(byte[] value) {
+        try {
+            JsonNode node = JSON.readTree(value);
+            List<Intent> intents = new ArrayList<>();
+            for (JsonNode item : node.path("intents")) {
+                EndpointOrder order = new EndpointOrder(
+                        new EndpointId(item.path("endpoint").asText()),
+                        new DataCentre(item.path("dc").asText()),
+                        new ServiceId(item.path("service").asText()),
+                        EndpointOrder.Kind.of(item.path("kind").asText()),
+                        item.path("running").asBoolean());
+                intents.add(new Intent(item.path("order_id").asText(), order));
+            }
+            FencingToken fencing = new FencingToken(node.path("fencing").asLong(-1));
+            return Optional.of(new OrderBook(fencing, node.path("writer").asText(), intents));
+        } catch (IOException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
@@ -0,0 +1,346 @@
+package org.magnoliabridge.orders;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.lease.LeaseView;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+
+/**
+ * Brings endpoints to their wanted state under a lease: records the intent, sends, settles.
+ *
+ * <p>One batch is under way at a time. A batch is settled by the write that records the next one, or by a write of its
+ * own; after an unknown outcome the endpoint list is read first, once the order can no longer arrive in time. A new
+ * holder reads the intents and the list before it sends anything.
+ *
+ * <pre>{@code
+ * OrdersCore orders = new OrdersCore(new ObjectKey("orders/endpoints"), node + "-" + incarnation, DEFAULT);
+ * List<OrdersEffect> effects = orders.on(clock.nowMs(), lease.view(), new OrdersInput.Tick());
+ * }</pre>
+ */
+public final class OrdersCore {
+    // Store and list calls have their own shorter deadline; this one is for a reply that never comes.
+    private static final long CALL_LIMIT_MS = 2_500;
+
+    private final ObjectKey key;
+    private final String self;
+    private final OrdersSettings settings;
+    private final Set<OrdersMechanism> off;
+
+    private final Map<EndpointId, EndpointOrder> wanted = new TreeMap<>();
+    private final Map<EndpointId, EndpointOrder> actual = new HashMap<>();
+    private final Map<EndpointId, EndpointOrder> accepted = new HashMap<>();
+    private final Map<EndpointId, Long> retryAtMs = new HashMap<>();
+    private final List<OrdersEffect> effects = new ArrayList<>();
+    private Phase phase = Phase.INACTIVE;
+    private FencingToken epoch = LeaseView.NOT_HELD.fencing();
+    private OrderBook book = OrderBook.EMPTY;
+    private long bookVersion = ObjectStore.ABSENT;
+    private boolean claimed;
+    private Optional<OrderBook> pendingWrite = Optional.empty();
+    private Batch batch = new Batch(0);
+    private long nextCallId = 1;
+    private long callId;
+    private long callSentMs;
+    private long notBeforeMs;
+    private long nextListMs;
+
+    /**
+     * Creates a core that waits for the lease.
+     *
+     * @param self names this start of this process, for example node and incarnation; unique over all writers
+     */
+    public OrdersCore(ObjectKey key, String self, OrdersSettings settings) {
+        this(key, self, settings, EnumSet.noneOf(OrdersMechanism.class));
+    }
+
+    OrdersCore(ObjectKey key, String self, OrdersSettings settings, Set<OrdersMechanism> off) {
+        this.key = Objects.requireNonNull(key);
+        this.self = Objects.requireNonNull(self);
+        this.settings = Objects.requireNonNull(settings);
+        this.off = Set.copyOf(off);
+    }
+
+    private enum Phase {
+        INACTIVE,
+        READ,
+        READING,
+        LIST,
+        LISTING,
+        READY,
+        WRITING,
+        SENDING,
+        SUPERSEDED
+    }
+
+    /** Takes an input under the lease as it is now; returns what to do. */
+    public List<OrdersEffect> on(long nowMs, LeaseView lease, OrdersInput input) {
+        followLease(nowMs, lease);
+        switch (input) {
+            case OrdersInput.Tick tick -> checkLimits(nowMs);
+            case OrdersInput.Wanted all -> replaceWanted(all);
+            case OrdersInput.StoreReplied replied -> onStoreReply(nowMs, lease, replied);
+            case OrdersInput.EndpointsListed listed -> onList(nowMs, listed);
+            case OrdersInput.Sent sent -> onSent(nowMs, sent);
+        }
+        act(nowMs, lease);
+        List<OrdersEffect> taken = List.copyOf(effects);
+        effects.clear();
+        return taken;
+    }
+
+    private void followLease(long nowMs, LeaseView lease) {
+        if (!lease.held() && !isOff(OrdersMechanism.LEASE_CHECK)) {
+            phase = Phase.INACTIVE;
+        } else if (lease.held() && (phase == Phase.INACTIVE || !lease.fencing().equals(epoch))) {
+            epoch = lease.fencing();
+            phase = Phase.READ;
+            notBeforeMs = nowMs;
+            claimed = false;
+            pendingWrite = Optional.empty();
+            batch = new Batch(0);
+            actual.clear();
+            accepted.clear();
+            retryAtMs.clear();
+        }
+    }
+
+    private void replaceWanted(OrdersInput.Wanted all) {
+        wanted.clear();
+        wanted.putAll(all.endpoints());
+    }
+
+    private boolean mayAct(long nowMs, LeaseView lease) {
+        return lease.maySend(nowMs) || isOff(OrdersMechanism.LEASE_CHECK);
+    }
+
+    private void checkLimits(long nowMs) {
+        boolean callOpen = phase == Phase.READING || phase == Phase.LISTING || phase == Phase.WRITING;
+        if (callOpen && nowMs - callSentMs >= CALL_LIMIT_MS) {
+            afterFailure(nowMs);
+        }
+    }
+
+    // A write that got no answer may have taken effect, so the intents are read before anything else.
+    private void afterFailure(long nowMs) {
+        phase = phase == Phase.LISTING ? Phase.LIST : Phase.READ;
+        notBeforeMs = nowMs + settings.retryMs();
+    }
+
+    private void act(long nowMs, LeaseView lease) {
+        if (!mayAct(nowMs, lease) || nowMs < notBeforeMs) {
+            return;
+        }
+        switch (phase) {
+            case READ -> call(nowMs, Phase.READING, new StoreRequest.Read(key));
+            case LIST -> list(nowMs);
+            case READY -> decide(nowMs, lease);
+            case SENDING -> finishBatch(nowMs, lease);
+            default -> {}
+        }
+    }
+
+    private void decide(long nowMs, LeaseView lease) {
+        if (nowMs >= nextListMs) {
+            list(nowMs);
+            return;
+        }
+        List<EndpointOrder> orders = difference(nowMs);
+        if (orders.isEmpty() && book.intents().isEmpty() && claimed) {
+            return;
+        }
+        List<OrderBook.Intent> intents = new ArrayList<>();
+        for (EndpointOrder order : orders) {
+            intents.add(new OrderBook.Intent(epoch + "-" + self + "-" + nextCallId++, order));
+        }
+        OrderBook next = new OrderBook(epoch, self + "-" + nextCallId, intents);
+        if (isOff(OrdersMechanism.INTENT)) {
+            claimed = true;
+            send(nowMs, lease, intents);
+            return;
+        }
+        pendingWrite = Optional.of(next);
+        call(nowMs, Phase.WRITING, new StoreRequest.Write(key, bookVersion, next.encode()));
+    }
+
+    private List<EndpointOrder> difference(long nowMs) {
+        return wanted.values().stream()
+                .filter(o -> retryAtMs.getOrDefault(o.endpoint(), nowMs) <= nowMs)
+                .filter(o -> !o.equals(actual.get(o.endpoint())))
+                .filter(o -> o.running() || actual.containsKey(o.endpoint()))
+                .limit(settings.maxBatch())
+                .toList();
+    }
+
+    private void call(long nowMs, Phase next, StoreRequest request) {
+        phase = next;
+        callId = nextCallId++;
+        callSentMs = nowMs;
+        effects.add(new OrdersEffect.Call(callId, request));
+    }
+
+    private void list(long nowMs) {
+        phase = Phase.LISTING;
+        callId = nextCallId++;
+        callSentMs = nowMs;
+        effects.add(new OrdersEffect.ListEndpoints(callId));
+    }
+
+    private void onStoreReply(long nowMs, LeaseView lease, OrdersInput.StoreReplied replied) {
+        if (replied.callId() != callId || (phase != Phase.READING && phase != Phase.WRITING)) {
+            return;
+        }
+        switch (replied.reply()) {
+            case StoreReply.Found found -> found(nowMs, lease, found);
+            case StoreReply.NotFound absent -> took(nowMs, lease, OrderBook.EMPTY, ObjectStore.ABSENT);
+            case StoreReply.Written written -> took(nowMs, lease, pendingWrite.orElseThrow(), written.version());
+            case StoreReply.Conflict conflict -> readAgain(nowMs);
+            case StoreReply.Unknown unknown -> lost(nowMs, lease);
+            case StoreReply.Unavailable unavailable -> afterFailure(nowMs);
+            case StoreReply.Listed listed -> throw new IllegalStateException("no list was asked for");
+        }
+    }
+
+    private void readAgain(long nowMs) {
+        phase = Phase.READ;
+        notBeforeMs = nowMs;
+    }
+
+    private void lost(long nowMs, LeaseView lease) {
+        if (isOff(OrdersMechanism.READ_BACK) && pendingWrite.isPresent()) {
+            took(nowMs, lease, pendingWrite.get(), bookVersion);
+        } else {
+            readAgain(nowMs);
+        }
+    }
+
+    private void found(long nowMs, LeaseView lease, StoreReply.Found found) {
+        Optional<OrderBook> read = OrderBook.decode(found.object().value());
+        if (read.isPresent() && read.get().fencing().isAfter(epoch)) {
+            phase = Phase.SUPERSEDED;
+            effects.add(new OrdersEffect.Superseded(epoch));
+            return;
+        }
+        // Unreadable intents are replaced: the endpoint list shows what became of them.
+        took(nowMs, lease, read.orElse(OrderBook.EMPTY), found.object().version());
+    }
+
+    private void took(long nowMs, LeaseView lease, OrderBook current, long version) {
+        boolean own =
+                pendingWrite.filter(p -> p.writer().equals(current.writer())).isPresent();
+        book = current;
+        bookVersion = version;
+        pendingWrite = Optional.empty();
+        if (!own) {
+            phase = Phase.LIST;
+            notBeforeMs = nowMs;
+        } else {
+            claimed = true;
+            phase = Phase.READY;
+            if (!current.intents().isEmpty() && mayAct(nowMs, lease)) {
+                send(nowMs, lease, current.intents());
+            }
+        }
+    }
+
+    private void send(long nowMs, LeaseView lease, List<OrderBook.Intent> intents) {
+        phase = Phase.SENDING;
+        batch = new Batch(nowMs);
+        for (OrderBook.Intent intent : intents) {
+            // What is wanted may have changed while the intent was written.
+            if (intent.order().equals(wanted.get(intent.order().endpoint()))) {
+                batch.open.put(intent.orderId(), intent.order());
+                accepted.remove(intent.order().endpoint());
+                effects.add(new OrdersEffect.Send(intent.orderId(), intent.order(), epoch, lease.sendUntilMs()));
+            }
+        }
+    }
+
+    private void onSent(long nowMs, OrdersInput.Sent sent) {
+        EndpointOrder order = batch.open.get(sent.orderId());
+        if (phase != Phase.SENDING || order == null) {
+            return;
+        }
+        switch (sent.outcome()) {
+            case ACCEPTED -> {
+                batch.open.remove(sent.orderId());
+                actual.put(order.endpoint(), order);
+                accepted.put(order.endpoint(), order);
+            }
+            // A refusal may last, for example while a data centre has no room, so it must not hold up other orders.
+            case NOT_DONE -> {
+                batch.open.remove(sent.orderId());
+                retryAtMs.put(order.endpoint(), nowMs + settings.listPeriodMs());
+            }
+            case UNKNOWN -> {} // stays open until its send deadline
+            case STALE_FENCING -> {
+                phase = Phase.SUPERSEDED;
+                effects.add(new OrdersEffect.Superseded(epoch));
+            }
+            default -> throw new IllegalStateException("unknown outcome: " + sent.outcome());
+        }
+    }
+
+    // An order without a known outcome can take effect until its send deadline; only then does the list settle it.
+    private void finishBatch(long nowMs, LeaseView lease) {
+        if (!batch.open.isEmpty() && nowMs - batch.sentMs < settings.sendDeadlineMs()) {
+            return;
+        }
+        boolean unknown = !batch.open.isEmpty();
+        batch = new Batch(0);
+        phase = Phase.READY;
+        if (unknown) {
+            list(nowMs);
+        } else {
+            decide(nowMs, lease);
+        }
+    }
+
+    private void onList(long nowMs, OrdersInput.EndpointsListed listed) {
+        if (listed.callId() != callId || phase != Phase.LISTING) {
+            return;
+        }
+        if (listed.endpoints().isEmpty()) {
+            afterFailure(nowMs);
+            return;
+        }
+        actual.clear();
+        for (EndpointOrder order : listed.endpoints().get()) {
+            actual.put(order.endpoint(), order);
+        }
+        accepted.forEach((endpoint, order) -> {
+            if (!order.equals(actual.get(endpoint))) {
+                effects.add(new OrdersEffect.StaleOrderSeen(endpoint));
+            }
+        });
+        accepted.clear();
+        phase = Phase.READY;
+        nextListMs = nowMs + settings.listPeriodMs();
+    }
+
+    private boolean isOff(OrdersMechanism mechanism) {
+        return off.contains(mechanism);
+    }
+
+    /** Orders that were sent together and have no outcome yet. */
+    private static final class Batch {
+        final Map<String, EndpointOrder> open = new HashMap<>();
+        final long sentMs;
+
+        Batch(long sentMs) {
+            this.sentMs = sentMs;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersInput.java
@@ -0,0 +1,30 @@
+package org.magnoliabridge.orders;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.StoreReply;
+
+/** What {@link OrdersCore} is told. */
+public sealed interface OrdersInput {
+    /** Time has passed; sent several times a second. */
+    record Tick() implements OrdersInput {}
+
+    /** The state that the endpoints should have; an endpoint that is not named is left alone. */
+    record Wanted(Map<EndpointId, EndpointOrder> endpoints) implements OrdersInput {
+        public Wanted {
+            endpoints = Map.copyOf(endpoints);
+        }
+    }
+
+    /** The reply to an {@link OrdersEffect.Call}. */
+    record StoreReplied(long callId, StoreReply reply) implements OrdersInput {}
+
+    /** The answer to an {@link OrdersEffect.ListEndpoints}; empty if the list could not be read. */
+    record EndpointsListed(long callId, Optional<List<EndpointOrder>> endpoints) implements OrdersInput {}
+
+    /** The outcome of an {@link OrdersEffect.Send}. */
+    record Sent(String orderId, OrderOutcome outcome) implements OrdersInput {}
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -0,0 +1,88 @@
+package org.magnoliabridge.lease;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.platform.MemoryStore;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.platform.StoredObject;
+
+class LeaseCoreTest {
+    private static final ObjectKey KEY = new ObjectKey("leases/endpoints");
+    private final MemoryStore store = new MemoryStore();
+    private final List<LeaseEffect> heard = new ArrayList<>();
+
+    /** Guards against a rolling restart that leaves every scope without a holder for a lease duration. */
+    @Test
+    void handedBackLeaseCanBeTakenAtOnce() throws PlatformException {
+        LeaseCore first = core("node-0");
+        LeaseCore second = core("node-1");
+        run(first, 0, first.onTick(0));
+        run(first, 1, first.handBack(1));
+        assertThat(heard, hasItem(instanceOf(LeaseEffect.HandedBack.class)));
+        run(second, 2, second.onTick(2));
+        assertThat(second.view().fencing(), is(new FencingToken(2)));
+        assertThat("waits for the last sends of the first holder", second.view().maySend(2_001), is(false));
+        assertThat(second.view().maySend(2_002), is(true));
+    }
+
+    /** Guards against counting the lease from the read-back: a lost write holds from before it was sent. */
+    @Test
+    void lostWriteIsFoundByItsWriterTokenAndCountsFromItsSending() throws PlatformException {
+        LeaseCore core = core("node-0");
+        LeaseEffect.Call read = (LeaseEffect.Call) core.onTick(0).get(0);
+        LeaseEffect.Call write = (LeaseEffect.Call)
+                core.onReply(10, read.callId(), new StoreReply.NotFound()).get(0);
+        perform(write.request());
+        run(core, 2_010, core.onReply(2_010, write.callId(), new StoreReply.Unknown()));
+        assertThat(core.view().held(), is(true));
+        assertThat(core.view().sendUntilMs(), is(10 + 10_000 - 3_000L));
+    }
+
+    /** Guards against a holder that goes on sending while it can't renew. */
+    @Test
+    void holderStopsAtItsMarginWithoutAnyReply() throws PlatformException {
+        LeaseCore core = core("node-0");
+        run(core, 0, core.onTick(0));
+        for (long now = 100; now <= 7_000; now += 100) {
+            heard.addAll(core.onTick(now));
+        }
+        assertThat(core.view().held(), is(false));
+        assertThat(heard, hasItem(new LeaseEffect.MustStop(new FencingToken(1))));
+    }
+
+    private static LeaseCore core(String name) {
+        LeaseCore core = new LeaseCore(KEY, new NodeId(name), new Incarnation(1), LeaseSettings.DEFAULT);
+        core.setCandidate(true);
+        return core;
+    }
+
+    private void run(LeaseCore core, long nowMs, List<LeaseEffect> effects) throws PlatformException {
+        heard.addAll(effects);
+        for (LeaseEffect effect : effects) {
+            if (effect instanceof LeaseEffect.Call call) {
+                run(core, nowMs, core.onReply(nowMs, call.callId(), perform(call.request())));
+            }
+        }
+    }
+
+    private StoreReply perform(StoreRequest request) throws PlatformException {
+        if (request instanceof StoreRequest.Write write) {
+            return new StoreReply.Written(store.write(write.key(), write.expectedVersion(), write.value()));
+        }
+        return store.read(KEY)
+                .map((StoredObject o) -> (StoreReply) new StoreReply.Found(o))
+                .orElseGet(StoreReply.NotFound::new);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCores.java
@@ -0,0 +1,19 @@
+package org.magnoliabridge.lease;
+
+import java.util.EnumSet;
+import java.util.Set;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.platform.ObjectKey;
+
+/** Creates lease cores with one mechanism switched off, for tests of other packages. */
+public final class LeaseCores {
+    private LeaseCores() {}
+
+    /** Returns a core without the named mechanism; a name that is no lease mechanism switches nothing off. */
+    public static LeaseCore without(String mechanism, ObjectKey key, NodeId self, Incarnation incarnation) {
+        Set<LeaseMechanism> off = EnumSet.allOf(LeaseMechanism.class);
+        off.removeIf(m -> !("lease " + m).equals(mechanism));
+        return new LeaseCore(key, self, incarnation, LeaseSettings.DEFAULT, off);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/FaultMatrixTest.java
@@ -0,0 +1,180 @@
+package org.magnoliabridge.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Runs leases and orders through every fault at every effect, and shows that the checker can fail. */
+class FaultMatrixTest {
+    private static final Path TABLE = Path.of("target", "fault-matrix-orders.txt");
+    private static final String NONE = "none";
+    private static final int PAIRS = 3_000;
+    private static final int PAIRS_PER_MECHANISM = 1_000;
+    private static final long SEED = 20_261_204;
+
+    private final Map<String, Row> rows = new TreeMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private final StringBuilder table = new StringBuilder();
+
+    private static final class Row {
+        private long cells;
+        private long checks;
+        private long violated;
+        private long gaps;
+        private long staleSeen;
+
+        @Override
+        public String toString() {
+            return "%6d cells %10d checks %6d cells violated %5d allowed gaps %5d stale orders seen"
+                    .formatted(cells, checks, violated, gaps, staleSeen);
+        }
+    }
+
+    /** Guards against orders from two holders, orders without intent and a state that never converges. */
+    @Test
+    void everyFaultAtEveryEffectKeepsTheInvariants() throws IOException {
+        for (boolean checksFencing : new boolean[] {true, false}) {
+            String orders = checksFencing ? "checks fencing" : "ignores fencing";
+            singles(NONE, checksFencing, orders);
+            targetedPairs(NONE, checksFencing, orders);
+            randomPairs(NONE, checksFencing, orders, PAIRS);
+        }
+        write(TABLE);
+        assertThat(violations.stream().sorted().limit(10).toList(), is(empty()));
+        assertThat(
+                "a long pause must show the allowed gap where fencing is ignored",
+                rows.values().stream().mapToLong(r -> r.gaps).sum(),
+                greaterThan(0L));
+    }
+
+    /** Guards against a checker that cannot fail: without any one mechanism it must report violations. */
+    @Test
+    void everyMechanismIsNeeded() throws IOException {
+        List<String> mechanisms = List.of(
+                "lease MARGIN",
+                "lease FENCING",
+                "lease READ_BACK",
+                "lease TAKEOVER_WAIT",
+                "orders INTENT",
+                "orders READ_BACK",
+                "orders LEASE_CHECK");
+        List<String> unnoticed = new ArrayList<>();
+        for (String mechanism : mechanisms) {
+            Row total = new Row();
+            for (boolean checksFencing : new boolean[] {true, false}) {
+                rows.clear();
+                singles(mechanism, checksFencing, "");
+                targetedPairs(mechanism, checksFencing, "");
+                randomPairs(mechanism, checksFencing, "", PAIRS_PER_MECHANISM);
+                rows.values().forEach(r -> add(total, r));
+                String orders = checksFencing ? "checks fencing" : "ignores fencing";
+                Row sum = new Row();
+                rows.values().forEach(r -> add(sum, r));
+                rows.clear();
+                table.append("%-30s %-16s %s%n".formatted("without " + mechanism, orders, sum));
+            }
+            if (total.violated == 0) {
+                unnoticed.add(mechanism);
+            }
+        }
+        write(TABLE.resolveSibling("fault-matrix-mechanisms.txt"));
+        assertThat(unnoticed, is(empty()));
+    }
+
+    private void singles(String mechanism, boolean checksFencing, String orders) {
+        World plain = run(mechanism, checksFencing, Map.of(), orders + " | no fault");
+        for (Fault fault : Fault.all()) {
+            IntStream.range(0, plain.busyEffects).parallel().forEach(i -> {
+                String row = orders + " | " + plain.effectKinds.get(i) + " | " + name(fault);
+                run(mechanism, checksFencing, Map.of(i, fault), row);
+            });
+        }
+    }
+
+    // The holder loses its way to the lease and is paused at a later order: the case that margin and wait are for.
+    private void targetedPairs(String mechanism, boolean checksFencing, String orders) {
+        Fault cutOff = new Fault(Fault.Kind.SILENT, 14_000);
+        Fault paused = new Fault(Fault.Kind.PAUSED_AFTER_LAST_CHECK, 4_900);
+        World plain = new World(checksFencing, mechanism, Map.of());
+        plain.run();
+        List<Map<Integer, Fault>> plans = new ArrayList<>();
+        for (int i = 0; i < plain.busyEffects; i++) {
+            if (plain.effectKinds.get(i).equals("lease write")) {
+                World once = new World(checksFencing, mechanism, Map.of(i, cutOff));
+                once.run();
+                for (int j = i + 1; j < once.busyEffects; j++) {
+                    if (once.effectKinds.get(j).equals("order")) {
+                        plans.add(Map.of(i, cutOff, j, paused));
+                    }
+                }
+            }
+        }
+        plans.parallelStream().forEach(p -> run(mechanism, checksFencing, p, orders + " | cut off, then paused"));
+    }
+
+    private void randomPairs(String mechanism, boolean checksFencing, String orders, int count) {
+        Random random = new Random(SEED);
+        World plain = new World(checksFencing, mechanism, Map.of());
+        plain.run();
+        List<Fault> faults = Fault.all();
+        List<Map<Integer, Fault>> plans = new ArrayList<>();
+        for (int n = 0; n < count; n++) {
+            Map<Integer, Fault> plan = new HashMap<>();
+            plan.put(random.nextInt(plain.busyEffects), faults.get(random.nextInt(faults.size())));
+            plan.put(random.nextInt(plain.busyEffects), faults.get(random.nextInt(faults.size())));
+            plans.add(plan);
+        }
+        plans.parallelStream().forEach(p -> run(mechanism, checksFencing, p, orders + " | pairs, seed " + SEED));
+    }
+
+    private World run(String mechanism, boolean checksFencing, Map<Integer, Fault> plan, String rowName) {
+        World world = new World(checksFencing, mechanism, plan);
+        OrdersChecker checker = world.run();
+        record(rowName, plan, world, checker);
+        return world;
+    }
+
+    private synchronized void record(String rowName, Map<Integer, Fault> plan, World world, OrdersChecker checker) {
+        Row row = rows.computeIfAbsent(rowName, n -> new Row());
+        row.cells++;
+        row.checks += checker.checks;
+        row.gaps += checker.allowedGaps;
+        row.staleSeen += world.staleOrdersSeen;
+        if (!checker.violations.isEmpty()) {
+            row.violated++;
+            violations.add(rowName + " " + plan + ": " + checker.violations.get(0));
+        }
+    }
+
+    private static void add(Row sum, Row row) {
+        sum.cells += row.cells;
+        sum.checks += row.checks;
+        sum.violated += row.violated;
+        sum.gaps += row.gaps;
+        sum.staleSeen += row.staleSeen;
+    }
+
+    private static String name(Fault fault) {
+        return fault.durationMs() == 0 ? fault.kind().name() : fault.kind() + " " + fault.durationMs() + " ms";
+    }
+
+    private void write(Path path) throws IOException {
+        rows.forEach((name, row) -> table.append("%-64s %s%n".formatted(name, row)));
+        Files.createDirectories(path.getParent());
+        Files.writeString(path, table.toString(), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/OrdersChecker.java
@@ -0,0 +1,127 @@
+package org.magnoliabridge.orders;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.StoredObject;
+
+/** Checks the world from its records alone: the store's history, the orders that took effect, and the clock. */
+final class OrdersChecker {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    // The design allows a late order only if its sender was held up for longer than margin plus takeover wait.
+    private static final long ALLOWED_GAP_MS = 5_000;
+
+    final List<String> violations = new ArrayList<>();
+    long checks;
+    long allowedGaps;
+    private final World world;
+    private final Map<Long, String> senderByToken = new HashMap<>();
+    private final Set<String> intents = new HashSet<>();
+    private int openIntents;
+    private int historyRead;
+    private long highestToken;
+    private long leaseToken;
+    private String leaseHolder = "";
+
+    OrdersChecker(World world) {
+        this.world = world;
+    }
+
+    void afterStep() {
+        readHistory();
+        checks++;
+        require(senders() <= 1, "two processes may send at once");
+    }
+
+    void onOrder(String sender, OrdersEffect.Send send, long heldUpMs) {
+        readHistory();
+        checks += 3;
+        long token = send.fencing().value();
+        String first = senderByToken.putIfAbsent(token, sender);
+        require(first == null || first.equals(sender), "two processes sent under token " + token);
+        if (token < highestToken && !world.checksFencing && heldUpMs > ALLOWED_GAP_MS) {
+            allowedGaps++;
+        } else {
+            require(token >= highestToken, "an order under token " + token + " came after token " + highestToken);
+        }
+        highestToken = Math.max(highestToken, token);
+        String intent = describe(
+                send.orderId(), send.order().endpoint().value(), send.order().running());
+        require(intents.contains(intent), "order without a recorded intent: " + intent);
+    }
+
+    void atEnd() {
+        checks += 2 + world.wanted.size();
+        world.wanted.forEach((id, order) -> {
+            EndpointOrder actual = world.endpoints.get(id);
+            boolean stopped = !order.running() && actual == null;
+            require(stopped || order.equals(actual), "endpoint " + id + " did not reach its wanted state");
+        });
+        require(senders() == 1, "no process may send at the end");
+        require(openIntents == 0, "intents stay open at the end");
+    }
+
+    private int senders() {
+        int senders = 0;
+        for (World.Peer peer : world.processes) {
+            senders += peer.mayAct() && peer.lease.view().maySend(world.nowMs) ? 1 : 0;
+        }
+        return senders;
+    }
+
+    private void readHistory() {
+        List<StoredObject> history = world.store.historyFrom(historyRead);
+        historyRead += history.size();
+        for (StoredObject object : history) {
+            JsonNode node = parse(object);
+            if (object.key().equals(World.LEASE)) {
+                checkLease(node);
+            } else {
+                openIntents = node.path("intents").size();
+                for (JsonNode item : node.path("intents")) {
+                    intents.add(describe(
+                            item.path("order_id").asText(),
+                            item.path("endpoint").asText(),
+                            item.path("running").asBoolean()));
+                }
+            }
+        }
+    }
+
+    private void checkLease(JsonNode lease) {
+        checks += 2;
+        long token = lease.path("fencing").asLong();
+        String holder =
+                lease.path("holder").asText() + "/" + lease.path("incarnation").asLong();
+        require(token >= leaseToken, "the fencing token of the lease went backwards");
+        boolean released = lease.path("holder").asText().isEmpty();
+        require(released || holder.equals(leaseHolder) || token > leaseToken, "a new holder has no higher token");
+        leaseToken = token;
+        leaseHolder = released ? "" : holder;
+    }
+
+    private void require(boolean condition, String violation) {
+        if (!condition) {
+            violations.add("at " + world.nowMs + " ms: " + violation);
+        }
+    }
+
+    private static String describe(String orderId, String endpoint, boolean running) {
+        return orderId + " " + endpoint + " " + running;
+    }
+
+    private static JsonNode parse(StoredObject object) {
+        try {
+            return JSON.readTree(object.value());
+        } catch (IOException e) {
+            throw new IllegalStateException("the history holds only JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/World.java
@@ -0,0 +1,340 @@
+package org.magnoliabridge.orders;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.lease.LeaseCore;
+import org.magnoliabridge.lease.LeaseCores;
+import org.magnoliabridge.lease.LeaseEffect;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.MemoryStore;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+
+/** Three processes, an object store and an order interface on a virtual clock, with faults at numbered effects. */
+final class World {
+    static final ObjectKey LEASE = new ObjectKey("leases/endpoints");
+    static final ObjectKey BOOK = new ObjectKey("orders/endpoints");
+    /** Wanted states change until this moment; faults are placed before it. */
+    static final long BUSY_MS = 22_000;
+
+    private static final long HAND_BACK_MS = 15_000;
+    // Lease 10 s, its first sighting 3 s, takeover wait 2 s, list period 5 s, and two calls of 2.5 s that get no reply.
+    private static final long CONVERGENCE_MS = 25_000;
+    private static final long LATENCY_MS = 5;
+    private static final long CALL_DEADLINE_MS = 2_000;
+    private static final long TICK_MS = 100;
+    private static final long RESTART_MS = 3_000;
+
+    final MemoryStore store = new MemoryStore();
+    final Map<EndpointId, EndpointOrder> endpoints = new TreeMap<>();
+    final Map<EndpointId, EndpointOrder> wanted = new TreeMap<>();
+    final List<Peer> processes = new ArrayList<>();
+    final boolean checksFencing;
+    /** The kind of each effect, by its number. */
+    final List<String> effectKinds = new ArrayList<>();
+    /** The number of effects before the wanted states stop changing. */
+    int busyEffects;
+
+    long nowMs;
+    private long faultsEndMs = BUSY_MS;
+    long staleOrdersSeen;
+    private final String mechanismOff;
+    private final Map<Integer, Fault> plan;
+    private final OrdersChecker checker;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+    private long sequence;
+    private FencingToken highestFencing = new FencingToken(0);
+
+    World(boolean checksFencing, String mechanismOff, Map<Integer, Fault> plan) {
+        this.checksFencing = checksFencing;
+        this.mechanismOff = mechanismOff;
+        this.plan = plan;
+        this.checker = new OrdersChecker(this);
+    }
+
+    /** Runs the scenario to its end and returns what the checker found. */
+    OrdersChecker run() {
+        for (int i = 0; i < 3; i++) {
+            Peer process = new Peer("node-" + i);
+            processes.add(process);
+            at(i * 33L, process::start);
+        }
+        for (int i = 0; i < 3; i++) {
+            want(i, true);
+        }
+        for (int i = 0; i < 36; i++) {
+            int step = i;
+            at(4_000 + i * 500L, () -> want(step % 3, step % 2 == 0));
+        }
+        at(
+                HAND_BACK_MS,
+                () -> processes.stream()
+                        .filter(p -> p.lease.view().held())
+                        .findFirst()
+                        .ifPresent(Peer::shutDown));
+        while (!events.isEmpty() && events.peek().atMs() <= faultsEndMs + CONVERGENCE_MS) {
+            Event event = events.poll();
+            nowMs = event.atMs();
+            event.action().run();
+            checker.afterStep();
+        }
+        checker.atEnd();
+        return checker;
+    }
+
+    private void want(int number, boolean running) {
+        EndpointId id = new EndpointId("engine-" + number);
+        wanted.put(
+                id,
+                new EndpointOrder(
+                        id, new DataCentre("trent"), new ServiceId("coachgen"), EndpointOrder.Kind.STANDARD, running));
+        processes.forEach(p -> p.onProcess(p::tellWanted));
+    }
+
+    private void at(long atMs, Runnable action) {
+        events.add(new Event(atMs, sequence++, action));
+    }
+
+    private OrderOutcome receive(Peer from, OrdersEffect.Send send, long checkedMs) {
+        if (checksFencing && highestFencing.isAfter(send.fencing())) {
+            return OrderOutcome.STALE_FENCING;
+        }
+        highestFencing = send.fencing().isAfter(highestFencing) ? send.fencing() : highestFencing;
+        endpoints.put(send.order().endpoint(), send.order());
+        checker.onOrder(from.name + "/" + from.incarnation, send, nowMs - checkedMs);
+        return OrderOutcome.ACCEPTED;
+    }
+
+    private StoreReply perform(StoreRequest request) {
+        try {
+            return switch (request) {
+                case StoreRequest.Read read ->
+                    store.read(read.key())
+                            .<StoreReply>map(StoreReply.Found::new)
+                            .orElseGet(StoreReply.NotFound::new);
+                case StoreRequest.Write write ->
+                    new StoreReply.Written(store.write(write.key(), write.expectedVersion(), write.value()));
+                case StoreRequest.Delete delete -> throw new IllegalStateException("no core deletes: " + delete);
+                case StoreRequest.List list -> throw new IllegalStateException("no core lists: " + list);
+            };
+        } catch (PlatformException e) {
+            return new StoreReply.Conflict();
+        }
+    }
+
+    private record Event(long atMs, long sequence, Runnable action) {}
+
+    /** A request on its way: what it does on arrival, what the caller hears, and what it hears if no answer comes. */
+    private record Request<T>(String kind, Supplier<T> effect, Consumer<T> reply, T noAnswer) {
+        String connection() {
+            int space = kind.indexOf(' ');
+            return space < 0 ? kind : kind.substring(0, space);
+        }
+    }
+
+    /** A process that runs the two cores. */
+    final class Peer {
+        final String name;
+        LeaseCore lease;
+        OrdersCore orders;
+        boolean alive;
+        int incarnation;
+        long pausedUntilMs;
+        private final Map<String, Long> silentUntilMs = new HashMap<>();
+
+        Peer(String name) {
+            this.name = name;
+        }
+
+        boolean mayAct() {
+            return alive && nowMs >= pausedUntilMs;
+        }
+
+        private void start() {
+            incarnation++;
+            alive = true;
+            lease = LeaseCores.without(mechanismOff, LEASE, new NodeId(name), new Incarnation(incarnation));
+            lease.setCandidate(true);
+            Set<OrdersMechanism> off = EnumSet.allOf(OrdersMechanism.class);
+            off.removeIf(m -> !("orders " + m).equals(mechanismOff));
+            orders = new OrdersCore(BOOK, name + "-" + incarnation, OrdersSettings.DEFAULT, off);
+            tellWanted();
+            tick();
+        }
+
+        private void shutDown() {
+            onProcess(() -> runLease(lease.handBack(nowMs)));
+        }
+
+        private void crash() {
+            alive = false;
+            at(nowMs + RESTART_MS, this::start);
+        }
+
+        private void tick() {
+            runLease(lease.onTick(nowMs));
+            runOrders(orders.on(nowMs, lease.view(), new OrdersInput.Tick()));
+            later(TICK_MS, this::tick);
+        }
+
+        private void tellWanted() {
+            runOrders(orders.on(nowMs, lease.view(), new OrdersInput.Wanted(wanted)));
+        }
+
+        /** Runs an action in this life of the process, once it is not paused; drops it if the process has died. */
+        private void onProcess(Runnable action) {
+            later(0, action);
+        }
+
+        private void later(long delayMs, Runnable action) {
+            int life = incarnation;
+            at(Math.max(nowMs + delayMs, pausedUntilMs), () -> {
+                if (!alive || life != incarnation) {
+                    return;
+                }
+                if (nowMs < pausedUntilMs) {
+                    later(0, action);
+                } else {
+                    action.run();
+                }
+            });
+        }
+
+        private void runLease(List<LeaseEffect> effects) {
+            for (LeaseEffect effect : effects) {
+                if (effect instanceof LeaseEffect.Call call) {
+                    request(new Request<>(
+                            "lease " + kind(call.request()),
+                            () -> perform(call.request()),
+                            r -> runLease(lease.onReply(nowMs, call.callId(), r)),
+                            noAnswer(call.request())));
+                } else if (effect instanceof LeaseEffect.HandedBack) {
+                    onProcess(this::crash);
+                }
+            }
+        }
+
+        private void runOrders(List<OrdersEffect> effects) {
+            for (OrdersEffect effect : effects) {
+                switch (effect) {
+                    case OrdersEffect.Call call ->
+                        request(new Request<>(
+                                "intent " + kind(call.request()),
+                                () -> perform(call.request()),
+                                r -> tell(new OrdersInput.StoreReplied(call.callId(), r)),
+                                noAnswer(call.request())));
+                    case OrdersEffect.ListEndpoints list ->
+                        request(new Request<>(
+                                "endpoint list",
+                                () -> Optional.of(List.copyOf(endpoints.values())),
+                                r -> tell(new OrdersInput.EndpointsListed(list.callId(), r)),
+                                Optional.<List<EndpointOrder>>empty()));
+                    case OrdersEffect.Send send -> send(send);
+                    case OrdersEffect.StaleOrderSeen stale -> staleOrdersSeen++;
+                    case OrdersEffect.Superseded superseded -> {}
+                }
+            }
+        }
+
+        private void tell(OrdersInput input) {
+            runOrders(orders.on(nowMs, lease.view(), input));
+        }
+
+        private void send(OrdersEffect.Send send) {
+            Fault fault = plan.get(effectKinds.size());
+            long pauseMs =
+                    fault != null && fault.kind() == Fault.Kind.PAUSED_BEFORE_LAST_CHECK ? fault.durationMs() : 0;
+            // The last check of the sender, directly before it writes to the connection.
+            long checkedMs = Math.max(nowMs, pausedUntilMs) + pauseMs;
+            boolean late = checkedMs >= send.notAfterMs() && !"orders LEASE_CHECK".equals(mechanismOff);
+            request(new Request<>(
+                    "order",
+                    () -> late ? OrderOutcome.NOT_DONE : receive(this, send, checkedMs),
+                    r -> tell(new OrdersInput.Sent(send.orderId(), r)),
+                    OrderOutcome.UNKNOWN));
+        }
+
+        private <T> void request(Request<T> request) {
+            Fault fault = plan.get(effectKinds.size());
+            effectKinds.add(request.kind());
+            busyEffects = nowMs < BUSY_MS ? effectKinds.size() : busyEffects;
+            Fault.Kind kind = fault == null ? null : fault.kind();
+            if (fault != null) {
+                faultsEndMs = Math.max(faultsEndMs, nowMs + fault.durationMs() + RESTART_MS);
+            }
+            if (kind == Fault.Kind.CRASH_BEFORE) {
+                crash();
+            }
+            if (!alive) {
+                return;
+            }
+            if (kind == Fault.Kind.PAUSED_BEFORE_LAST_CHECK || kind == Fault.Kind.PAUSED_AFTER_LAST_CHECK) {
+                pausedUntilMs = nowMs + fault.durationMs();
+            }
+            if (kind == Fault.Kind.SILENT) {
+                silentUntilMs.put(request.connection(), nowMs + fault.durationMs());
+            }
+            long writtenMs = Math.max(nowMs, pausedUntilMs);
+            boolean silent =
+                    kind == Fault.Kind.SILENT || writtenMs < silentUntilMs.getOrDefault(request.connection(), 0L);
+            if (silent) {
+                later(
+                        writtenMs + CALL_DEADLINE_MS - nowMs,
+                        () -> request.reply().accept(request.noAnswer()));
+                return;
+            }
+            long requestMs = kind == Fault.Kind.REQUEST_DELAYED ? fault.durationMs() : LATENCY_MS;
+            at(writtenMs + requestMs, () -> arrive(request, kind, fault));
+            if (kind == Fault.Kind.DUPLICATE) {
+                at(writtenMs + requestMs + fault.durationMs(), () -> repeat(request));
+            }
+            if (kind == Fault.Kind.REPLY_LOST) {
+                later(
+                        writtenMs + CALL_DEADLINE_MS - nowMs,
+                        () -> request.reply().accept(request.noAnswer()));
+            }
+        }
+
+        private <T> void repeat(Request<T> request) {
+            T unheard = request.effect().get();
+            assert unheard != null;
+        }
+
+        private <T> void arrive(Request<T> request, Fault.Kind kind, Fault fault) {
+            T result = request.effect().get();
+            if (kind == Fault.Kind.CRASH_AFTER && alive) {
+                crash();
+            } else if (kind != Fault.Kind.REPLY_LOST) {
+                long replyMs = kind == Fault.Kind.REPLY_DELAYED ? fault.durationMs() : LATENCY_MS;
+                later(replyMs, () -> request.reply().accept(result));
+            }
+        }
+
+        private String kind(StoreRequest request) {
+            return request instanceof StoreRequest.Read ? "read" : "write";
+        }
+
+        private StoreReply noAnswer(StoreRequest request) {
+            return request instanceof StoreRequest.Read ? new StoreReply.Unavailable() : new StoreReply.Unknown();
+        }
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/platform/MemoryStore.java
+++ b/library/src/test/java/org/magnoliabridge/platform/MemoryStore.java
@@ -12,10 +12,10 @@
     private final List<StoredObject> history = new ArrayList<>();
     private long forgottenUpTo;
 
-    /** Returns every value that was ever written, in order. */
-    public List<StoredObject> history() {
+    /** Returns the values that were written after the first so many writes, in order. */
+    public List<StoredObject> historyFrom(int start) {
         synchronized (history) {
-            return List.copyOf(history);
+            return start == history.size() ? List.of() : List.copyOf(history.subList(start, history.size()));
         }
     }
 
