--- a/library/src/main/java/org/magnoliabridge/routing/Endpoint.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Endpoint.java
@@ -10,7 +10,8 @@
 /**
  * One incarnation of an endpoint.
  *
- * @param address IP address and port; together with the id it tells incarnations apart, because the instance list has no
+ * @param address IP address and port; together with the id it tells incarnations apart, because the instance list has
+ * no
  *     incarnation number
  */
 public record Endpoint(EndpointId id, ServiceId service, DataCentre dataCentre, String address) {
--- a/library/src/main/java/org/magnoliabridge/routing/FairQueue.java
+++ b/library/src/main/java/org/magnoliabridge/routing/FairQueue.java
@@ -16,9 +16,9 @@
 /**
  * Start-time fair queueing by tokens among teams. Deterministic and not thread-safe.
  *
- * <p>Each team has a first-in-first-out queue and a virtual time at which its next request may start. The request of the
- * team with the least virtual time goes first and moves it on by tokens divided by weight. A team that was idle starts at
- * the queue's virtual time, so it can't save up priority.
+ * <p>Each team has a first-in-first-out queue and a virtual time at which its next request may start. The request of
+ * the team with the least virtual time goes first and moves it on by tokens divided by weight. A team that was idle
+ * starts at the queue's virtual time, so it can't save up priority.
  *
  * @param <T> the queued requests
  */
--- a/library/src/main/java/org/magnoliabridge/routing/LoadPoller.java
+++ b/library/src/main/java/org/magnoliabridge/routing/LoadPoller.java
@@ -14,8 +14,8 @@
 /**
  * Reads the load of a few random engines each period.
  *
- * <p>Not all engines are polled: with 340 nodes each engine would answer 340 polls a second, and a node would spend more
- * than its 4 KB/s for control. What is not polled is aged out towards the mean.
+ * <p>Not all engines are polled: with 340 nodes each engine would answer 340 polls a second, and a node would spend
+ * more than its 4 KB/s for control. What is not polled is aged out towards the mean.
  */
 public final class LoadPoller implements AutoCloseable {
     private static final long PERIOD_MS = 1_000;
--- a/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
@@ -148,8 +148,8 @@
     }
 
     /**
-     * Guards three promises under random traffic: each request gets one outcome, no engine exceeds its slots, and nothing
-     * waits while a slot is free.
+     * Guards three promises under random traffic: each request gets one outcome, no engine exceeds its slots, and
+     * nothing waits while a slot is free.
      */
     @Property(tries = 100)
     void everyRequestGetsOneOutcomeAndNoSlotIdles(@ForAll long seed) {
