Add the lease and orders drivers

Cause: the daemon runs the lease and orders cores. Change: LeaseDriver and OrdersDriver run the cores on the control thread and their calls on virtual threads.

--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
@@ -0,0 +1,74 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.lease.LeaseCore;
+import org.magnoliabridge.lease.LeaseEffect;
+import org.magnoliabridge.lease.LeaseView;
+import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Runs the lease core of one scope; used on the control thread only. */
+final class LeaseDriver {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final String scope;
+    private final LeaseCore core;
+    private final MonotonicClock clock;
+    private final StoreRunner store;
+    private final MetricRegistry metrics;
+    private final CompletableFuture<Void> handedBack = new CompletableFuture<>();
+
+    LeaseDriver(String scope, LeaseCore core, MonotonicClock clock, StoreRunner store, MetricRegistry metrics) {
+        this.scope = scope;
+        this.core = core;
+        this.clock = clock;
+        this.store = store;
+        this.metrics = metrics;
+    }
+
+    /** Returns what this process may do now. */
+    LeaseView view() {
+        return core.view();
+    }
+
+    /** Takes the time and whether this node is a candidate; called several times a second. */
+    void tick(boolean candidate) {
+        core.setCandidate(candidate);
+        carryOut(core.onTick(clock.nowMs()));
+    }
+
+    /** Gives the lease back; the result completes when nothing is left to do. */
+    CompletableFuture<Void> handBack() {
+        carryOut(core.handBack(clock.nowMs()));
+        return handedBack;
+    }
+
+    private void carryOut(List<LeaseEffect> effects) {
+        for (LeaseEffect effect : new ArrayList<>(effects)) {
+            switch (effect) {
+                case LeaseEffect.Call call ->
+                    store.run(
+                            call.request(),
+                            Priority.LEASE,
+                            reply -> carryOut(core.onReply(clock.nowMs(), call.callId(), reply)));
+                case LeaseEffect.Acquired acquired -> {
+                    metrics.counter("lease." + scope + ".acquired").inc();
+                    LOG.atInfo()
+                            .with(LogFields.FENCING, acquired.fencing().value())
+                            .log("acquired lease %s", scope);
+                }
+                case LeaseEffect.MustStop stop -> {
+                    metrics.counter("lease." + scope + ".ended").inc();
+                    LOG.atInfo().with(LogFields.FENCING, stop.fencing().value()).log("lease %s ended", scope);
+                }
+                case LeaseEffect.HandedBack done -> handedBack.complete(null);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
@@ -0,0 +1,110 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.OrdersCore;
+import org.magnoliabridge.orders.OrdersEffect;
+import org.magnoliabridge.orders.OrdersInput;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.EndpointOrders;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Runs the orders core under its lease: the core on the control thread, calls on virtual threads. */
+final class OrdersDriver {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int STALE_FENCING_STATUS = 409;
+
+    private final OrdersCore core;
+    private final LeaseDriver lease;
+    private final EndpointOrders orders;
+    private final ControlLoop loop;
+    private final MonotonicClock clock;
+    private final StoreRunner store;
+    private final MetricRegistry metrics;
+
+    OrdersDriver(
+            OrdersCore core,
+            LeaseDriver lease,
+            EndpointOrders orders,
+            ControlLoop loop,
+            MonotonicClock clock,
+            StoreRunner store,
+            MetricRegistry metrics) {
+        this.core = core;
+        this.lease = lease;
+        this.orders = orders;
+        this.loop = loop;
+        this.clock = clock;
+        this.store = store;
+        this.metrics = metrics;
+    }
+
+    /** Gives the core an input; control thread only. */
+    void handle(OrdersInput input) {
+        for (OrdersEffect effect : core.on(clock.nowMs(), lease.view(), input)) {
+            carryOut(effect);
+        }
+    }
+
+    private void carryOut(OrdersEffect effect) {
+        switch (effect) {
+            case OrdersEffect.Call call ->
+                store.run(
+                        call.request(),
+                        Priority.DECISION,
+                        reply -> handle(new OrdersInput.StoreReplied(call.callId(), reply)));
+            case OrdersEffect.ListEndpoints list -> Thread.ofVirtual().start(() -> list(list.callId()));
+            case OrdersEffect.Send send -> Thread.ofVirtual().start(() -> send(send));
+            case OrdersEffect.StaleOrderSeen stale -> {
+                metrics.counter("orders.stale_seen").inc();
+                LOG.atWarning()
+                        .with(LogFields.ENDPOINT, stale.endpoint().value())
+                        .log("endpoint is not in the state last accepted; ordering it again");
+            }
+            case OrdersEffect.Superseded superseded -> {
+                metrics.counter("orders.superseded").inc();
+                LOG.atWarning()
+                        .with(LogFields.FENCING, superseded.fencing().value())
+                        .log("a higher fencing token is in use; this process sends no more orders");
+            }
+        }
+    }
+
+    private void list(long callId) {
+        Optional<List<EndpointOrder>> endpoints;
+        try {
+            endpoints = Optional.of(orders.list());
+        } catch (PlatformException e) {
+            endpoints = Optional.empty();
+        }
+        OrdersInput input = new OrdersInput.EndpointsListed(callId, endpoints);
+        loop.post(() -> handle(input));
+    }
+
+    private void send(OrdersEffect.Send send) {
+        OrderOutcome outcome = clock.nowMs() >= send.notAfterMs() ? OrderOutcome.NOT_DONE : order(send);
+        metrics.counter("orders.sent." + outcome).inc();
+        loop.post(() -> handle(new OrdersInput.Sent(send.orderId(), outcome)));
+    }
+
+    private OrderOutcome order(OrdersEffect.Send send) {
+        try {
+            orders.order(send.order(), send.orderId(), send.fencing());
+            return OrderOutcome.ACCEPTED;
+        } catch (PlatformException.Rejected e) {
+            return e.status() == STALE_FENCING_STATUS ? OrderOutcome.STALE_FENCING : OrderOutcome.NOT_DONE;
+        } catch (PlatformException.Unavailable | PlatformException.RateLimited e) {
+            return OrderOutcome.NOT_DONE;
+        } catch (PlatformException e) {
+            return OrderOutcome.UNKNOWN;
+        }
+    }
+}
