--- a/daemon/src/main/java/org/magnoliabridge/cli/Input.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/Input.java
@@ -29,16 +29,20 @@
         try {
             return BundleJson.read(json);
         } catch (InvalidBundleException e) {
-            throw new CommandException(
-                    ExitCode.INVALID_INPUT,
-                    "bundle " + source + " is invalid",
-                    e.problems().stream()
-                            .map(problem -> new CommandException.Problem(
-                                    problem.field(), problem.kind() + ": " + problem.detail()))
-                            .toList());
+            throw invalid("bundle " + source, e);
         }
     }
 
+    static CommandException invalid(String source, InvalidBundleException e) {
+        return new CommandException(
+                ExitCode.INVALID_INPUT,
+                source + " is invalid",
+                e.problems().stream()
+                        .map(problem ->
+                                new CommandException.Problem(problem.field(), problem.kind() + ": " + problem.detail()))
+                        .toList());
+    }
+
     static CommandException invalid(String source, SettingsException e) {
         return new CommandException(
                 ExitCode.INVALID_INPUT,
