--- a/daemon/src/main/java/org/magnoliabridge/cli/Cli.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/Cli.java
@@ -37,14 +37,12 @@
     private final PrintStream out;
     private final PrintStream err;
     private final NodeStarter nodeStarter;
-    private final HttpCaller http;
 
     /** Creates a command line on the platform that the settings name. */
     public Cli(PrintStream out, PrintStream err, NodeStarter nodeStarter) {
         this.out = out;
         this.err = err;
         this.nodeStarter = nodeStarter;
-        http = new UndertowHttpCaller(1);
     }
 
     /** Runs one command and returns the exit code of the process. */
@@ -69,22 +67,24 @@
             return output.failure(e);
         } catch (Exception e) {
             return output.failure(failure(e));
-        } finally {
-            http.close();
         }
     }
 
-    private Result run(String command, Namespace options)
+    private static Result run(String command, Namespace options)
             throws CommandException, PlatformException, UnacceptableBundleException, InvalidBundleException,
                     BundleConflictException, InvalidKeyException {
         return switch (command) {
             case "bundle validate" -> BundleCommands.validate(options.getString("file"));
             case "bundle keypair" -> BundleCommands.keypair(options.getString("out"));
-            default -> runOnPlatform(command, options);
+            default -> {
+                try (HttpCaller http = new UndertowHttpCaller(1)) {
+                    yield runOnPlatform(command, options, http);
+                }
+            }
         };
     }
 
-    private Result runOnPlatform(String command, Namespace options)
+    private static Result runOnPlatform(String command, Namespace options, HttpCaller http)
             throws CommandException, PlatformException, UnacceptableBundleException, InvalidBundleException,
                     BundleConflictException, InvalidKeyException {
         CliSettings settings = CliSettings.read(Path.of(options.getString("config")));
--- a/standins/src/main/java/org/magnoliabridge/standins/OrderInterface.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/OrderInterface.java
@@ -27,7 +27,7 @@
  *
  * <p>It starts no process: an endpoint that is ordered to run gets a free slot, which is the address of a process that
  * listens already, and shows in the instance list after the start delay. Without a free slot the order is refused with
- * 503 {@code no_capacity}. An endpoint that is ordered to stop shows as leaving at once and is removed after the stop
+ * 422 {@code no_capacity}. An endpoint that is ordered to stop shows as leaving at once and is removed after the stop
  * delay. {@code GET /record} gives every order received, also the refused ones.
  */
 public final class OrderInterface implements StandIn {
@@ -175,7 +175,7 @@
     private Answer.Whole run(String id, ObjectNode order) {
         Endpoint known = endpoints.get(id);
         if (known != null) {
-            return known.state.equals("stopping") ? Answer.error(503, "no_capacity") : Answer.ok();
+            return known.state.equals("stopping") ? Answer.error(422, "no_capacity") : Answer.ok();
         }
         Optional<Slot> free = settings.slots().stream()
                 .filter(slot -> slot.service().equals(order.path("service").asText())
@@ -184,7 +184,7 @@
                         && endpoints.values().stream().noneMatch(endpoint -> endpoint.slot.equals(slot)))
                 .min(Comparator.comparing(Slot::address));
         if (free.isEmpty()) {
-            return Answer.error(503, "no_capacity");
+            return Answer.error(422, "no_capacity");
         }
         Endpoint endpoint = new Endpoint(free.get(), order, "starting");
         endpoints.put(id, endpoint);
--- a/standins/src/main/java/org/magnoliabridge/standins/StandinMain.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/StandinMain.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -27,6 +29,9 @@
 public final class StandinMain {
     private static final int USAGE_ERROR = 2;
 
+    // Kept in a field, because a logger that nobody holds may lose its level.
+    private static final Logger XNIO = Logger.getLogger("org.xnio");
+
     private StandinMain() {}
 
     /** Starts the stand-in that the arguments name. */
@@ -40,6 +45,7 @@
             System.exit(USAGE_ERROR);
             return;
         }
+        XNIO.setLevel(Level.WARNING);
         StandIn standIn = start(options);
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
         out.println("listening " + standIn.address().getAddress().getHostAddress() + ":"
--- a/standins/src/test/java/org/magnoliabridge/standins/PlatformStandInsTest.java
+++ b/standins/src/test/java/org/magnoliabridge/standins/PlatformStandInsTest.java
@@ -75,7 +75,7 @@
                         100,
                         List.of(new OrderInterface.Slot("s", "d", "standard", "127.0.0.1:1", Optional.empty())))));
         assertThat(order(orders, "e1", 1, "running"), is(200));
-        assertThat(order(orders, "e2", 1, "running"), is(503));
+        assertThat(order(orders, "e2", 1, "running"), is(422));
         assertThat(json(list, "/instances"), hasSizeOf(0));
         awaitStates(list, "[\"live\"]");
         assertThat(order(orders, "e1", 1, "stopped"), is(200));
