Add the weight roll-out and the edges that send orders

Cause: new weights must reach 600 samplers within 16 s, within the weight store's rate, and an accepted order does not prove a swap. Conclusion: the target holds if the store allows about 60 loads/s and a swap takes at most about 2 s; a quarter at once allows 150 / 2.25 s = 66 swaps/s.

--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/orders/EndpointOrderSender.java
@@ -0,0 +1,46 @@
+package org.magnoliabridge.orders;
+
+import java.util.Objects;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.platform.EndpointOrders;
+import org.magnoliabridge.platform.PlatformException;
+
+/** Carries out {@link OrdersEffect.Send} on a traffic thread, with the last check of the lease before the call. */
+public final class EndpointOrderSender {
+    private static final int CONFLICT = 409;
+
+    private final EndpointOrders orders;
+    private final MonotonicClock clock;
+
+    public EndpointOrderSender(EndpointOrders orders, MonotonicClock clock) {
+        this.orders = Objects.requireNonNull(orders);
+        this.clock = Objects.requireNonNull(clock);
+    }
+
+    /** Sends an order and returns its outcome; blocks for at most the send deadline. */
+    public OrderOutcome send(OrdersEffect.Send send) {
+        if (clock.nowMs() >= send.notAfterMs()) {
+            return OrderOutcome.NOT_DONE;
+        }
+        try {
+            orders.order(send.order(), send.orderId(), send.fencing());
+            return OrderOutcome.ACCEPTED;
+        } catch (PlatformException e) {
+            return outcome(e);
+        }
+    }
+
+    /** Returns what a failure says about an order. */
+    static OrderOutcome outcome(PlatformException failure) {
+        return switch (failure) {
+            case PlatformException.Rejected e ->
+                e.status() == CONFLICT ? OrderOutcome.STALE_FENCING : OrderOutcome.NOT_DONE;
+            case PlatformException.Unavailable e -> OrderOutcome.NOT_DONE;
+            case PlatformException.RateLimited e -> OrderOutcome.NOT_DONE;
+            case PlatformException.OutcomeUnknown e -> OrderOutcome.UNKNOWN;
+            case PlatformException.VersionConflict e -> OrderOutcome.UNKNOWN;
+            case PlatformException.RevisionTooOld e -> OrderOutcome.UNKNOWN;
+            case PlatformException.Malformed e -> OrderOutcome.UNKNOWN;
+        };
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsSettings.java
@@ -0,0 +1,23 @@
+package org.magnoliabridge.orders;
+
+/**
+ * Limits of a weight roll-out.
+ *
+ * @param loadsPerSecond rate of the weight store for the whole system
+ * @param burst loads that the store allows at once
+ * @param swapLimitMs time from an order until the engine must report the version, in milliseconds
+ * @param retries how often a failed swap is tried again before the engine is taken out
+ * @param retryMs wait before a failed swap is tried again, in milliseconds
+ */
+public record WeightsSettings(double loadsPerSecond, int burst, long swapLimitMs, int retries, long retryMs) {
+    public WeightsSettings {
+        if (loadsPerSecond <= 0 || burst < 1 || swapLimitMs < 1 || retries < 0 || retryMs < 1) {
+            throw new IllegalArgumentException("rates and times must be positive");
+        }
+    }
+
+    /** Returns the limits of the design for a store of the given rate. */
+    public static WeightsSettings forRate(double loadsPerSecond, int burst) {
+        return new WeightsSettings(loadsPerSecond, burst, 8_000, 3, 500);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/EndpointOrderSenderTest.java
@@ -0,0 +1,84 @@
+package org.magnoliabridge.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.http.HttpAnswer;
+import org.magnoliabridge.http.HttpCall;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.HttpEndpointOrders;
+
+class EndpointOrderSenderTest {
+    private static final OrdersEffect.Send SEND = new OrdersEffect.Send(
+            "1-node-0-1-1",
+            new EndpointOrder(
+                    new EndpointId("engine-1"),
+                    new DataCentre("trent"),
+                    new ServiceId("coachgen"),
+                    EndpointOrder.Kind.RECLAIMABLE,
+                    true),
+            new FencingToken(1),
+            7_000);
+
+    /** Guards against an order that leaves after the lease's margin, because its thread was held up. */
+    @Test
+    void lateOrderIsNotSent() {
+        Interface orders = new Interface(200, "{}");
+        assertThat(sender(orders, 7_000).send(SEND), is(OrderOutcome.NOT_DONE));
+        assertThat(orders.calls, is(0));
+        assertThat(sender(orders, 6_999).send(SEND), is(OrderOutcome.ACCEPTED));
+        assertThat(orders.calls, is(1));
+    }
+
+    /** Guards against waiting a send deadline for each order that a full data centre refuses, and the reverse. */
+    @Test
+    void refusalsAndFailuresDiffer() {
+        assertThat(outcomeOf(503, "{\"error\":\"no_capacity\"}"), is(OrderOutcome.NOT_DONE));
+        assertThat(outcomeOf(503, "try later"), is(OrderOutcome.UNKNOWN));
+        assertThat(outcomeOf(409, "{\"error\":\"stale_fencing\"}"), is(OrderOutcome.STALE_FENCING));
+        assertThat(outcomeOf(400, "{}"), is(OrderOutcome.NOT_DONE));
+    }
+
+    private static OrderOutcome outcomeOf(int status, String body) {
+        return sender(new Interface(status, body), 0).send(SEND);
+    }
+
+    private static EndpointOrderSender sender(HttpCaller caller, long nowMs) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        return new EndpointOrderSender(new HttpEndpointOrders(caller, address, HttpLimits.total(100)), () -> nowMs);
+    }
+
+    private static final class Interface implements HttpCaller {
+        private final HttpAnswer answer;
+        private int calls;
+
+        Interface(int status, String body) {
+            this.answer = new HttpAnswer(status, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public HttpAnswer call(HttpCall call) {
+            calls++;
+            return answer;
+        }
+
+        @Override
+        public HttpAnswer stream(HttpCall call, LineReceiver lines) {
+            return call(call);
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/Fleet.java
@@ -0,0 +1,156 @@
+package org.magnoliabridge.orders;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.lease.LeaseView;
+
+/** Engines and a rate-limited weight store on a virtual clock; checks the limits of a roll-out by itself. */
+final class Fleet {
+    static final long LOAD_MS = 2_000;
+    static final long REPORT_MS = 250;
+    private static final long LATENCY_MS = 5;
+    private static final long TICK_MS = 100;
+
+    final List<String> violations = new ArrayList<>();
+    final List<WeightsEffect> heard = new ArrayList<>();
+    final Map<EndpointId, Integer> ordersByEngine = new HashMap<>();
+    final Map<EndpointId, Long> loadedMs = new HashMap<>();
+    final Set<EndpointId> broken = new HashSet<>();
+    WeightsCore core;
+    LeaseView lease = new LeaseView(true, new FencingToken(1), 0, Long.MAX_VALUE);
+    long nowMs;
+    long refusedPermits;
+    private final double storePerSecond;
+    private double storeTokens;
+    private final double storeBurst;
+    private long storeFilledMs;
+    private final Map<EndpointId, WeightsInput.Engine> engines = new TreeMap<>();
+    private final Map<EndpointId, Long> versions = new TreeMap<>();
+    private final Set<EndpointId> loading = new HashSet<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+    private long sequence;
+
+    Fleet(double storePerSecond, int storeBurst, WeightsSettings settings) {
+        this.storePerSecond = storePerSecond;
+        this.storeBurst = storeBurst;
+        this.storeTokens = storeBurst;
+        this.core = new WeightsCore(settings, 0);
+    }
+
+    void add(String service, int count, boolean sampler) {
+        for (int i = 0; i < count; i++) {
+            EndpointId id = new EndpointId(service + (sampler ? "-s" : "-i") + i);
+            engines.put(id, new WeightsInput.Engine(id, new ServiceId(service), sampler));
+            versions.put(id, 1L);
+        }
+    }
+
+    void publish(String service, long version) {
+        tell(new WeightsInput.Newest(new ServiceId(service), new WeightVersion(version)));
+    }
+
+    void run(long untilMs) {
+        at(nowMs, this::tick);
+        at(nowMs, this::report);
+        while (!events.isEmpty() && events.peek().atMs() <= untilMs) {
+            Event event = events.poll();
+            nowMs = event.atMs();
+            event.action().run();
+        }
+        events.clear();
+    }
+
+    long countAt(long version) {
+        return versions.values().stream().filter(v -> v == version).count();
+    }
+
+    private void tick() {
+        tell(new WeightsInput.Tick());
+        at(nowMs + TICK_MS, this::tick);
+    }
+
+    private void report() {
+        tell(new WeightsInput.Engines(List.copyOf(engines.values())));
+        versions.forEach((id, version) -> tell(new WeightsInput.Reported(id, new WeightVersion(version))));
+        at(nowMs + REPORT_MS, this::report);
+    }
+
+    private void tell(WeightsInput input) {
+        for (WeightsEffect effect : core.on(nowMs, lease, input)) {
+            heard.add(effect);
+            switch (effect) {
+                case WeightsEffect.TakePermit take -> at(nowMs + LATENCY_MS, () -> permit(take));
+                case WeightsEffect.Load load -> at(nowMs + LATENCY_MS, () -> load(load));
+                default -> {}
+            }
+        }
+    }
+
+    private void permit(WeightsEffect.TakePermit take) {
+        storeTokens = Math.min(storeBurst, storeTokens + (nowMs - storeFilledMs) * storePerSecond / 1_000);
+        storeFilledMs = nowMs;
+        boolean granted = storeTokens >= 1;
+        storeTokens -= granted ? 1 : 0;
+        refusedPermits += granted ? 0 : 1;
+        WeightsInput.PermitOutcome outcome =
+                granted ? WeightsInput.PermitOutcome.GRANTED : WeightsInput.PermitOutcome.RATE_LIMITED;
+        at(nowMs + LATENCY_MS, () -> tell(new WeightsInput.Permit(take.engine(), take.version(), outcome, 1_000)));
+    }
+
+    private void load(WeightsEffect.Load load) {
+        EndpointId id = load.engine();
+        ordersByEngine.merge(id, 1, Integer::sum);
+        loading.add(id);
+        checkQuarter(engines.get(id).service());
+        checkSamplersFirst(engines.get(id));
+        at(nowMs + LATENCY_MS, () -> tell(new WeightsInput.Sent(load.orderId(), id, OrderOutcome.ACCEPTED)));
+        at(nowMs + LOAD_MS, () -> {
+            loading.remove(id);
+            if (!broken.contains(id)) {
+                versions.put(id, load.version().value());
+                loadedMs.put(id, nowMs);
+            }
+        });
+    }
+
+    private void checkQuarter(ServiceId service) {
+        long all = engines.values().stream()
+                .filter(e -> e.service().equals(service))
+                .count();
+        long busy = loading.stream()
+                .filter(id -> engines.get(id).service().equals(service))
+                .count();
+        if (busy > Math.max(1, all / 4)) {
+            violations.add("at " + nowMs + " ms " + busy + " of " + all + " engines of " + service + " swap at once");
+        }
+    }
+
+    private void checkSamplersFirst(WeightsInput.Engine engine) {
+        boolean waiting = !engine.sampler()
+                && engines.values().stream()
+                        .anyMatch(e -> e.sampler()
+                                && e.service().equals(engine.service())
+                                && !ordersByEngine.containsKey(e.id()));
+        if (waiting) {
+            violations.add("at " + nowMs + " ms " + engine.id() + " was ordered before a sampler");
+        }
+    }
+
+    private void at(long atMs, Runnable action) {
+        events.add(new Event(atMs, sequence++, action));
+    }
+
+    private record Event(long atMs, long sequence, Runnable action) {}
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/WeightsCoreTest.java
@@ -0,0 +1,118 @@
+package org.magnoliabridge.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.lease.LeaseView;
+
+class WeightsCoreTest {
+    private static final WeightsSettings SETTINGS = WeightsSettings.forRate(60, 20);
+
+    /** Guards the target of 16 s at 600 samplers, here with a store of 60 loads/s and swaps of 2 s. */
+    @Test
+    void sixHundredSamplersSwapWithinSixteenSeconds() {
+        Fleet fleet = new Fleet(60, 20, SETTINGS);
+        fleet.add("card-models", 400, true);
+        fleet.add("coachgen", 200, true);
+        fleet.add("coachgen", 40, false);
+        fleet.run(1_000);
+        fleet.publish("card-models", 2);
+        fleet.publish("coachgen", 2);
+        fleet.run(30_000);
+        long lastMs = fleet.loadedMs.entrySet().stream()
+                .filter(e -> e.getKey().value().contains("-s"))
+                .mapToLong(e -> e.getValue() - 1_000)
+                .max()
+                .orElseThrow();
+        System.out.printf(
+                "weights: 600 samplers in %d ms (store 60 loads/s, burst 20, swap %d ms), %d permits refused%n",
+                lastMs, Fleet.LOAD_MS, fleet.refusedPermits);
+        assertThat(fleet.violations, is(empty()));
+        assertThat(fleet.countAt(2), is(640L));
+        assertThat(lastMs, lessThanOrEqualTo(16_000L));
+    }
+
+    /** Guards against trusting an accepted order: an engine that never reports the version is taken out. */
+    @Test
+    void engineThatNeverReportsIsTakenOutAfterThreeRetries() {
+        Fleet fleet = fleetOfEight();
+        EndpointId broken = new EndpointId("coachgen-s0");
+        fleet.broken.add(broken);
+        fleet.run(60_000);
+        assertThat(fleet.ordersByEngine.get(broken), is(4));
+        assertThat(fleet.heard, hasItem(new WeightsEffect.TakeOut(broken, new WeightVersion(2))));
+        assertThat(fleet.countAt(2), is(7L));
+        fleet.broken.clear();
+        fleet.publish("coachgen", 3);
+        fleet.run(120_000);
+        assertThat(fleet.heard, hasItem(new WeightsEffect.PutBack(broken)));
+        assertThat(fleet.countAt(3), is(8L));
+    }
+
+    /** Guards against a bad version that takes the whole service out, one engine after the other. */
+    @Test
+    void versionThatNoEngineLoadsIsHalted() {
+        Fleet fleet = fleetOfEight();
+        for (int i = 0; i < 8; i++) {
+            fleet.broken.add(new EndpointId("coachgen-s" + i));
+        }
+        fleet.run(200_000);
+        assertThat(fleet.heard, hasItem(new WeightsEffect.Halted(new ServiceId("coachgen"), new WeightVersion(2))));
+        long out = fleet.heard.stream()
+                .filter(WeightsEffect.TakeOut.class::isInstance)
+                .count();
+        long back = fleet.heard.stream()
+                .filter(WeightsEffect.PutBack.class::isInstance)
+                .count();
+        assertThat(back, is(out));
+    }
+
+    /** Guards against hammering a store that is slower than the settings say. */
+    @Test
+    void refusedPermitsAreWaitedFor() {
+        Fleet fleet = new Fleet(2, 1, SETTINGS);
+        fleet.add("coachgen", 40, true);
+        fleet.run(1_000);
+        fleet.publish("coachgen", 2);
+        fleet.run(60_000);
+        assertThat(fleet.countAt(2), is(40L));
+        assertThat(fleet.refusedPermits, greaterThan(0L));
+        assertThat("a second of wait for each refusal", fleet.refusedPermits, lessThanOrEqualTo(60L * 10));
+        assertThat(fleet.heard, not(hasItem(instanceOf(WeightsEffect.TakeOut.class))));
+    }
+
+    /** Guards against orders after the lease is lost, and against a roll-out that stops with its holder. */
+    @Test
+    void newHolderFinishesTheRollOut() {
+        Fleet fleet = fleetOfEight();
+        fleet.lease = new LeaseView(true, new FencingToken(1), 0, 3_000);
+        fleet.run(20_000);
+        long ordered = fleet.ordersByEngine.size();
+        assertThat(ordered, lessThanOrEqualTo(4L));
+        fleet.core = new WeightsCore(SETTINGS, fleet.nowMs);
+        fleet.lease = new LeaseView(true, new FencingToken(2), fleet.nowMs, Long.MAX_VALUE);
+        fleet.publish("coachgen", 2);
+        fleet.run(60_000);
+        assertThat(fleet.countAt(2), is(8L));
+        assertThat(fleet.violations, is(empty()));
+    }
+
+    private static Fleet fleetOfEight() {
+        Fleet fleet = new Fleet(60, 20, SETTINGS);
+        fleet.add("coachgen", 8, true);
+        fleet.run(1_000);
+        fleet.publish("coachgen", 2);
+        return fleet;
+    }
+}
