Add the capacity decision

Cause: endpoints must cost no more than service needs, and the loss of one data centre's reclaimable endpoints must leave enough for interactive services. Change: CapacityCore (forecast over the start-up time, cheapest mix that carries the loss, growth at once, shrinking after a hold and a drain, places avoided after a refusal or a reclaim).

--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/CapacityCoreTest.java
@@ -0,0 +1,227 @@
+package org.magnoliabridge.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.platform.EndpointOrder;
+import org.magnoliabridge.platform.EndpointOrder.Kind;
+
+class CapacityCoreTest {
+    private static final long[] SEEDS = {11, 12};
+    private static final ServiceId SERVICE = new ServiceId("coachgen");
+
+    /** Guards the promise for interactive services, and against a rule that a simpler one beats on both measures. */
+    @Test
+    void noSimplerRuleIsBothCheaperAndBetter() throws IOException {
+        StringBuilder table = new StringBuilder();
+        for (long seed : SEEDS) {
+            for (boolean interactive : new boolean[] {true, false}) {
+                CapacityTrace trace = interactive ? CapacityTrace.interactive(seed) : CapacityTrace.training(seed);
+                CorePolicy policy = new CorePolicy(trace.plan(interactive));
+                CapacityTrace.Result core = trace.run(policy);
+                CapacityTrace.Result fixed = trace.run(new FixedPolicy(trace));
+                CapacityTrace.Result threshold = trace.run(new ThresholdPolicy(trace, Kind.STANDARD));
+                CapacityTrace.Result cheap = trace.run(new ThresholdPolicy(trace, Kind.RECLAIMABLE));
+                String name = (interactive ? "interactive" : "training") + ", seed " + seed;
+                table.append(
+                        "%s%n  capacity core          %s%n  fixed for the peak     %s%n".formatted(name, core, fixed));
+                table.append("  threshold, standard    %s%n  threshold, reclaimable %s%n".formatted(threshold, cheap));
+                assertThat(name, policy.violations, is(empty()));
+                assertThat(name, core.spend, lessThan(fixed.spend));
+                assertThat(name, core.spend, lessThan(threshold.spend));
+                assertThat(name, core.service(), greaterThan(cheap.service()));
+            }
+        }
+        Files.createDirectories(Path.of("target"));
+        Files.writeString(Path.of("target", "capacity-comparison.txt"), table, StandardCharsets.UTF_8);
+        System.out.print(table);
+    }
+
+    /** Guards against an endpoint that is stopped with calls on it. */
+    @Test
+    void drainsBeforeItStops() {
+        CapacityTrace trace = CapacityTrace.training(1);
+        CapacityCore core = new CapacityCore("t", new CapacitySettings(0, 300_000, 900_000));
+        core.on(0, new CapacityInput.Plans(List.of(trace.plan(false))));
+        core.on(0, new CapacityInput.Endpoints(List.of()));
+        Map<EndpointId, EndpointOrder> first =
+                wanted(core.on(0, new CapacityInput.Demand(SERVICE, 20))).orElseThrow();
+        assertThat(first.size(), is(2));
+        List<CapacityEffect> effects = core.on(1_000_000, new CapacityInput.Demand(SERVICE, 0));
+        assertThat(wanted(effects).isPresent(), is(false));
+        List<EndpointId> draining = effects.stream()
+                .filter(CapacityEffect.Drain.class::isInstance)
+                .map(e -> ((CapacityEffect.Drain) e).endpoint())
+                .toList();
+        assertThat(draining.size(), is(2));
+        Map<EndpointId, EndpointOrder> after = wanted(core.on(1_001_000, new CapacityInput.Drained(draining.get(0))))
+                .orElseThrow();
+        assertThat(after.get(draining.get(0)).running(), is(false));
+        assertThat(after.get(draining.get(1)).running(), is(true));
+    }
+
+    /** Guards against a new lease holder that orders a second fleet next to the running one. */
+    @Test
+    void newHolderAdoptsTheRunningFleet() {
+        CapacityTrace trace = CapacityTrace.training(1);
+        CapacityCore core = new CapacityCore("f2", CapacitySettings.DEFAULT);
+        core.on(0, new CapacityInput.Plans(List.of(trace.plan(false))));
+        assertThat("waits for the list", core.on(0, new CapacityInput.Demand(SERVICE, 20)), is(empty()));
+        EndpointOrder running = new EndpointOrder(
+                new EndpointId("coachgen-trent-f1-1"), trace.dcs.get(0), SERVICE, Kind.RECLAIMABLE, true);
+        Map<EndpointId, EndpointOrder> wanted = wanted(core.on(0, new CapacityInput.Endpoints(List.of(running))))
+                .orElseThrow();
+        assertThat(wanted.size(), is(2));
+        assertThat(wanted.get(running.endpoint()), is(running));
+    }
+
+    private static Optional<Map<EndpointId, EndpointOrder>> wanted(List<CapacityEffect> effects) {
+        return effects.stream()
+                .filter(CapacityEffect.Wanted.class::isInstance)
+                .map(e -> ((CapacityEffect.Wanted) e).endpoints())
+                .findFirst();
+    }
+
+    private static final class FixedPolicy implements CapacityTrace.Policy {
+        private final CapacityTrace trace;
+
+        FixedPolicy(CapacityTrace trace) {
+            this.trace = trace;
+        }
+
+        @Override
+        public void step(long nowMs, double demand, List<CapacityTrace.Machine> machines, CapacityTrace.Market market) {
+            while (machines.size() < Math.ceil(trace.peak() / CapacityTrace.UNITS)) {
+                machines.add(new CapacityTrace.Machine("", trace.dcs.get(0), Kind.STANDARD, nowMs));
+            }
+        }
+    }
+
+    /** One endpoint more above 80% use, one less below 50%, at most one change a minute. */
+    private static final class ThresholdPolicy implements CapacityTrace.Policy {
+        private final CapacityTrace trace;
+        private final Kind kind;
+        private long changedMs = -60_000;
+
+        ThresholdPolicy(CapacityTrace trace, Kind kind) {
+            this.trace = trace;
+            this.kind = kind;
+        }
+
+        @Override
+        public void step(long nowMs, double demand, List<CapacityTrace.Machine> machines, CapacityTrace.Market market) {
+            // It starts with a fleet that fits the first demand.
+            while (nowMs == 0 && machines.size() * CapacityTrace.UNITS * 0.8 < demand) {
+                machines.add(new CapacityTrace.Machine("", dc(machines.size()), kind, nowMs));
+            }
+            long working = machines.stream().filter(m -> m.drainingSinceMs < 0).count();
+            double use = demand / Math.max(1, working * CapacityTrace.UNITS);
+            if (nowMs - changedMs < 60_000) {
+                return;
+            }
+            if (use > 0.8 && market.has(dc((int) working), kind)) {
+                machines.add(new CapacityTrace.Machine("", dc((int) working), kind, nowMs));
+                changedMs = nowMs;
+            } else if (use < 0.5 && working > 1) {
+                machines.stream().filter(m -> m.drainingSinceMs < 0).findFirst().orElseThrow().drainingSinceMs = nowMs;
+                changedMs = nowMs;
+            }
+        }
+
+        private DataCentre dc(int number) {
+            return trace.dcs.get(number % trace.dcs.size());
+        }
+    }
+
+    /** Runs the core and checks the wanted fleet against the promise for interactive services. */
+    private static final class CorePolicy implements CapacityTrace.Policy {
+        private final List<String> violations = new ArrayList<>();
+        private final CapacityPlan plan;
+        private final CapacityCore core = new CapacityCore("t", CapacitySettings.DEFAULT);
+        private Map<EndpointId, EndpointOrder> wanted = Map.of();
+        private final List<EndpointId> draining = new ArrayList<>();
+
+        CorePolicy(CapacityPlan plan) {
+            this.plan = plan;
+            core.on(0, new CapacityInput.Plans(List.of(plan)));
+        }
+
+        @Override
+        public void reclaimed(long nowMs, CapacityTrace.Machine machine) {
+            apply(core.on(nowMs, new CapacityInput.Reclaimed(new EndpointId(machine.id))));
+        }
+
+        @Override
+        public void step(long nowMs, double demand, List<CapacityTrace.Machine> machines, CapacityTrace.Market market) {
+            apply(core.on(nowMs, new CapacityInput.Demand(SERVICE, demand)));
+            apply(core.on(nowMs, new CapacityInput.Endpoints(orders(machines))));
+            checkPromise(nowMs, demand);
+            for (EndpointOrder order : List.copyOf(wanted.values())) {
+                boolean known = machines.stream()
+                        .anyMatch(m -> m.id.equals(order.endpoint().value()));
+                if (order.running() && !known && market.has(order.dc(), order.kind())) {
+                    machines.add(new CapacityTrace.Machine(order.endpoint().value(), order.dc(), order.kind(), nowMs));
+                } else if (order.running() && !known) {
+                    apply(core.on(nowMs, new CapacityInput.Refused(order.endpoint())));
+                }
+            }
+            drainMachines(nowMs, machines);
+        }
+
+        private void drainMachines(long nowMs, List<CapacityTrace.Machine> machines) {
+            for (CapacityTrace.Machine machine : machines) {
+                boolean drains = draining.contains(new EndpointId(machine.id));
+                machine.drainingSinceMs = !drains ? -1 : machine.drainingSinceMs < 0 ? nowMs : machine.drainingSinceMs;
+            }
+            draining.removeIf(id -> machines.stream().noneMatch(m -> m.id.equals(id.value())));
+        }
+
+        private static List<EndpointOrder> orders(List<CapacityTrace.Machine> machines) {
+            return machines.stream()
+                    .sorted(Comparator.comparing((CapacityTrace.Machine m) -> m.id))
+                    .map(m -> new EndpointOrder(new EndpointId(m.id), m.dc, SERVICE, m.kind, true))
+                    .toList();
+        }
+
+        private void checkPromise(long nowMs, double demand) {
+            List<EndpointOrder> working = wanted.values().stream()
+                    .filter(o -> o.running() && !draining.contains(o.endpoint()))
+                    .toList();
+            for (DataCentre lost : plan.dcs()) {
+                long left = working.stream()
+                        .filter(o -> !plan.interactive() || o.kind() == Kind.STANDARD || !o.dc().equals(lost))
+                        .count();
+                if (left * CapacityTrace.UNITS < demand) {
+                    violations.add(
+                            "at " + nowMs + " ms only " + left + " endpoints for " + demand + " without " + lost);
+                }
+            }
+        }
+
+        private void apply(List<CapacityEffect> effects) {
+            for (CapacityEffect effect : effects) {
+                switch (effect) {
+                    case CapacityEffect.Wanted all -> wanted = all.endpoints();
+                    case CapacityEffect.Drain drain -> draining.add(drain.endpoint());
+                    case CapacityEffect.Undrain undrain -> draining.remove(undrain.endpoint());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/orders/CapacityTrace.java
@@ -0,0 +1,166 @@
+package org.magnoliabridge.orders;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.platform.EndpointOrder.Kind;
+
+/** A day of demand with reclaim events, the same for every policy that is run over it. */
+final class CapacityTrace {
+    static final long STEP_MS = 10_000;
+    static final int STEPS = 8_640;
+    static final double UNITS = 10;
+    static final double STANDARD_PRICE = 1.0;
+    static final double RECLAIMABLE_PRICE = 0.35;
+    private static final long START_MS = 120_000;
+    private static final long DRAIN_MS = 60_000;
+    private static final double MS_PER_HOUR = 3_600_000;
+
+    final List<DataCentre> dcs = List.of(new DataCentre("trent"), new DataCentre("soar"), new DataCentre("avon"));
+    final double[] demand = new double[STEPS];
+    /** Until when each data centre has no reclaimable endpoints, by step; 0 when it has. */
+    private final long[][] unavailableUntilMs = new long[STEPS][];
+
+    private CapacityTrace(Random random) {
+        long[] until = new long[dcs.size()];
+        for (int i = 0; i < STEPS; i++) {
+            if (random.nextInt(720) == 0) { // every two hours on average
+                until[random.nextInt(until.length)] = i * STEP_MS + 1_200_000;
+            }
+            unavailableUntilMs[i] = until.clone();
+        }
+    }
+
+    /** People: a daily wave, noise, and a burst of 40% for ten minutes about every hour. */
+    static CapacityTrace interactive(long seed) {
+        Random random = new Random(seed);
+        CapacityTrace trace = new CapacityTrace(random);
+        double noise = 0;
+        int burstEnd = 0;
+        for (int i = 0; i < STEPS; i++) {
+            noise = 0.9 * noise + random.nextGaussian() * 0.02;
+            burstEnd = random.nextInt(360) == 0 ? i + 60 : burstEnd;
+            double wave = 200 * (1 + 0.6 * Math.sin(2 * Math.PI * i / STEPS));
+            trace.demand[i] = Math.max(0, wave * (1 + noise) * (i < burstEnd ? 1.4 : 1));
+        }
+        return trace;
+    }
+
+    /** Trainers: three runs that each generate for 8 to 13 minutes and then train for 2 to 4 minutes. */
+    static CapacityTrace training(long seed) {
+        Random random = new Random(seed);
+        CapacityTrace trace = new CapacityTrace(random);
+        for (int run = 0; run < 3; run++) {
+            int i = random.nextInt(50);
+            while (i < STEPS) {
+                int generating = 48 + random.nextInt(30);
+                for (int j = i; j < Math.min(STEPS, i + generating); j++) {
+                    trace.demand[j] += 100;
+                }
+                i += generating + 12 + random.nextInt(12);
+            }
+        }
+        return trace;
+    }
+
+    double peak() {
+        return Arrays.stream(demand).max().orElseThrow();
+    }
+
+    CapacityPlan plan(boolean interactive) {
+        return new CapacityPlan(
+                new ServiceId("coachgen"),
+                interactive,
+                dcs,
+                UNITS,
+                interactive ? 1.1 : 1.0,
+                START_MS,
+                STANDARD_PRICE,
+                RECLAIMABLE_PRICE,
+                interactive ? 2 : 0,
+                200);
+    }
+
+    /** Runs a policy over the trace. */
+    Result run(Policy policy) {
+        Result result = new Result();
+        List<Machine> machines = new ArrayList<>();
+        for (int i = 0; i < STEPS; i++) {
+            long nowMs = i * STEP_MS;
+            long[] until = unavailableUntilMs[i];
+            for (Machine machine : List.copyOf(machines)) {
+                if (machine.kind == Kind.RECLAIMABLE && until[dcs.indexOf(machine.dc)] > nowMs) {
+                    machines.remove(machine);
+                    policy.reclaimed(nowMs, machine);
+                }
+            }
+            Market market = (dc, kind) -> kind == Kind.STANDARD || until[dcs.indexOf(dc)] <= nowMs;
+            policy.step(nowMs, demand[i], machines, market);
+            machines.removeIf(m -> m.drainingSinceMs >= 0 && nowMs - m.drainingSinceMs >= DRAIN_MS);
+            result.add(nowMs, demand[i], machines);
+        }
+        return result;
+    }
+
+    /** An endpoint; it costs from its order until its stop and carries work between its start and its drain. */
+    static final class Machine {
+        final String id;
+        final DataCentre dc;
+        final Kind kind;
+        final long orderedMs;
+        long drainingSinceMs = -1;
+
+        Machine(String id, DataCentre dc, Kind kind, long orderedMs) {
+            this.id = id;
+            this.dc = dc;
+            this.kind = kind;
+            this.orderedMs = orderedMs;
+        }
+    }
+
+    /** Says whether an endpoint can be had. */
+    interface Market {
+        boolean has(DataCentre dc, Kind kind);
+    }
+
+    /** Starts and drains machines. */
+    interface Policy {
+        void step(long nowMs, double demand, List<Machine> machines, Market market);
+
+        default void reclaimed(long nowMs, Machine machine) {}
+    }
+
+    /** What a policy spent and how much of the demand it carried. */
+    static final class Result {
+        double spend;
+        int shortSteps;
+        private double served;
+        private double asked;
+
+        private void add(long nowMs, double demand, List<Machine> machines) {
+            double capacity = 0;
+            for (Machine m : machines) {
+                spend += (m.kind == Kind.STANDARD ? STANDARD_PRICE : RECLAIMABLE_PRICE) * STEP_MS / MS_PER_HOUR;
+                // The fleet of the first step is taken to run already.
+                boolean up = m.orderedMs == 0 || nowMs - m.orderedMs >= START_MS;
+                capacity += up && m.drainingSinceMs < 0 ? UNITS : 0;
+            }
+            asked += demand;
+            served += Math.min(demand, capacity);
+            shortSteps += capacity < demand ? 1 : 0;
+        }
+
+        double service() {
+            return served / asked;
+        }
+
+        @Override
+        public String toString() {
+            return "spend %7.1f  served %7.3f%%  short of capacity %5.1f min"
+                    .formatted(spend, service() * 100, shortSteps * STEP_MS / 60_000.0);
+        }
+    }
+}
