Add membership and the spreading of items

Cause: nodes must know each other and learn of a withdrawal or bundle within seconds, without a coordination service. Change: MembershipCore with member table, probes, piggybacked news, pinned items by push tree and request, rendezvous ranking; a simulation of 9 and 40 nodes with loss, partition, isolation and restarts.

--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
@@ -0,0 +1,218 @@
+package org.magnoliabridge.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.Standing.State;
+
+/** The members as this node knows them, itself included. */
+final class MemberTable {
+    // Old gossip and the lagging instance list can name a dead member for this long; sooner it would come back.
+    private static final long DEAD_KEPT_MS = 60_000;
+
+    private final NodeId self;
+    private final Map<NodeId, Member> members = new TreeMap<>();
+    private final Map<NodeId, Long> stateSinceMs = new HashMap<>();
+    private final Map<NodeId, List<Long>> versions = new HashMap<>();
+    private Set<NodeId> instances = Set.of();
+    // Both follow from the members; kept because every ping needs them.
+    private List<Member> others = List.of();
+    private long digest;
+    private boolean stale = true;
+    private boolean changed = true;
+
+    MemberTable(Member self) {
+        this.self = self.id();
+        members.put(self.id(), self);
+    }
+
+    private void refresh() {
+        if (stale) {
+            stale = false;
+            others = members.values().stream()
+                    .filter(m -> !m.id().equals(self) && m.standing().state() != State.DEAD)
+                    .toList();
+            digest = hash(self());
+            others.forEach(m -> digest ^= hash(m));
+        }
+    }
+
+    private static long hash(Member m) {
+        Standing s = m.standing();
+        return Rendezvous.hash(m.id() + "|" + s.incarnation() + "|" + s.refutation() + s.state() + s.leaving());
+    }
+
+    Member self() {
+        return members.get(self);
+    }
+
+    Optional<Member> get(NodeId id) {
+        return Optional.ofNullable(members.get(id));
+    }
+
+    List<Member> all() {
+        return List.copyOf(members.values());
+    }
+
+    /** Returns the other members that are not dead. */
+    List<Member> others() {
+        refresh();
+        return others;
+    }
+
+    /** Returns the dead members that did not say that they leave. */
+    List<Member> lost() {
+        return members.values().stream()
+                .filter(m -> m.standing().state() == State.DEAD && !m.standing().leaving())
+                .toList();
+    }
+
+    /** Returns whether the table changed since the last call. */
+    boolean takeChanged() {
+        boolean result = changed;
+        changed = false;
+        return result;
+    }
+
+    /** Merges a report; returns what to pass on, if it was news. A report on this node itself is refuted. */
+    Optional<MemberUpdate> merge(MemberUpdate update, long nowMs) {
+        if (update.id().equals(self)) {
+            return mergeSelf(update.standing());
+        }
+        Member known = members.get(update.id());
+        if (known == null) {
+            boolean gone =
+                    update.standing().state() == State.DEAD && update.standing().leaving();
+            if (update.place().isEmpty() || gone) {
+                return Optional.empty();
+            }
+            put(new Member(update.id(), update.standing(), update.place().get(), 0), nowMs);
+            return Optional.of(update);
+        }
+        Standing merged = known.standing().merge(update.standing());
+        if (merged.equals(known.standing())) {
+            return Optional.empty();
+        }
+        boolean restarted = !merged.incarnation().equals(known.standing().incarnation());
+        if (restarted && update.place().isEmpty()) {
+            return Optional.empty();
+        }
+        put(new Member(known.id(), merged, update.place().orElse(known.place()), known.loadPermille()), nowMs);
+        return Optional.of(new MemberUpdate(known.id(), merged, restarted ? update.place() : Optional.empty()));
+    }
+
+    private Optional<MemberUpdate> mergeSelf(Standing claim) {
+        Member me = self();
+        Standing mine = me.standing();
+        if (mine.merge(claim).equals(mine) || claim.incarnation().isAfter(mine.incarnation())) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                setSelf(new Standing(mine.incarnation(), claim.refutation() + 1, State.ALIVE, mine.leaving())));
+    }
+
+    /** Changes this node's own standing and returns what to pass on. */
+    MemberUpdate setSelf(Standing standing) {
+        members.put(self, new Member(self, standing, self().place(), self().loadPermille()));
+        markChanged();
+        return new MemberUpdate(self, standing, Optional.empty());
+    }
+
+    /** Notes what a member said of itself in a ping or ack. */
+    void heard(NodeId id, int loadPermille, List<Long> itemVersions) {
+        Member m = members.get(id);
+        if (m == null) {
+            return;
+        }
+        versions.put(id, itemVersions);
+        if (m.loadPermille() != loadPermille) {
+            members.put(id, new Member(id, m.standing(), m.place(), loadPermille));
+            markChanged();
+        }
+    }
+
+    /** Returns the other members that have not reported this version of the pinned item. */
+    List<Member> behind(String name, long version) {
+        int index = Item.PINNED.indexOf(name);
+        return others().stream()
+                .filter(m ->
+                        !versions.containsKey(m.id()) || versions.get(m.id()).get(index) < version)
+                .toList();
+    }
+
+    List<MemberUpdate> expireSuspects(long nowMs, long suspicionMs) {
+        List<MemberUpdate> news = new ArrayList<>();
+        if (others().stream().allMatch(Member::isAlive)) {
+            return news;
+        }
+        for (Member m : others()) {
+            if (m.standing().state() == State.SUSPECT && nowMs - stateSinceMs.get(m.id()) >= suspicionMs) {
+                merge(new MemberUpdate(m.id(), m.standing().with(State.DEAD), Optional.empty()), nowMs)
+                        .ifPresent(news::add);
+            }
+        }
+        return news;
+    }
+
+    void setInstances(Set<NodeId> ids) {
+        instances = Set.copyOf(ids);
+    }
+
+    /** Forgets dead members: those that left, and those that the platform no longer lists. */
+    void forget(long nowMs, boolean instancesAreNew) {
+        for (Member m : all()) {
+            boolean old = m.standing().state() == State.DEAD && nowMs - stateSinceMs.get(m.id()) > DEAD_KEPT_MS;
+            if (old && (m.standing().leaving() || (instancesAreNew && !instances.contains(m.id())))) {
+                members.remove(m.id());
+                stateSinceMs.remove(m.id());
+                versions.remove(m.id());
+                markChanged();
+            }
+        }
+    }
+
+    /**
+     * Returns whether more than half of the members are alive. Dead members count until the platform no longer lists
+     * them: otherwise the smaller side of a partition would soon take itself for the whole.
+     */
+    boolean majorityAlive() {
+        int alive = 0;
+        int total = 0;
+        for (Member m : members.values()) {
+            alive += m.isAlive() ? 1 : 0;
+            total += m.standing().state() == State.DEAD && m.standing().leaving() ? 0 : 1;
+        }
+        for (NodeId id : instances) {
+            total += members.containsKey(id) ? 0 : 1;
+        }
+        return 2 * alive > total;
+    }
+
+    /** Returns a number that is equal for equal tables; dead members are left out because they are forgotten at will. */
+    long digest() {
+        refresh();
+        return digest;
+    }
+
+    List<MemberUpdate> full() {
+        return members.values().stream()
+                .map(m -> new MemberUpdate(m.id(), m.standing(), Optional.of(m.place())))
+                .toList();
+    }
+
+    private void put(Member member, long nowMs) {
+        members.put(member.id(), member);
+        stateSinceMs.put(member.id(), nowMs);
+        markChanged();
+    }
+
+    private void markChanged() {
+        changed = true;
+        stale = true;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCodec.java
@@ -0,0 +1,251 @@
+package org.magnoliabridge.membership;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.InvalidIdException;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.Region;
+import org.magnoliabridge.membership.Standing.State;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Packs and unpacks the bodies of the messages that this package owns. */
+final class MembershipCodec {
+    private static final int MAX_TEXT_CHARS = 200;
+    private static final int MAX_ELEMENTS = 10_000;
+    private static final int SHORT_FIELDS = 5;
+    private static final int FULL_FIELDS = 9;
+
+    private MembershipCodec() {}
+
+    /**
+     * Body of Ping and Ack.
+     *
+     * @param versions of the pinned items
+     * @param digest of the member table without dead members
+     * @param ageMs since the sender's configuration was confirmed; negative for never
+     */
+    record Contact(
+            MemberUpdate sender,
+            List<Long> versions,
+            long digest,
+            int members,
+            long ageMs,
+            int loadPermille,
+            List<MemberUpdate> updates,
+            List<Item> items) {}
+
+    /** Body of PingRequest: who is to be pinged. */
+    record Target(NodeId node, String address) {}
+
+    /** Body of ItemRequest: a version above this one is wanted. */
+    record Wanted(String name, long above) {}
+
+    /**
+     * Body of Items.
+     *
+     * @param payload empty if only the version is announced
+     * @param targets the members that the receiver shall pass it on to
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    record Delivery(String name, long version, Optional<byte[]> payload, List<NodeId> targets) {}
+
+    static byte[] pack(Contact c) {
+        return pack(p -> {
+            p.packArrayHeader(8);
+            pack(p, c.sender());
+            p.packArrayHeader(c.versions().size());
+            for (long version : c.versions()) {
+                p.packLong(version);
+            }
+            p.packLong(c.digest()).packInt(c.members()).packLong(c.ageMs()).packInt(c.loadPermille());
+            pack(p, c.updates());
+            p.packArrayHeader(c.items().size());
+            for (Item item : c.items()) {
+                p.packString(item.name()).packLong(item.version());
+                p.packBinaryHeader(item.payload().length).writePayload(item.payload());
+            }
+        });
+    }
+
+    static Contact contact(byte[] body) throws MalformedMessageException {
+        return unpack(body, u -> {
+            u.unpackArrayHeader();
+            MemberUpdate sender = update(u);
+            List<Long> versions = list(u, MessageUnpacker::unpackLong);
+            long digest = u.unpackLong();
+            int members = u.unpackInt();
+            long ageMs = u.unpackLong();
+            int load = u.unpackInt();
+            List<MemberUpdate> updates = list(u, MembershipCodec::update);
+            List<Item> items = list(u, v -> new Item(text(v), v.unpackLong(), bytes(v, Item.MAX_SMALL_BYTES)));
+            if (sender.place().isEmpty() || versions.size() != Item.PINNED.size()) {
+                throw new IOException("a ping without its sender's place or versions");
+            }
+            return new Contact(sender, versions, digest, members, ageMs, load, updates, items);
+        });
+    }
+
+    static byte[] pack(Target target) {
+        return pack(p -> p.packArrayHeader(2).packString(target.node().value()).packString(target.address()));
+    }
+
+    static Target target(byte[] body) throws MalformedMessageException {
+        return unpack(body, u -> {
+            u.unpackArrayHeader();
+            return new Target(NodeId.parse(text(u)), text(u));
+        });
+    }
+
+    static byte[] pack(Wanted wanted) {
+        return pack(p -> p.packArrayHeader(2).packString(wanted.name()).packLong(wanted.above()));
+    }
+
+    static Wanted wanted(byte[] body) throws MalformedMessageException {
+        return unpack(body, u -> {
+            u.unpackArrayHeader();
+            return new Wanted(text(u), u.unpackLong());
+        });
+    }
+
+    static byte[] pack(Delivery d) {
+        return pack(p -> {
+            p.packArrayHeader(4).packString(d.name()).packLong(d.version());
+            if (d.payload().isPresent()) {
+                p.packBinaryHeader(d.payload().get().length)
+                        .writePayload(d.payload().get());
+            } else {
+                p.packNil();
+            }
+            p.packArrayHeader(d.targets().size());
+            for (NodeId node : d.targets()) {
+                p.packString(node.value());
+            }
+        });
+    }
+
+    static Delivery delivery(byte[] body) throws MalformedMessageException {
+        return unpack(body, u -> {
+            u.unpackArrayHeader();
+            String name = text(u);
+            long version = u.unpackLong();
+            Optional<byte[]> payload = u.tryUnpackNil() ? Optional.empty() : Optional.of(bytes(u, body.length));
+            return new Delivery(name, version, payload, list(u, v -> NodeId.parse(text(v))));
+        });
+    }
+
+    static byte[] packUpdates(List<MemberUpdate> updates) {
+        return pack(p -> pack(p, updates));
+    }
+
+    static List<MemberUpdate> updates(byte[] body) throws MalformedMessageException {
+        return unpack(body, u -> list(u, MembershipCodec::update));
+    }
+
+    /** Returns the bytes that an update takes inside a ping. */
+    static int size(MemberUpdate update) {
+        return pack(p -> pack(p, update)).length;
+    }
+
+    private static void pack(MessagePacker p, List<MemberUpdate> updates) throws IOException {
+        p.packArrayHeader(updates.size());
+        for (MemberUpdate update : updates) {
+            pack(p, update);
+        }
+    }
+
+    private static void pack(MessagePacker p, MemberUpdate update) throws IOException {
+        Standing s = update.standing();
+        p.packArrayHeader(update.place().isPresent() ? FULL_FIELDS : SHORT_FIELDS);
+        p.packString(update.id().value()).packLong(s.incarnation().value()).packInt(s.refutation());
+        p.packInt(s.state().number()).packBoolean(s.leaving());
+        if (update.place().isPresent()) {
+            Place place = update.place().get();
+            p.packString(place.peerAddress()).packString(place.callerAddress());
+            p.packString(place.dataCentre().value()).packString(place.region().value());
+        }
+    }
+
+    private static MemberUpdate update(MessageUnpacker u) throws IOException, InvalidIdException {
+        int fields = u.unpackArrayHeader();
+        NodeId id = NodeId.parse(text(u));
+        Incarnation incarnation = new Incarnation(u.unpackLong());
+        int refutation = u.unpackInt();
+        Standing standing = new Standing(incarnation, refutation, state(u.unpackInt()), u.unpackBoolean());
+        Optional<Place> place = fields == SHORT_FIELDS
+                ? Optional.empty()
+                : Optional.of(new Place(text(u), text(u), DataCentre.parse(text(u)), Region.parse(text(u))));
+        return new MemberUpdate(id, standing, place);
+    }
+
+    private static State state(int number) throws IOException {
+        for (State state : State.values()) {
+            if (state.number() == number) {
+                return state;
+            }
+        }
+        throw new IOException("unknown state");
+    }
+
+    private static String text(MessageUnpacker u) throws IOException {
+        String text = u.unpackString();
+        if (text.length() > MAX_TEXT_CHARS) {
+            throw new IOException("text is too long");
+        }
+        return text;
+    }
+
+    private static byte[] bytes(MessageUnpacker u, int max) throws IOException {
+        int length = u.unpackBinaryHeader();
+        if (length > max) {
+            throw new IOException("binary is too long");
+        }
+        return u.readPayload(length);
+    }
+
+    private static <T> List<T> list(MessageUnpacker u, Reader<T> reader) throws IOException, InvalidIdException {
+        int size = u.unpackArrayHeader();
+        if (size > MAX_ELEMENTS) {
+            throw new IOException("list is too long");
+        }
+        List<T> result = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            result.add(reader.read(u));
+        }
+        return result;
+    }
+
+    private static byte[] pack(Writer writer) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            writer.write(packer);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("packing into memory does no I/O", e);
+        }
+    }
+
+    private static <T> T unpack(byte[] body, Reader<T> reader) throws MalformedMessageException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            return reader.read(unpacker);
+        } catch (IOException | MessagePackException | InvalidIdException | IllegalArgumentException e) {
+            throw new MalformedMessageException(e);
+        }
+    }
+
+    /** Writes a body. */
+    private interface Writer {
+        void write(MessagePacker packer) throws IOException;
+    }
+
+    /** Reads a body or a part of it. */
+    private interface Reader<T> {
+        T read(MessageUnpacker unpacker) throws IOException, InvalidIdException;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/membership/Probes.java
@@ -0,0 +1,127 @@
+package org.magnoliabridge.membership;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.magnoliabridge.ids.NodeId;
+
+/** The pings in flight, the order in which members are pinged, and how many pings were answered lately. */
+final class Probes {
+    /** Over this time the answered pings are compared with the unanswered ones, in milliseconds. */
+    static final long WINDOW_MS = 10_000;
+
+    private final RandomGenerator random;
+    private final Deque<NodeId> order = new ArrayDeque<>();
+    private final Map<Long, Probe> inFlight = new HashMap<>();
+    private final Map<Long, Relay> relays = new HashMap<>();
+    private final Deque<Outcome> outcomes = new ArrayDeque<>();
+    private long nextId;
+
+    Probes(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Returns the next member to ping: all in shuffled order, then all in a new order. */
+    Optional<Member> next(MemberTable table) {
+        for (int round = 0; round < 2; round++) {
+            while (!order.isEmpty()) {
+                Optional<Member> member = table.get(order.remove());
+                if (member.isPresent() && member.get().standing().state() != Standing.State.DEAD) {
+                    return member;
+                }
+            }
+            List<Member> others = new ArrayList<>(table.others());
+            while (!others.isEmpty()) {
+                order.add(others.remove(random.nextInt(others.size())).id());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns some other members, never the excluded one. */
+    List<Member> some(int count, MemberTable table, NodeId excluded) {
+        List<Member> others = new ArrayList<>(table.others());
+        others.removeIf(m -> m.id().equals(excluded) || !m.isAlive());
+        while (others.size() > count) {
+            others.remove(random.nextInt(others.size()));
+        }
+        return others;
+    }
+
+    /** Notes a ping that is sent; a counted one decides about suspicion and majority. */
+    long start(Optional<NodeId> target, boolean counted, long nowMs) {
+        nextId++;
+        inFlight.put(nextId, new Probe(nextId, target, counted, nowMs, false));
+        return nextId;
+    }
+
+    /** Notes a ping on behalf of another member. */
+    long startRelay(Member requester, long requestId, long nowMs) {
+        long id = start(Optional.empty(), false, nowMs);
+        relays.put(id, new Relay(requester, requestId));
+        return id;
+    }
+
+    Optional<Relay> relay(long id) {
+        return Optional.ofNullable(relays.get(id));
+    }
+
+    /** Notes an answer; returns the ping it belongs to. */
+    Optional<Probe> answered(long id, long nowMs) {
+        Probe probe = inFlight.remove(id);
+        relays.remove(id);
+        if (probe != null && probe.counted()) {
+            outcomes.add(new Outcome(nowMs, true));
+        }
+        return Optional.ofNullable(probe);
+    }
+
+    /** Returns the counted pings that need help from other members now, each once. */
+    List<Probe> unanswered(long nowMs, long afterMs) {
+        List<Probe> result = new ArrayList<>();
+        for (Probe p : List.copyOf(inFlight.values())) {
+            if (p.counted() && !p.helped() && nowMs - p.sentAtMs() >= afterMs) {
+                inFlight.put(p.id(), new Probe(p.id(), p.target(), true, p.sentAtMs(), true));
+                result.add(p);
+            }
+        }
+        return result;
+    }
+
+    /** Gives up old pings and returns the counted ones. */
+    List<Probe> expired(long nowMs, long afterMs) {
+        List<Probe> result = new ArrayList<>();
+        for (Probe p : List.copyOf(inFlight.values())) {
+            if (nowMs - p.sentAtMs() >= afterMs) {
+                inFlight.remove(p.id());
+                relays.remove(p.id());
+                if (p.counted()) {
+                    outcomes.add(new Outcome(nowMs, false));
+                    result.add(p);
+                }
+            }
+        }
+        result.sort((a, b) -> Long.compare(a.id(), b.id()));
+        return result;
+    }
+
+    /** Returns whether more than half of the pings of the last 10 s were answered; a node that sent none knows nothing. */
+    boolean mostAnswered(long nowMs) {
+        outcomes.removeIf(o -> nowMs - o.atMs() > WINDOW_MS);
+        long answered = outcomes.stream().filter(Outcome::answered).count();
+        return 2 * answered > outcomes.size();
+    }
+
+    /** A ping in flight; the target is empty if its name is not known. */
+    record Probe(long id, Optional<NodeId> target, boolean counted, long sentAtMs, boolean helped) {}
+
+    /** Who asked for a ping, and under which id it waits for the answer. */
+    record Relay(Member requester, long requestId) {}
+
+    private record Outcome(long atMs, boolean answered) {}
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/membership/Cluster.java
@@ -0,0 +1,220 @@
+package org.magnoliabridge.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.Region;
+import org.magnoliabridge.membership.Standing.State;
+import org.magnoliabridge.wire.FrameType;
+
+/** Many cores on a virtual clock and a network with delay, loss and cuts; 60% of the nodes are in the first region. */
+final class Cluster {
+    private static final long TICK_MS = 100;
+    private static final long FRAME_OVERHEAD_BYTES = 60;
+    // Ethernet, IP and TCP headers with timestamps, counted for every frame.
+    static final long PACKET_BYTES = 66;
+
+    final Map<Integer, Node> nodes = new HashMap<>();
+    final Random random;
+    double loss;
+    boolean platformUp = true;
+    BiPredicate<Integer, Integer> cut = (a, b) -> false;
+    long nowMs = 1_000_000;
+    private final int size;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, Integer> byAddress = new HashMap<>();
+    private long eventNumber;
+
+    Cluster(int size, long seed) {
+        this.size = size;
+        random = new Random(seed);
+        for (int i = 0; i < size; i++) {
+            byAddress.put(address(i), i);
+            start(i, 1);
+        }
+    }
+
+    static NodeId id(int index) {
+        return new NodeId("node-" + index);
+    }
+
+    int region(int index) {
+        return index < size * 0.6 ? 1 : 2;
+    }
+
+    private static String address(int index) {
+        return "10.0." + index / 250 + "." + index % 250 + ":7000";
+    }
+
+    void start(int index, long incarnation) {
+        nodes.put(index, new Node(index, incarnation));
+        at(nowMs + random.nextInt((int) TICK_MS), () -> tick(index, incarnation));
+    }
+
+    void stop(int index) {
+        nodes.remove(index);
+    }
+
+    private void tick(int index, long incarnation) {
+        Node node = nodes.get(index);
+        if (node != null && node.incarnation == incarnation) {
+            node.input(new MembershipInput.Tick());
+            at(nowMs + TICK_MS, () -> tick(index, incarnation));
+        }
+    }
+
+    void run(long durationMs) {
+        long end = nowMs + durationMs;
+        while (!events.isEmpty() && events.peek().atMs <= end) {
+            Event event = events.remove();
+            nowMs = event.atMs;
+            event.task.run();
+        }
+        nowMs = end;
+    }
+
+    /** Runs until all nodes meet a condition; returns the time in ms, or the limit if they did not. */
+    long runUntil(long limitMs, java.util.function.Predicate<Node> condition) {
+        long start = nowMs;
+        while (nowMs - start < limitMs && !nodes.values().stream().allMatch(condition)) {
+            run(50);
+        }
+        return nowMs - start;
+    }
+
+    private void at(long atMs, Runnable task) {
+        events.add(new Event(atMs, eventNumber++, task));
+    }
+
+    /** The two members of each region that watch the platform. */
+    void eachWatcher(Consumer<Node> action) {
+        for (int r = 1; r <= 2; r++) {
+            int region = r;
+            List<NodeId> ids = new ArrayList<>();
+            nodes.values().stream().filter(n -> region(n.index) == region).forEach(n -> ids.add(id(n.index)));
+            List<NodeId> watchers = Rendezvous.first("watch/" + r, 2, ids);
+            nodes.values().stream().filter(n -> watchers.contains(id(n.index))).forEach(action);
+        }
+    }
+
+    void change(String name, long version, int bytes) {
+        eachWatcher(n -> n.hold(new Item(name, version, new byte[bytes])));
+    }
+
+    long sentBytes() {
+        return nodes.values().stream().mapToLong(n -> n.sentBytes).sum();
+    }
+
+    /** A node with an owner of the pinned items that accepts every higher version. */
+    final class Node {
+        final int index;
+        final long incarnation;
+        final MembershipCore core;
+        long sentBytes;
+        long receivedBytes;
+        long sentFrames;
+        long confirmedAtMs = Long.MIN_VALUE / 2;
+        boolean majority;
+        private final Map<String, Long> held = new HashMap<>();
+
+        private Node(int index, long incarnation) {
+            this.index = index;
+            this.incarnation = incarnation;
+            Place place = new Place(
+                    address(index),
+                    address(index),
+                    new DataCentre("dc-" + index % 7),
+                    new Region("region-" + region(index)));
+            Standing standing = new Standing(new Incarnation(incarnation), 0, State.ALIVE, false);
+            core = new MembershipCore(
+                    new Member(id(index), standing, place, 0),
+                    List.of(address(0), address(1), address(size - 1)),
+                    new Random(random.nextLong()));
+        }
+
+        long held(String name) {
+            return held.getOrDefault(name, 0L);
+        }
+
+        long alive() {
+            return core.members().stream().filter(Member::isAlive).count();
+        }
+
+        void hold(Item item) {
+            if (item.version() > held(item.name())) {
+                held.put(item.name(), item.version());
+                input(new MembershipInput.Hold(item));
+            }
+        }
+
+        void confirm(long atMs) {
+            if (atMs > confirmedAtMs) {
+                confirmedAtMs = atMs;
+                input(new MembershipInput.Confirmation(atMs));
+            }
+        }
+
+        void input(MembershipInput input) {
+            for (MembershipEffect effect : core.handle(input, nowMs)) {
+                switch (effect) {
+                    case MembershipEffect.Send send -> transmit(send);
+                    case MembershipEffect.Deliver d -> at(nowMs, () -> hold(d.item()));
+                    case MembershipEffect.Confirmed c -> confirmed(c);
+                    case MembershipEffect.Majority m -> majority = m.reached();
+                    case MembershipEffect.Changed changed -> {}
+                    case MembershipEffect.Malformed m -> throw new IllegalStateException("malformed " + m);
+                }
+            }
+        }
+
+        private void confirmed(MembershipEffect.Confirmed c) {
+            if (held(Item.BUNDLE) >= c.versions().get(0)
+                    && held(Item.WITHDRAWALS) >= c.versions().get(1)) {
+                at(nowMs, () -> confirm(c.confirmedAtMs()));
+            }
+        }
+
+        private void transmit(MembershipEffect.Send send) {
+            long bytes = send.body().length + FRAME_OVERHEAD_BYTES + PACKET_BYTES * (1 + send.body().length / 1_400);
+            sentBytes += bytes;
+            sentFrames++;
+            int to = byAddress.get(send.address());
+            boolean lost = random.nextDouble() < loss || cut.test(index, to);
+            if (!lost) {
+                long delayMs = region(index) == region(to) ? 1 : 15;
+                at(nowMs + delayMs, () -> receive(to, send.type(), send.requestId(), send.body(), bytes));
+            }
+        }
+
+        private void receive(int to, FrameType type, long requestId, byte[] body, long bytes) {
+            Node target = nodes.get(to);
+            if (target != null) {
+                target.receivedBytes += bytes;
+                target.input(new MembershipInput.Received(id(index), type, requestId, body));
+            }
+        }
+    }
+
+    /** Starts the watchers' confirmation every second. */
+    void confirmEverySecond() {
+        if (platformUp) {
+            eachWatcher(n -> n.confirm(nowMs));
+        }
+        at(nowMs + 1_000, this::confirmEverySecond);
+    }
+
+    private record Event(long atMs, long number, Runnable task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            return atMs != other.atMs ? Long.compare(atMs, other.atMs) : Long.compare(number, other.number);
+        }
+    }
+}
