--- a/daemon/src/main/java/org/magnoliabridge/cli/CliMain.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/CliMain.java
@@ -2,9 +2,9 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.magnoliabridge.daemon.NodeMain;
 
 /** The main class of {@code bin/magnoliabridge}. */
 public final class CliMain {
@@ -18,10 +18,6 @@
         XNIO.setLevel(Level.WARNING);
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
         PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
-        System.exit(new Cli(out, err, CliMain::node).run(args));
-    }
-
-    private static int node(Path settings) {
-        throw new UnsupportedOperationException("this build has no node daemon: " + settings);
+        System.exit(new Cli(out, err, settings -> NodeMain.run(settings, err)).run(args));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ControlPlane.java
@@ -0,0 +1,223 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.InvalidKeyException;
+import java.security.PublicKey;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliabridge.bundle.BundleCore;
+import org.magnoliabridge.bundle.BundleInput;
+import org.magnoliabridge.bundle.BundleSignature;
+import org.magnoliabridge.core.Closer;
+import org.magnoliabridge.lease.LeaseCore;
+import org.magnoliabridge.lease.LeaseSettings;
+import org.magnoliabridge.membership.Item;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MembershipCore;
+import org.magnoliabridge.membership.MembershipInput;
+import org.magnoliabridge.membership.Place;
+import org.magnoliabridge.membership.Standing;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.platform.ObjectWatch;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.settings.SocketAddresses;
+import org.magnoliabridge.wire.ClusterSecrets;
+import org.magnoliabridge.wire.PeerConnections;
+import org.magnoliabridge.wire.PeerListener;
+
+/** Membership, configuration and leases of a node. */
+final class ControlPlane {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long MEMBERSHIP_TICK_MS = 100;
+    private static final long CONFIGURATION_TICK_MS = 250;
+    private static final long LEASE_TICK_MS = 200;
+    private static final long WATCH_WAIT_MS = 10_000;
+    private static final int WATCHERS_PER_REGION = 2;
+    private static final int LEASE_CANDIDATES = 3;
+
+    private final NodeContext context;
+    private final MembershipDriver membership;
+    private final ConfigurationDriver configuration;
+    private final String watchScope;
+    private final List<HeldScope> scopes = new ArrayList<>();
+    private Optional<ObjectWatch> watch = Optional.empty();
+
+    private record HeldScope(String name, LeaseDriver lease) {}
+
+    /** Opens the peer port and begins to join the others. */
+    ControlPlane(NodeContext context, Closer closer) throws IOException {
+        this.context = context;
+        NodeSettings settings = context.settings();
+        List<String> seeds =
+                settings.seeds().stream().map(SocketAddresses::format).toList();
+        MembershipCore core = new MembershipCore(self(context), seeds, context.random());
+        membership = new MembershipDriver(settings.nodeId(), core, context.loop(), context.clock(), context.metrics());
+        ClusterSecrets secrets = new ClusterSecrets(
+                bytes(settings.clusterSecrets().get(0)),
+                settings.clusterSecrets().stream().skip(1).findFirst().map(ControlPlane::bytes));
+        PeerConnections peers = closer.register(
+                new PeerConnections(settings.nodeId(), context.incarnation(), secrets, membership, context.clock()));
+        membership.connect(peers);
+        closer.register(new PeerListener(settings.listen().peers(), peers));
+        configuration = new ConfigurationDriver(
+                new BundleCore(operatorKeys(settings)),
+                context.clock(),
+                context.store(),
+                membership,
+                context.metrics());
+        membership.addListener(new ConfigurationFromPeers());
+        watchScope = "watch/" + settings.region();
+        configuration.onChange(config -> awaitMembers());
+        closer.register(() -> watch.ifPresent(ObjectWatch::close));
+    }
+
+    MembershipDriver membership() {
+        return membership;
+    }
+
+    ConfigurationDriver configuration() {
+        return configuration;
+    }
+
+    /** Adds a scope of which at most one process in the system acts as the holder. */
+    LeaseDriver addScope(String scope) {
+        LeaseCore core = new LeaseCore(
+                new ObjectKey("leases/" + scope),
+                context.settings().nodeId(),
+                context.incarnation(),
+                LeaseSettings.DEFAULT);
+        LeaseDriver lease = new LeaseDriver(scope, core, context.clock(), context.store(), context.metrics());
+        scopes.add(new HeldScope(scope, lease));
+        return lease;
+    }
+
+    /** Starts the periodic work. */
+    void start() {
+        context.loop().repeat(MEMBERSHIP_TICK_MS, () -> {
+            membership.handle(
+                    new MembershipInput.Confirmation(configuration.core().confirmedAtMs()));
+            membership.handle(new MembershipInput.Tick());
+        });
+        context.loop().repeat(CONFIGURATION_TICK_MS, this::tickConfiguration);
+        context.loop()
+                .repeat(
+                        LEASE_TICK_MS,
+                        () -> scopes.forEach(
+                                s -> s.lease().tick(membership.isAmongFirst("lease/" + s.name(), LEASE_CANDIDATES))));
+    }
+
+    /** Returns the drivers of all leases, to hand them back. */
+    List<LeaseDriver> leases() {
+        return scopes.stream().map(HeldScope::lease).toList();
+    }
+
+    // Watchers ask the members that have not reported the newest versions, so that operators see when all have them.
+    private void awaitMembers() {
+        if (isWatcher()) {
+            BundleCore core = configuration.core();
+            membership.handle(new MembershipInput.Await(Item.BUNDLE, core.bundleVersion()));
+            membership.handle(new MembershipInput.Await(Item.WITHDRAWALS, core.withdrawalsVersion()));
+        }
+    }
+
+    private boolean isWatcher() {
+        return membership.isAmongFirstOfRegion(
+                watchScope, WATCHERS_PER_REGION, context.settings().region());
+    }
+
+    private void tickConfiguration() {
+        boolean watcher = isWatcher();
+        configuration.handle(new BundleInput.Watcher(watcher));
+        configuration.handle(new BundleInput.Tick());
+        if (watcher && watch.isEmpty()) {
+            watch = Optional.of(openWatch());
+        } else if (!watcher && watch.isPresent()) {
+            watch.get().close();
+            watch = Optional.empty();
+        }
+    }
+
+    // The watch only says that something changed; the core reads what it is, so a late or repeated event does no harm.
+    private ObjectWatch openWatch() {
+        ObjectStore store = context.budget().at(Priority.STATUS);
+        return new ObjectWatch(
+                store,
+                "withdrawals",
+                WATCH_WAIT_MS,
+                new ObjectWatch.Listener() {
+                    @Override
+                    public void listed(ObjectStore.Listing all) {
+                        changed(all);
+                    }
+
+                    @Override
+                    public void changed(ObjectStore.Listing changes) {
+                        if (!changes.entries().isEmpty()) {
+                            context.loop().post(() -> configuration.handle(new BundleInput.Changed()));
+                        }
+                    }
+
+                    @Override
+                    public void failed(PlatformException cause) {
+                        context.metrics()
+                                .counter("configuration.watch_failures")
+                                .inc();
+                    }
+                },
+                context.random());
+    }
+
+    private static Member self(NodeContext context) {
+        NodeSettings settings = context.settings();
+        Place place = new Place(
+                SocketAddresses.format(settings.listen().peers()),
+                SocketAddresses.format(settings.listen().callers()),
+                settings.dataCentre(),
+                settings.region());
+        Standing standing = new Standing(context.incarnation(), 0, Standing.State.ALIVE, false);
+        return new Member(settings.nodeId(), standing, place, 0);
+    }
+
+    private static List<PublicKey> operatorKeys(NodeSettings settings) {
+        List<PublicKey> keys = new ArrayList<>();
+        for (String text : settings.operatorPublicKeys()) {
+            try {
+                keys.add(BundleSignature.publicKey(text));
+            } catch (InvalidKeyException e) {
+                LOG.atSevere().withCause(e).log("an operator public key in the settings cannot be read");
+            }
+        }
+        return keys;
+    }
+
+    private static byte[] bytes(String secret) {
+        return secret.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Passes what peers know of the configuration to the configuration driver. */
+    private final class ConfigurationFromPeers implements MembershipDriver.Listener {
+        @Override
+        public void delivered(Item item) {
+            switch (item.name()) {
+                case Item.BUNDLE -> configuration.handle(new BundleInput.BundleFromPeer(item.payload()));
+                case Item.WITHDRAWALS -> configuration.handle(new BundleInput.WithdrawalsFromPeer(item.payload()));
+                default -> {}
+            }
+        }
+
+        @Override
+        public void confirmed(List<Long> versions, long confirmedAtMs) {
+            configuration.handle(new BundleInput.PeerConfirmed(versions.get(0), versions.get(1), confirmedAtMs));
+        }
+
+        @Override
+        public void majority(boolean reached) {
+            configuration.handle(new BundleInput.Majority(reached));
+        }
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
@@ -32,6 +32,11 @@
         this.metrics = metrics;
     }
 
+    /** Returns the scope's name. */
+    String scope() {
+        return scope;
+    }
+
     /** Returns what this process may do now. */
     LeaseView view() {
         return core.view();
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
@@ -0,0 +1,265 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.io.ByteArrayOutputStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.PlainAnswer;
+import org.magnoliabridge.calls.PlainCaller;
+import org.magnoliabridge.calls.PlainRequest;
+import org.magnoliabridge.calls.RunClaim;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.edge.IdempotentCalls;
+import org.magnoliabridge.ledger.LedgerCore;
+import org.magnoliabridge.ledger.LedgerEffect;
+import org.magnoliabridge.ledger.LedgerInput;
+import org.magnoliabridge.ledger.LedgerKey;
+import org.magnoliabridge.ledger.StoredAnswer;
+import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Runs calls with an idempotency key: the ledger core on the control thread, the calls on traffic threads. */
+final class LedgerDriver implements IdempotentCalls {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String KEY_HEADER = "idempotency-key";
+    private static final long ANSWER_SLACK_MS = 1_000;
+    private static final long RETRY_HINT_MS = 1_000;
+    private static final int OK = 200;
+
+    private final LedgerCore core;
+    private final PlainCaller plain;
+    private final ControlLoop loop;
+    private final MonotonicClock clock;
+    private final LongSupplier wallClock;
+    private final StoreRunner store;
+    private final MetricRegistry metrics;
+    private final AtomicLong lastCall = new AtomicLong();
+    // Used on the control thread only.
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+
+    /**
+     * Creates a driver.
+     *
+     * @param wallClock milliseconds since the epoch, because records outlive processes
+     */
+    LedgerDriver(
+            LedgerCore core,
+            PlainCaller plain,
+            ControlLoop loop,
+            MonotonicClock clock,
+            LongSupplier wallClock,
+            StoreRunner store,
+            MetricRegistry metrics) {
+        this.core = core;
+        this.plain = plain;
+        this.loop = loop;
+        this.clock = clock;
+        this.wallClock = wallClock;
+        this.store = store;
+        this.metrics = metrics;
+    }
+
+    /** Takes the time; called on the control thread at least every 100 ms. */
+    void tick() {
+        handle(new LedgerInput.Tick());
+    }
+
+    @Override
+    public PlainAnswer call(String key, Optional<String> outcomePath, PlainRequest request, Cancellation cancellation)
+            throws CallException {
+        long callId = lastCall.incrementAndGet();
+        LedgerKey ledgerKey = new LedgerKey(request.team(), request.service(), key);
+        PlainRequest scoped = withScopedKey(request, key);
+        Waiting call = new Waiting(scoped, new CompletableFuture<>());
+        long remainingMs = Math.max(1, request.deadlineMs() - clock.nowMs());
+        long wallDeadlineMs = wallClock.getAsLong() + remainingMs;
+        LedgerInput input = new LedgerInput.Call(callId, ledgerKey, digest(request), wallDeadlineMs);
+        loop.post(() -> {
+            waiting.put(callId, call);
+            handle(input);
+        });
+        return answer(await(call, remainingMs), outcomePath, scoped);
+    }
+
+    // Keys of two teams may be equal, so the service gets the team with the key.
+    private static PlainRequest withScopedKey(PlainRequest request, String key) {
+        Map<String, String> headers = new LinkedHashMap<>(request.headers());
+        headers.put(KEY_HEADER, request.team() + "." + key);
+        return copy(request, request.method(), request.path(), headers, request.body(), request.deadlineMs());
+    }
+
+    private static PlainRequest copy(
+            PlainRequest request,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long deadlineMs) {
+        return new PlainRequest(
+                request.service(),
+                request.team(),
+                method,
+                path,
+                headers,
+                body,
+                request.idempotent(),
+                deadlineMs,
+                request.id(),
+                request.trace());
+    }
+
+    // The method and path are part of what a key stands for: the same body on another path is another call.
+    private static String digest(PlainRequest request) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes((request.method() + " " + request.path() + "\n").getBytes(StandardCharsets.UTF_8));
+        all.writeBytes(request.body());
+        return LedgerKey.digestOf(all.toByteArray());
+    }
+
+    private static LedgerEffect.Outcome await(Waiting call, long remainingMs) throws CallException {
+        try {
+            return call.outcome.get(remainingMs + ANSWER_SLACK_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CallException(new Failure.OutcomeUnknown(), RunClaim.UNKNOWN, e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new CallException(new Failure.OutcomeUnknown(), RunClaim.UNKNOWN, e);
+        }
+    }
+
+    private PlainAnswer answer(LedgerEffect.Outcome outcome, Optional<String> outcomePath, PlainRequest request)
+            throws CallException {
+        return switch (outcome) {
+            case LedgerEffect.Ran ran -> answer(ran, outcomePath, request);
+            case LedgerEffect.NotRun notRun -> throw CallException.notRun(failure(notRun.reason()));
+            case LedgerEffect.Conflict conflict ->
+                throw CallException.notRun(new Failure.Conflict("the idempotency key was used for another request"));
+            case LedgerEffect.Unknown unknown -> askService(outcomePath, request);
+        };
+    }
+
+    private PlainAnswer answer(LedgerEffect.Ran ran, Optional<String> outcomePath, PlainRequest request)
+            throws CallException {
+        if (ran.repeated()) {
+            metrics.counter("ledger.repeats").inc();
+        }
+        if (!ran.answer().whole()) {
+            return askService(outcomePath, request);
+        }
+        Map<String, String> headers = ran.answer().contentType().isEmpty()
+                ? Map.of()
+                : Map.of("content-type", ran.answer().contentType());
+        return new PlainAnswer(ran.answer().status(), headers, ran.answer().body());
+    }
+
+    private static Failure failure(LedgerEffect.Reason reason) {
+        return switch (reason) {
+            case PLATFORM_UNAVAILABLE -> new Failure.PlatformUnavailable("the call cannot be recorded now");
+            case DEADLINE_EXCEEDED -> new Failure.DeadlineExceeded();
+            case LEDGER_FULL -> new Failure.Overloaded(RETRY_HINT_MS);
+            case BACK_END_REFUSED -> new Failure.BackEndFailed("the service did not run the request");
+        };
+    }
+
+    // Only a found answer settles the outcome: a call that is still on its way is not found yet.
+    private PlainAnswer askService(Optional<String> outcomePath, PlainRequest request) throws CallException {
+        metrics.counter("ledger.unknown").inc();
+        long deadlineMs = Math.max(request.deadlineMs(), clock.nowMs() + ANSWER_SLACK_MS);
+        if (outcomePath.isPresent()) {
+            String name = URLEncoder.encode(request.headers().get(KEY_HEADER), StandardCharsets.UTF_8);
+            String path = outcomePath.get() + "/" + name;
+            try {
+                PlainAnswer found =
+                        plain.call(copy(request, "GET", path, Map.of(), new byte[0], deadlineMs), new Cancellation());
+                if (found.status() == OK) {
+                    return found;
+                }
+            } catch (CallException e) {
+                LOG.atInfo().with(LogFields.SERVICE, request.service().value()).log("outcome look-up failed");
+            }
+        }
+        throw new CallException(new Failure.OutcomeUnknown(), RunClaim.UNKNOWN);
+    }
+
+    private void handle(LedgerInput input) {
+        for (LedgerEffect effect : core.handle(input, wallClock.getAsLong())) {
+            switch (effect) {
+                case LedgerEffect.Store request ->
+                    store.run(
+                            request.request(),
+                            Priority.DECISION,
+                            reply -> handle(new LedgerInput.Reply(request.tag(), reply)));
+                case LedgerEffect.Send send -> send(send);
+                case LedgerEffect.Answer answer -> answered(answer);
+            }
+        }
+    }
+
+    private void answered(LedgerEffect.Answer answer) {
+        Waiting call = waiting.get(answer.callId());
+        if (call != null) {
+            call.outcome.complete(answer.outcome());
+            if (!call.sent) {
+                waiting.remove(answer.callId());
+            }
+        }
+    }
+
+    private void send(LedgerEffect.Send send) {
+        Waiting call = waiting.get(send.callId());
+        call.sent = true;
+        Thread.ofVirtual().name("ledger-call").start(() -> {
+            LedgerInput.SendResult result = perform(call.request, send.sendBeforeMs());
+            loop.post(() -> {
+                waiting.remove(send.callId());
+                handle(new LedgerInput.Sent(send.callId(), result));
+            });
+        });
+    }
+
+    private LedgerInput.SendResult perform(PlainRequest request, long sendBeforeMs) {
+        long remainingMs = sendBeforeMs - wallClock.getAsLong();
+        if (remainingMs <= 0) {
+            return new LedgerInput.NotRun();
+        }
+        long deadlineMs = Math.min(request.deadlineMs(), clock.nowMs() + remainingMs);
+        try {
+            // A caller that goes away does not stop the call: its result is recorded for the caller's next try.
+            PlainAnswer answer = plain.call(
+                    copy(request, request.method(), request.path(), request.headers(), request.body(), deadlineMs),
+                    new Cancellation());
+            String type = answer.headers().getOrDefault("content-type", "");
+            return new LedgerInput.Ran(StoredAnswer.of(answer.status(), type, answer.body()));
+        } catch (CallException e) {
+            return e.run() == RunClaim.NOT_RUN ? new LedgerInput.NotRun() : new LedgerInput.Unknown();
+        }
+    }
+
+    /** A call whose caller waits. */
+    private static final class Waiting {
+        private final PlainRequest request;
+        private final CompletableFuture<LedgerEffect.Outcome> outcome;
+        private boolean sent;
+
+        Waiting(PlainRequest request, CompletableFuture<LedgerEffect.Outcome> outcome) {
+            this.request = request;
+            this.outcome = outcome;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
@@ -0,0 +1,191 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.Region;
+import org.magnoliabridge.membership.Item;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MembershipCore;
+import org.magnoliabridge.membership.MembershipEffect;
+import org.magnoliabridge.membership.MembershipInput;
+import org.magnoliabridge.membership.Rendezvous;
+import org.magnoliabridge.settings.SocketAddresses;
+import org.magnoliabridge.telemetry.LogFields;
+import org.magnoliabridge.wire.Frame;
+import org.magnoliabridge.wire.FrameType;
+import org.magnoliabridge.wire.PeerConnections;
+import org.magnoliabridge.wire.PeerEvents;
+
+/** Runs the membership core and passes frames between peers and the slices; control thread only, unless said. */
+final class MembershipDriver implements PeerEvents, ConfigurationDriver.Spreader {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final NodeId self;
+    private final MembershipCore core;
+    private final ControlLoop loop;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
+    private final Map<FrameType, FrameHandler> handlers = new EnumMap<>(FrameType.class);
+    private final List<Listener> listeners = new ArrayList<>();
+    private final List<Consumer<List<Member>>> memberListeners = new CopyOnWriteArrayList<>();
+    private PeerConnections peers;
+    private volatile List<Member> members = List.of();
+
+    /** Takes a frame of another slice. */
+    interface FrameHandler {
+        void received(NodeId from, Frame frame);
+    }
+
+    /** Hears what the membership learned. */
+    interface Listener {
+        void delivered(Item item);
+
+        void confirmed(List<Long> versions, long confirmedAtMs);
+
+        void majority(boolean reached);
+    }
+
+    MembershipDriver(NodeId self, MembershipCore core, ControlLoop loop, MonotonicClock clock, MetricRegistry metrics) {
+        this.self = self;
+        this.core = core;
+        this.loop = loop;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.members = core.members();
+    }
+
+    /** Sets the connections, which need this driver for their events. */
+    void connect(PeerConnections connections) {
+        peers = connections;
+    }
+
+    void addListener(Listener listener) {
+        listeners.add(listener);
+    }
+
+    void onMembers(Consumer<List<Member>> listener) {
+        memberListeners.add(listener);
+    }
+
+    void onFrame(FrameType type, FrameHandler handler) {
+        handlers.put(type, handler);
+    }
+
+    /** Returns the members, this node included; any thread may call. */
+    List<Member> members() {
+        return members;
+    }
+
+    /** Returns the core for status pages. */
+    MembershipCore core() {
+        return core;
+    }
+
+    /** Returns the live members that take work, the preferred one for a scope first. */
+    List<NodeId> ranked(String scope) {
+        List<NodeId> alive =
+                members.stream().filter(Member::takesWork).map(Member::id).toList();
+        return Rendezvous.rank(scope, alive);
+    }
+
+    /** Returns whether this node is among the first live members for a scope. */
+    boolean isAmongFirst(String scope, int count) {
+        return ranked(scope).stream().limit(count).anyMatch(self::equals);
+    }
+
+    /** Returns whether this node is among the first live members of its region for a scope. */
+    boolean isAmongFirstOfRegion(String scope, int count, Region region) {
+        List<NodeId> alive = members.stream()
+                .filter(m -> m.takesWork() && m.place().region().equals(region))
+                .map(Member::id)
+                .toList();
+        return Rendezvous.first(scope, count, alive).contains(self);
+    }
+
+    /** Sends a frame of another slice to a member; a member that is not known is not sent to. */
+    void send(NodeId to, FrameType type, byte[] body) {
+        members.stream()
+                .filter(m -> m.id().equals(to))
+                .findFirst()
+                .ifPresent(m -> send(Optional.of(to), m.place().peerAddress(), new Frame(type, self, 0, body)));
+    }
+
+    /** Gives the core an input and carries out what it decides. */
+    void handle(MembershipInput input) {
+        for (MembershipEffect effect : core.handle(input, clock.nowMs())) {
+            carryOut(effect);
+        }
+    }
+
+    @Override
+    public void spreadBundle(long version, byte[] payload) {
+        handle(new MembershipInput.Hold(new Item(Item.BUNDLE, version, payload)));
+    }
+
+    @Override
+    public void spreadWithdrawals(long version, byte[] payload) {
+        handle(new MembershipInput.Hold(new Item(Item.WITHDRAWALS, version, payload)));
+    }
+
+    /** Takes a frame on a traffic thread. */
+    @Override
+    public void received(NodeId peer, Incarnation incarnation, Frame frame) {
+        loop.post(() -> {
+            FrameHandler handler = handlers.get(frame.type());
+            if (handler != null) {
+                handler.received(peer, frame);
+            } else {
+                handle(new MembershipInput.Received(peer, frame.type(), frame.requestId(), frame.body()));
+            }
+        });
+    }
+
+    /** Counts a closed connection on a traffic thread. */
+    @Override
+    public void closed(CloseReason reason) {
+        metrics.counter("peers.closed." + reason).inc();
+        if (reason == CloseReason.INVALID_FRAME || reason == CloseReason.WRONG_NODE) {
+            LOG.atWarning().with(LogFields.FAILURE, reason.name()).log("peer connection closed");
+        }
+    }
+
+    private void carryOut(MembershipEffect effect) {
+        switch (effect) {
+            case MembershipEffect.Send send ->
+                send(send.to(), send.address(), new Frame(send.type(), self, send.requestId(), send.body()));
+            case MembershipEffect.Deliver deliver -> listeners.forEach(l -> l.delivered(deliver.item()));
+            case MembershipEffect.Confirmed confirmed ->
+                listeners.forEach(l -> l.confirmed(confirmed.versions(), confirmed.confirmedAtMs()));
+            case MembershipEffect.Majority majority -> listeners.forEach(l -> l.majority(majority.reached()));
+            case MembershipEffect.Changed changed -> changed(changed.members());
+            case MembershipEffect.Malformed malformed -> {
+                metrics.counter("peers.malformed." + malformed.type()).inc();
+                LOG.atWarning()
+                        .with(LogFields.PEER, malformed.from().value())
+                        .log("message %s cannot be read", malformed.type());
+            }
+        }
+    }
+
+    private void changed(List<Member> next) {
+        long alive = next.stream().filter(Member::isAlive).count();
+        LOG.atInfo().with(LogFields.COUNT, alive).log("live members changed, %d known", next.size());
+        members = List.copyOf(next);
+        memberListeners.forEach(listener -> listener.accept(members));
+    }
+
+    private void send(Optional<NodeId> to, String address, Frame frame) {
+        SocketAddresses.parse(address).ifPresent(target -> peers.send(to, target, frame));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -0,0 +1,223 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.magnoliabridge.core.CloseFailedException;
+import org.magnoliabridge.core.Closer;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.edge.OperatorServer;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.http.UndertowHttpCaller;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.membership.MembershipInput;
+import org.magnoliabridge.orders.EngineLoadSender;
+import org.magnoliabridge.orders.OrdersCore;
+import org.magnoliabridge.orders.OrdersInput;
+import org.magnoliabridge.orders.OrdersSettings;
+import org.magnoliabridge.orders.WeightsCore;
+import org.magnoliabridge.orders.WeightsSettings;
+import org.magnoliabridge.platform.BudgetedStore;
+import org.magnoliabridge.platform.HttpEndpointOrders;
+import org.magnoliabridge.platform.HttpEngineOrders;
+import org.magnoliabridge.platform.HttpObjectStore;
+import org.magnoliabridge.platform.HttpWeightStore;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.telemetry.LogFields;
+import org.magnoliabridge.telemetry.TracerSpans;
+import org.magnoliabridge.telemetry.Tracing;
+
+/**
+ * One node of the system.
+ *
+ * <pre>{@code
+ * Node node = Node.start(settings);
+ * ...
+ * node.drain();
+ * node.close();
+ * }</pre>
+ */
+public final class Node implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int CLIENT_IO_THREADS = 2;
+    private static final int STORE_CALLS = 32;
+    private static final long STORE_DEADLINE_MS = 2_000;
+    private static final long ORDER_TICK_MS = 200;
+    private static final long STATUS_PERIOD_MS = 500;
+    private static final long SECOND_MS = 1_000;
+    private static final long HAND_OVER_LIMIT_MS = 3_000;
+    // A store of the stated size serves 600 samplers within 16 s; the store itself refuses what is over its rate.
+    private static final WeightsSettings WEIGHTS = WeightsSettings.forRate(60, 20);
+
+    private final Closer closer;
+    private final NodeContext context;
+    private final ControlPlane control;
+    private final DataPlane data;
+    private final UsageDriver usage;
+
+    private Node(NodeSettings settings, Closer closer) throws IOException {
+        this.closer = closer;
+        Tracing tracing = closer.register(tracing(settings));
+        context = context(settings, closer);
+        control = new ControlPlane(context, closer);
+        usage = new UsageDriver(context, control.membership(), control.addScope("usage"));
+        data = new DataPlane(context, control, new TracerSpans(tracing.tracer()), usage, closer);
+        StatusPages pages = new StatusPages(context, control, data);
+        closer.register(new OperatorServer(
+                settings.listen().operators(),
+                context.metrics(),
+                Map.of("/status", pages::status, "/endpoints", pages::endpoints)));
+        startOrders(settings);
+        startWeights(settings);
+        context.loop().repeat(STATUS_PERIOD_MS, pages::refresh);
+        usage.start();
+        control.start();
+    }
+
+    /**
+     * Starts a node; it serves keyed routes once a peer or the platform has given it the configuration.
+     *
+     * @throws IOException if a port cannot be opened
+     */
+    public static Node start(NodeSettings settings) throws IOException {
+        Closer closer = new Closer();
+        try {
+            Node node = new Node(settings, closer);
+            LOG.atInfo().log("node started");
+            return node;
+        } catch (IOException | RuntimeException e) {
+            closeQuietly(closer, e);
+            throw e;
+        }
+    }
+
+    /**
+     * Leaves the address answers, keeps accepting for as long as callers may hold old answers, then finishes all calls
+     * and hands over what this node holds.
+     */
+    public void drain() throws InterruptedException {
+        NodeSettings.Limits limits = context.settings().limits();
+        long endMs = context.clock().nowMs() + limits.drainMs();
+        LOG.atInfo().log("drain begins");
+        context.loop().post(() -> control.membership().handle(new MembershipInput.Leave()));
+        Thread.sleep(Math.min(limits.addressTtlMs(), limits.drainMs()));
+        data.server().gate().drain();
+        long leftMs = Math.max(1, endMs - context.clock().nowMs());
+        int open = data.server().gate().awaitIdle(leftMs);
+        if (open > 0) {
+            LOG.atSevere().with(LogFields.COUNT, (long) open).log("drain limit reached; requests are cut");
+            data.server().openCalls().cancelAll();
+        }
+        await(usage.handOver());
+        await(handBackLeases());
+        LOG.atInfo().log("drain ended");
+    }
+
+    @Override
+    public void close() throws CloseFailedException {
+        closer.close();
+    }
+
+    private CompletableFuture<Void> handBackLeases() {
+        CompletableFuture<Void> all = new CompletableFuture<>();
+        context.loop().post(() -> {
+            CompletableFuture<?>[] each =
+                    control.leases().stream().map(LeaseDriver::handBack).toArray(CompletableFuture<?>[]::new);
+            CompletableFuture<Void> unused =
+                    CompletableFuture.allOf(each).whenComplete((nothing, failure) -> all.complete(null));
+        });
+        return all;
+    }
+
+    private static void await(CompletableFuture<Void> done) throws InterruptedException {
+        try {
+            done.get(HAND_OVER_LIMIT_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.atWarning().withCause(e).log("hand-over is not complete");
+        }
+    }
+
+    private void startOrders(NodeSettings settings) {
+        String scope = "orders-" + settings.region();
+        HttpEndpointOrders orders = new HttpEndpointOrders(
+                context.http(),
+                settings.platform().orders(),
+                HttpLimits.total(OrdersSettings.DEFAULT.sendDeadlineMs()));
+        OrdersDriver driver = new OrdersDriver(
+                new OrdersCore(
+                        new ObjectKey("orders/" + settings.region()),
+                        settings.nodeId() + "-" + context.incarnation(),
+                        OrdersSettings.DEFAULT),
+                control.addScope(scope),
+                orders,
+                context.loop(),
+                context.clock(),
+                context.store(),
+                context.metrics());
+        context.loop().repeat(ORDER_TICK_MS, () -> driver.handle(new OrdersInput.Tick()));
+    }
+
+    private void startWeights(NodeSettings settings) {
+        HttpLimits limits = HttpLimits.total(OrdersSettings.DEFAULT.sendDeadlineMs());
+        WeightsDriver driver = new WeightsDriver(
+                new WeightsCore(WEIGHTS, context.clock().nowMs()),
+                control.addScope("weights"),
+                new HttpWeightStore(context.http(), settings.platform().weights(), limits),
+                new EngineLoadSender(new HttpEngineOrders(context.http(), limits), context.clock()),
+                data.engines(),
+                data.dispatcher(),
+                context.loop(),
+                context.clock(),
+                context.metrics());
+        context.loop().repeat(ORDER_TICK_MS, driver::tick);
+        context.loop().repeat(SECOND_MS, () -> driver.poll(data.modelEndpoints()));
+    }
+
+    private static NodeContext context(NodeSettings settings, Closer closer) {
+        MetricRegistry metrics = new MetricRegistry();
+        ControlLoop loop = closer.register(new ControlLoop("control"));
+        HttpCaller http = closer.register(new UndertowHttpCaller(CLIENT_IO_THREADS));
+        BudgetedStore budget = new BudgetedStore(
+                new HttpObjectStore(http, settings.platform().objects(), HttpLimits.total(STORE_DEADLINE_MS)),
+                STORE_CALLS,
+                STORE_DEADLINE_MS,
+                metrics);
+        return new NodeContext(
+                settings,
+                new Incarnation(System.currentTimeMillis()),
+                MonotonicClock.system(),
+                System::currentTimeMillis,
+                new Random(new SecureRandom().nextLong()),
+                metrics,
+                loop,
+                http,
+                budget,
+                new StoreRunner(budget, loop));
+    }
+
+    private static Tracing tracing(NodeSettings settings) throws IOException {
+        NodeSettings.Telemetry telemetry = settings.telemetry();
+        return telemetry.spansFile().isEmpty()
+                ? Tracing.none()
+                : Tracing.toFile(
+                        settings.nodeId().value(), telemetry.spansFile().get(), telemetry.spanSampleRatio());
+    }
+
+    private static void closeQuietly(Closer closer, Exception cause) {
+        try {
+            closer.close();
+        } catch (CloseFailedException e) {
+            cause.addSuppressed(e);
+        }
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.orders.EndpointOrderSender;
 import org.magnoliabridge.orders.OrderOutcome;
 import org.magnoliabridge.orders.OrdersCore;
 import org.magnoliabridge.orders.OrdersEffect;
@@ -20,11 +21,11 @@
 /** Runs the orders core under its lease: the core on the control thread, calls on virtual threads. */
 final class OrdersDriver {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final int STALE_FENCING_STATUS = 409;
 
     private final OrdersCore core;
     private final LeaseDriver lease;
     private final EndpointOrders orders;
+    private final EndpointOrderSender sender;
     private final ControlLoop loop;
     private final MonotonicClock clock;
     private final StoreRunner store;
@@ -41,6 +42,7 @@
         this.core = core;
         this.lease = lease;
         this.orders = orders;
+        this.sender = new EndpointOrderSender(orders, clock);
         this.loop = loop;
         this.clock = clock;
         this.store = store;
@@ -90,21 +92,8 @@
     }
 
     private void send(OrdersEffect.Send send) {
-        OrderOutcome outcome = clock.nowMs() >= send.notAfterMs() ? OrderOutcome.NOT_DONE : order(send);
+        OrderOutcome outcome = sender.send(send);
         metrics.counter("orders.sent." + outcome).inc();
         loop.post(() -> handle(new OrdersInput.Sent(send.orderId(), outcome)));
     }
-
-    private OrderOutcome order(OrdersEffect.Send send) {
-        try {
-            orders.order(send.order(), send.orderId(), send.fencing());
-            return OrderOutcome.ACCEPTED;
-        } catch (PlatformException.Rejected e) {
-            return e.status() == STALE_FENCING_STATUS ? OrderOutcome.STALE_FENCING : OrderOutcome.NOT_DONE;
-        } catch (PlatformException.Unavailable | PlatformException.RateLimited e) {
-            return OrderOutcome.NOT_DONE;
-        } catch (PlatformException e) {
-            return OrderOutcome.UNKNOWN;
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
@@ -0,0 +1,201 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.magnoliabridge.edge.UsageSink;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.ids.InvalidIdException;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.lease.LeaseView;
+import org.magnoliabridge.membership.Item;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MembershipInput;
+import org.magnoliabridge.platform.HttpUsageReports;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.platform.UsageReports;
+import org.magnoliabridge.telemetry.LogFields;
+import org.magnoliabridge.usage.Count;
+import org.magnoliabridge.usage.UsageCore;
+import org.magnoliabridge.usage.UsageEffect;
+import org.magnoliabridge.usage.UsageInput;
+import org.magnoliabridge.usage.UsageInput.ReportResult;
+import org.magnoliabridge.wire.FrameType;
+
+/** Runs the usage core: counts from the edge, copies to peers, and under the lease seals and reports windows. */
+final class UsageDriver implements UsageSink {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String LEADER_ITEM = "leader.usage";
+    private static final int COPIES = 2;
+    private static final long TICK_MS = 100;
+    private static final int CONFLICT = 409;
+    private static final HttpLimits REPORT_LIMITS = HttpLimits.total(2_000);
+
+    private final NodeContext context;
+    private final MembershipDriver membership;
+    private final LeaseDriver lease;
+    private final UsageCore core;
+    private final UsageReports reports;
+    private final CompletableFuture<Void> handedOver = new CompletableFuture<>();
+    // Used on the control thread only.
+    private boolean holding;
+    private Optional<NodeId> leader = Optional.empty();
+    private long leaderFencing;
+
+    UsageDriver(NodeContext context, MembershipDriver membership, LeaseDriver lease) {
+        this.context = context;
+        this.membership = membership;
+        this.lease = lease;
+        NodeSettings settings = context.settings();
+        core = new UsageCore(
+                settings.nodeId(), context.incarnation(), settings.limits().usageWindowMs());
+        reports = new HttpUsageReports(context.http(), settings.platform().usage(), REPORT_LIMITS);
+    }
+
+    /** Starts the periodic work. */
+    void start() {
+        membership.addListener(new LeaderFromPeers());
+        membership.onFrame(FrameType.USAGE_COUNTS, (from, frame) -> handle(new UsageInput.Counts(from, frame.body())));
+        membership.onFrame(FrameType.USAGE_ACK, (from, frame) -> handle(new UsageInput.Ack(from, frame.body())));
+        context.loop().repeat(TICK_MS, this::tick);
+    }
+
+    @Override
+    public void delivered(Delivery delivery) {
+        Count count = new Count(delivery.requests(), delivery.promptTokens(), delivery.completionTokens());
+        context.loop().post(() -> handle(new UsageInput.Delivered(delivery.team(), count)));
+    }
+
+    /** Hands all counts over; the result completes when the peers have them. */
+    CompletableFuture<Void> handOver() {
+        context.loop().post(() -> handle(new UsageInput.Drain()));
+        return handedOver;
+    }
+
+    private void tick() {
+        followLease();
+        handle(new UsageInput.Peers(copies(), leader.flatMap(this::peer)));
+        handle(new UsageInput.Tick());
+    }
+
+    private void followLease() {
+        LeaseView view = lease.view();
+        long nowMs = context.clock().nowMs();
+        if (view.maySend(nowMs)) {
+            if (!holding) {
+                announceLeader(view);
+            }
+            holding = true;
+            long sendUntilMs = context.wallClock().getAsLong() + view.sendUntilMs() - nowMs;
+            handle(new UsageInput.LeaseHeld(sendUntilMs, view.fencing()));
+        } else if (holding) {
+            holding = false;
+            handle(new UsageInput.LeaseLost());
+        }
+    }
+
+    private void announceLeader(LeaseView view) {
+        NodeId self = context.settings().nodeId();
+        leader = Optional.of(self);
+        leaderFencing = view.fencing().value();
+        Item item = new Item(LEADER_ITEM, leaderFencing, self.value().getBytes(StandardCharsets.UTF_8));
+        membership.handle(new MembershipInput.Hold(item));
+    }
+
+    private List<UsageInput.Peer> copies() {
+        NodeId self = context.settings().nodeId();
+        return membership.ranked("usage-copies/" + self).stream()
+                .filter(n -> !n.equals(self))
+                .limit(COPIES)
+                .flatMap(n -> peer(n).stream())
+                .toList();
+    }
+
+    private Optional<UsageInput.Peer> peer(NodeId node) {
+        return membership.members().stream()
+                .filter(m -> m.id().equals(node) && m.isAlive())
+                .findFirst()
+                .map(UsageDriver::peer);
+    }
+
+    private static UsageInput.Peer peer(Member member) {
+        return new UsageInput.Peer(member.id(), member.standing().incarnation());
+    }
+
+    private void handle(UsageInput input) {
+        for (UsageEffect effect : core.handle(input, context.wallClock().getAsLong())) {
+            carryOut(effect);
+        }
+    }
+
+    private void carryOut(UsageEffect effect) {
+        switch (effect) {
+            case UsageEffect.SendCounts send -> membership.send(send.to(), FrameType.USAGE_COUNTS, send.body());
+            case UsageEffect.SendAck send -> membership.send(send.to(), FrameType.USAGE_ACK, send.body());
+            case UsageEffect.Store request ->
+                context.store()
+                        .run(
+                                request.request(),
+                                Priority.STATUS,
+                                reply -> handle(new UsageInput.Reply(request.tag(), reply)));
+            case UsageEffect.Report report ->
+                Thread.ofVirtual().name("usage-report").start(() -> report(report));
+            case UsageEffect.HandedOver done -> handedOver.complete(null);
+            case UsageEffect.OtherFigures other -> {
+                context.metrics().counter("usage.other_figures").inc();
+                LOG.atSevere().log(
+                        "the platform has other figures for window %s than the sealed record", other.window());
+            }
+            case UsageEffect.Difference difference -> {
+                context.metrics().counter("usage.differences").inc();
+                LOG.atWarning().log(
+                        "window %s: counted %s, engines counted %s",
+                        difference.window(), difference.ours(), difference.engines());
+            }
+        }
+    }
+
+    private void report(UsageEffect.Report report) {
+        ReportResult result =
+                context.wallClock().getAsLong() >= report.sendBeforeMs() ? ReportResult.NOT_CONFIRMED : send(report);
+        context.metrics().counter("usage.reports." + result).inc();
+        context.loop().post(() -> handle(new UsageInput.Reported(report.tag(), result)));
+    }
+
+    private ReportResult send(UsageEffect.Report report) {
+        try {
+            reports.report(report.window(), report.body());
+            return ReportResult.ACCEPTED;
+        } catch (PlatformException.Rejected e) {
+            return e.status() == CONFLICT ? ReportResult.OTHER_FIGURES : ReportResult.NOT_CONFIRMED;
+        } catch (PlatformException e) {
+            return ReportResult.NOT_CONFIRMED;
+        }
+    }
+
+    /** Learns from peers who holds the usage lease. */
+    private final class LeaderFromPeers implements MembershipDriver.Listener {
+        @Override
+        public void delivered(Item item) {
+            if (item.name().equals(LEADER_ITEM) && item.version() > leaderFencing) {
+                try {
+                    leader = Optional.of(NodeId.parse(new String(item.payload(), StandardCharsets.UTF_8)));
+                    leaderFencing = item.version();
+                } catch (InvalidIdException e) {
+                    LOG.atWarning()
+                            .with(LogFields.FAILURE, "InvalidIdException")
+                            .log("leader item cannot be read");
+                }
+            }
+        }
+
+        @Override
+        public void confirmed(List<Long> versions, long confirmedAtMs) {}
+
+        @Override
+        public void majority(boolean reached) {}
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
@@ -0,0 +1,202 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.magnoliabridge.bundle.Service;
+import org.magnoliabridge.calls.EngineAdapter;
+import org.magnoliabridge.calls.EngineFailure;
+import org.magnoliabridge.calls.LoadReport;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.orders.EngineLoadSender;
+import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.WeightsCore;
+import org.magnoliabridge.orders.WeightsEffect;
+import org.magnoliabridge.orders.WeightsInput;
+import org.magnoliabridge.orders.WeightsInput.PermitOutcome;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.WeightStore;
+import org.magnoliabridge.routing.AdmissionInput;
+import org.magnoliabridge.routing.Dispatcher;
+import org.magnoliabridge.routing.Endpoint;
+import org.magnoliabridge.settings.SocketAddresses;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Rolls out weights while this node holds the lease; the core on the control thread, calls on virtual threads. */
+final class WeightsDriver {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // Engines that are up to date are asked seldom: only a restart could have changed their version.
+    private static final int FULL_POLL_EVERY = 10;
+
+    private final WeightsCore core;
+    private final LeaseDriver lease;
+    private final WeightStore weights;
+    private final EngineLoadSender sender;
+    private final EngineAdapter engines;
+    private final Dispatcher dispatcher;
+    private final ControlLoop loop;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
+    private final Map<EndpointId, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<EndpointId, WeightVersion> reported = new HashMap<>();
+    private final Map<ServiceId, WeightVersion> newest = new HashMap<>();
+    private final Set<EndpointId> polling = new HashSet<>();
+    private long seconds;
+
+    WeightsDriver(
+            WeightsCore core,
+            LeaseDriver lease,
+            WeightStore weights,
+            EngineLoadSender sender,
+            EngineAdapter engines,
+            Dispatcher dispatcher,
+            ControlLoop loop,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
+        this.core = core;
+        this.lease = lease;
+        this.weights = weights;
+        this.sender = sender;
+        this.engines = engines;
+        this.dispatcher = dispatcher;
+        this.loop = loop;
+        this.clock = clock;
+        this.metrics = metrics;
+    }
+
+    /** Takes the time several times a second; control thread only. */
+    void tick() {
+        handle(new WeightsInput.Tick());
+    }
+
+    /** Looks for new versions and at the engines, once a second; control thread only. */
+    void poll(Map<Service, List<Endpoint>> engineList) {
+        if (!lease.view().held()) {
+            return;
+        }
+        seconds++;
+        List<WeightsInput.Engine> all = new ArrayList<>();
+        addresses.clear();
+        engineList.forEach((service, endpoints) -> {
+            boolean sampler = service.priority() == Service.Priority.TRAINING;
+            Thread.ofVirtual().start(() -> findNewest(service.id()));
+            for (Endpoint endpoint : endpoints) {
+                all.add(new WeightsInput.Engine(endpoint.id(), service.id(), sampler));
+                SocketAddresses.parse(endpoint.address()).ifPresent(a -> addresses.put(endpoint.id(), a));
+            }
+        });
+        handle(new WeightsInput.Engines(all));
+        boolean full = seconds % FULL_POLL_EVERY == 0;
+        all.stream()
+                .filter(e -> full || isBehind(e))
+                .filter(e -> polling.add(e.id()))
+                .forEach(e -> startAsking(e.id(), addresses.get(e.id())));
+    }
+
+    private boolean isBehind(WeightsInput.Engine engine) {
+        WeightVersion known = reported.get(engine.id());
+        WeightVersion target = newest.get(engine.service());
+        return known == null || (target != null && target.isAfter(known));
+    }
+
+    private void findNewest(ServiceId service) {
+        try {
+            WeightVersion version = weights.newest(service);
+            loop.post(() -> {
+                newest.put(service, version);
+                handle(new WeightsInput.Newest(service, version));
+            });
+        } catch (PlatformException e) {
+            metrics.counter("weights.store_failures").inc();
+        }
+    }
+
+    private void startAsking(EndpointId engine, InetSocketAddress address) {
+        Thread.ofVirtual().start(() -> ask(engine, address));
+    }
+
+    private void ask(EndpointId engine, InetSocketAddress address) {
+        try {
+            LoadReport report = engines.load(address);
+            dispatcher.post(new AdmissionInput.Reported(engine, report));
+            loop.post(() -> {
+                polling.remove(engine);
+                reported.put(engine, report.version());
+                handle(new WeightsInput.Reported(engine, report.version()));
+            });
+        } catch (EngineFailure e) {
+            loop.post(() -> polling.remove(engine));
+        }
+    }
+
+    private void handle(WeightsInput input) {
+        for (WeightsEffect effect : core.on(clock.nowMs(), lease.view(), input)) {
+            carryOut(effect);
+        }
+    }
+
+    private void carryOut(WeightsEffect effect) {
+        switch (effect) {
+            case WeightsEffect.TakePermit take -> Thread.ofVirtual().start(() -> takePermit(take));
+            case WeightsEffect.Load load -> load(load);
+            case WeightsEffect.TakeOut out -> {
+                metrics.counter("weights.taken_out").inc();
+                LOG.atWarning()
+                        .with(LogFields.ENDPOINT, out.engine().value())
+                        .with(LogFields.VERSION, out.version().value())
+                        .log("engine cannot load the version");
+            }
+            case WeightsEffect.PutBack back ->
+                LOG.atInfo()
+                        .with(LogFields.ENDPOINT, back.engine().value())
+                        .log("engine takes part in roll-outs again");
+            case WeightsEffect.Halted halted -> {
+                metrics.counter("weights.halted").inc();
+                LOG.atSevere()
+                        .with(LogFields.SERVICE, halted.service().value())
+                        .with(LogFields.VERSION, halted.version().value())
+                        .log("roll-out halted: too many engines cannot load the version");
+            }
+            case WeightsEffect.Completed done -> {
+                metrics.histogram("weights.rollout_ms").update(done.tookMs());
+                LOG.atInfo()
+                        .with(LogFields.SERVICE, done.service().value())
+                        .with(LogFields.VERSION, done.version().value())
+                        .log("all engines report the version after %d ms", done.tookMs());
+            }
+        }
+    }
+
+    private void takePermit(WeightsEffect.TakePermit take) {
+        PermitOutcome outcome = PermitOutcome.GRANTED;
+        long retryAfterMs = 0;
+        try {
+            weights.permitLoad(take.service(), take.version());
+        } catch (PlatformException.RateLimited e) {
+            outcome = PermitOutcome.RATE_LIMITED;
+            retryAfterMs = e.retryAfterMs();
+        } catch (PlatformException e) {
+            outcome = PermitOutcome.FAILED;
+        }
+        WeightsInput input = new WeightsInput.Permit(take.engine(), take.version(), outcome, retryAfterMs);
+        loop.post(() -> handle(input));
+    }
+
+    private void load(WeightsEffect.Load load) {
+        InetSocketAddress address = addresses.get(load.engine());
+        Thread.ofVirtual().start(() -> {
+            OrderOutcome outcome = address == null ? OrderOutcome.NOT_DONE : sender.send(address, load);
+            loop.post(() -> handle(new WeightsInput.Sent(load.orderId(), load.engine(), outcome)));
+        });
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/calls/EndpointSource.java
+++ b/library/src/main/java/org/magnoliabridge/calls/EndpointSource.java
@@ -34,6 +34,7 @@
      * @param deadlineMs on the node's monotonic clock
      * @param preferred weight version to continue with
      * @param excluded endpoints that have just failed this call
+     * @param minVersion endpoints that report older weights are not used
      */
     record Need(
             ServiceId service,
@@ -44,10 +45,35 @@
             String prefix,
             long deadlineMs,
             Optional<WeightVersion> preferred,
-            Set<EndpointId> excluded) {
+            Set<EndpointId> excluded,
+            Optional<WeightVersion> minVersion) {
         public Need {
             excluded = Set.copyOf(excluded);
         }
+
+        /** Creates a need that endpoints with any weights can meet. */
+        public Need(
+                ServiceId service,
+                TeamId team,
+                Priority priority,
+                int tokens,
+                int promptTokens,
+                String prefix,
+                long deadlineMs,
+                Optional<WeightVersion> preferred,
+                Set<EndpointId> excluded) {
+            this(
+                    service,
+                    team,
+                    priority,
+                    tokens,
+                    promptTokens,
+                    prefix,
+                    deadlineMs,
+                    preferred,
+                    excluded,
+                    Optional.empty());
+        }
     }
 
     /** What a call saw of its endpoint. */
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationCall.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationCall.java
@@ -111,7 +111,8 @@
                 request.prefixHash(),
                 request.deadlineMs(),
                 ranges.last(),
-                excluded);
+                excluded,
+                request.minVersion());
         try {
             return tools.endpoints().acquire(need, cancellation);
         } catch (CallException e) {
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationRequest.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationRequest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WeightVersion;
 
 /**
  * A generation for one team.
@@ -15,6 +16,7 @@
  * @param maxTokens largest number of tokens to generate, at least 1
  * @param deadlineMs on the node's monotonic clock
  * @param trace the caller's span
+ * @param minVersion engines that report older weights are not chosen
  */
 public record GenerationRequest(
         ServiceId service,
@@ -23,7 +25,8 @@
         String prompt,
         int maxTokens,
         long deadlineMs,
-        Optional<TraceContext> trace) {
+        Optional<TraceContext> trace,
+        Optional<WeightVersion> minVersion) {
     // Long enough to tell system prompts apart, short enough that prompts with the same beginning share a hash.
     private static final int PREFIX_CHARS = 256;
     private static final int BLOCK_CHARS = 64;
@@ -35,6 +38,24 @@
         }
     }
 
+    /** Creates a request that any weights may serve. */
+    public GenerationRequest(
+            ServiceId service,
+            TeamId team,
+            EndpointSource.Priority priority,
+            String prompt,
+            int maxTokens,
+            long deadlineMs,
+            Optional<TraceContext> trace) {
+        this(service, team, priority, prompt, maxTokens, deadlineMs, trace, Optional.empty());
+    }
+
+    /** Returns a copy that only engines with at least these weights serve. */
+    public GenerationRequest withMinVersion(WeightVersion oldest) {
+        return new GenerationRequest(
+                service, team, priority, prompt, maxTokens, deadlineMs, trace, Optional.of(oldest));
+    }
+
     /** Returns the prompt's tokens, counted as words because engines don't report them. */
     public int promptTokens() {
         return countTokens(prompt);
--- a/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
+++ b/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
@@ -58,6 +58,11 @@
         return executor.scheduleWithFixedDelay(() -> runLogged(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs a task periodically, like {@link #every}, until the loop is closed. */
+    public void repeat(long periodMs, Runnable task) {
+        ScheduledFuture<?> unused = every(periodMs, task);
+    }
+
     @Override
     public void close() {
         executor.shutdown();
--- a/library/src/main/java/org/magnoliabridge/edge/OperatorServer.java
+++ b/library/src/main/java/org/magnoliabridge/edge/OperatorServer.java
@@ -11,27 +11,29 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** The HTTP server for operators, on a port of its own: {@code /metrics} and {@code /admin/status}, both JSON. */
+/** The HTTP server for operators, on a port of its own: {@code /metrics} and the node's own pages, all JSON. */
 public final class OperatorServer implements AutoCloseable {
     private static final JsonMapper JSON = new JsonMapper();
     private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final Undertow undertow;
     private final MetricRegistry metrics;
-    private final Supplier<JsonNode> status;
+    private final Map<String, Supplier<JsonNode>> pages;
 
     /**
      * Starts to serve at an address; port 0 lets the system choose.
      *
-     * @param status the node's state; called on an I/O thread, so it must not block
+     * @param pages each page by its path, for example {@code /status}; called on an I/O thread, so they must not block
      */
-    public OperatorServer(InetSocketAddress listen, MetricRegistry metrics, Supplier<JsonNode> status) {
+    public OperatorServer(InetSocketAddress listen, MetricRegistry metrics, Map<String, Supplier<JsonNode>> pages) {
         this.metrics = metrics;
-        this.status = status;
+        this.pages = Map.copyOf(pages);
         undertow = Undertow.builder()
                 .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
                 .setIoThreads(1)
@@ -53,11 +55,12 @@
 
     private void handle(HttpServerExchange exchange) {
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Reply.JSON_TYPE);
-        switch (exchange.getRequestMethod() + " " + exchange.getRequestPath()) {
-            case "GET /metrics" -> exchange.getResponseSender().send(metrics().toString());
-            case "GET /admin/status" ->
-                exchange.getResponseSender().send(status.get().toString());
-            default -> exchange.setStatusCode(404).getResponseSender().send("{\"error\":\"not_found\"}");
+        Supplier<JsonNode> page =
+                exchange.getRequestPath().equals("/metrics") ? this::metrics : pages.get(exchange.getRequestPath());
+        if (page == null || !exchange.getRequestMethod().equals(Methods.GET)) {
+            exchange.setStatusCode(404).getResponseSender().send("{\"error\":\"not_found\"}");
+        } else {
+            exchange.getResponseSender().send(page.get().toString());
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.membership;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -145,6 +146,18 @@
                 .toList();
     }
 
+    /** Returns what is known of the other members. */
+    List<MemberStatus> statuses(long nowMs) {
+        List<Long> none = Collections.nCopies(Item.PINNED.size(), 0L);
+        return members.values().stream()
+                .filter(m -> !m.id().equals(self))
+                .map(m -> new MemberStatus(
+                        m,
+                        versions.getOrDefault(m.id(), none),
+                        m.isAlive() ? 0 : Math.max(0, nowMs - stateSinceMs.get(m.id()))))
+                .toList();
+    }
+
     List<MemberUpdate> expireSuspects(long nowMs, long suspicionMs) {
         List<MemberUpdate> news = new ArrayList<>();
         if (others().stream().allMatch(Member::isAlive)) {
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -74,6 +74,11 @@
         return table.all();
     }
 
+    /** Returns what is known of the other members, for status pages. */
+    public List<MemberStatus> statuses(long nowMs) {
+        return table.statuses(nowMs);
+    }
+
     /** Returns the other members that have not reported this version of a pinned item. */
     public List<NodeId> behind(String name, long version) {
         return table.behind(name, version).stream().map(Member::id).toList();
--- a/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
@@ -34,6 +34,19 @@
         return parse(json, StepJson::spec);
     }
 
+    /**
+     * Reads the number of the step from the body of a request.
+     *
+     * @throws MalformedStepException if it is missing or negative
+     */
+    public static long step(byte[] json) throws MalformedStepException {
+        long step = parse(json, node -> number(node, "step"));
+        if (step < 0) {
+            throw new MalformedStepException("step must not be negative", null);
+        }
+        return step;
+    }
+
     static byte[] head(StepHead head) {
         ObjectNode node = MAPPER.createObjectNode();
         node.set("spec", specNode(head.spec()));
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.routing;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.magnoliabridge.calls.Failure;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.WeightVersion;
 
 /**
  * Decides which request gets a slot on which endpoint, and when.
@@ -84,11 +86,23 @@
         return table.counts();
     }
 
+    /** Returns all known endpoints with their states. */
+    public Map<Endpoint, EndpointState> endpoints() {
+        return table.all();
+    }
+
     /** Returns the endpoints of a service that get new work, for example to poll their load. */
     public List<Endpoint> choosable(ServiceId service) {
         return table.choosable(service);
     }
 
+    /** Returns the newest weights that a routable endpoint of the service has reported. */
+    public Optional<WeightVersion> newestVersion(ServiceId service) {
+        return table.choosable(service).stream()
+                .flatMap(e -> loads.version(e.id()).stream())
+                .max(Comparator.naturalOrder());
+    }
+
     private void arrive(Ticket ticket, long nowMs, List<AdmissionEffect> effects) {
         long rateWaitMs = rates.waitMs(ticket.team(), nowMs);
         if (rateWaitMs > 0) {
@@ -208,11 +222,21 @@
     }
 
     // An endpoint that has just failed the request is used again only if there is no other one.
-    private static List<Endpoint> allowed(Ticket ticket, List<Endpoint> endpoints) {
-        List<Endpoint> others = endpoints.stream()
+    private List<Endpoint> allowed(Ticket ticket, List<Endpoint> endpoints) {
+        List<Endpoint> fresh =
+                endpoints.stream().filter(e -> isFreshEnough(ticket, e)).toList();
+        List<Endpoint> others = fresh.stream()
                 .filter(e -> !ticket.need().excluded().contains(e.id()))
                 .toList();
-        return others.isEmpty() ? endpoints : others;
+        return others.isEmpty() ? fresh : others;
+    }
+
+    // Weights that were not reported yet may be new enough; the answer's own stamps decide.
+    private boolean isFreshEnough(Ticket ticket, Endpoint endpoint) {
+        return ticket.need()
+                .minVersion()
+                .flatMap(oldest -> loads.version(endpoint.id()).map(v -> !oldest.isAfter(v)))
+                .orElse(true);
     }
 
     private static AdmissionEffect refuse(Ticket ticket, long retryAfterMs) {
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,6 +76,13 @@
         return Optional.ofNullable(entries.get(id)).map(e -> e.state);
     }
 
+    /** Returns all known endpoints with their states, in the order of their ids. */
+    public Map<Endpoint, EndpointState> all() {
+        Map<Endpoint, EndpointState> all = new LinkedHashMap<>();
+        entries.values().forEach(e -> all.put(e.endpoint, e.state));
+        return all;
+    }
+
     /** Returns the endpoints of a service that get new work, in the order of their ids. */
     public List<Endpoint> choosable(ServiceId service) {
         return entries.values().stream()
--- a/library/src/test/java/org/magnoliabridge/edge/OperatorServerTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/OperatorServerTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.http.HttpCall;
 import org.magnoliabridge.http.HttpFailure;
@@ -22,14 +23,13 @@
         metrics.timer("edge.requests");
         InetSocketAddress listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         try (UndertowHttpCaller caller = new UndertowHttpCaller(1);
-                OperatorServer server =
-                        new OperatorServer(listen, metrics, () -> JsonNodeFactory.instance.textNode("fine"))) {
+                OperatorServer server = new OperatorServer(
+                        listen, metrics, Map.of("/status", () -> JsonNodeFactory.instance.textNode("fine")))) {
             String shown =
                     caller.call(HttpCall.get(server.address(), "/metrics")).text();
             assertThat(shown, containsString("\"calls.retries\":3"));
             assertThat(shown, containsString("\"edge.requests\":{\"count\":0"));
-            assertThat(
-                    caller.call(HttpCall.get(server.address(), "/admin/status")).text(), is("\"fine\""));
+            assertThat(caller.call(HttpCall.get(server.address(), "/status")).text(), is("\"fine\""));
             assertThat(caller.call(HttpCall.get(server.address(), "/")).status(), is(404));
         }
     }
