Tell a refused order from one that was not sent, and stop refused starts

Cause: a full platform would have been asked without pause: each refused start was replaced by a new endpoint id at once, at two writes each. An order that was never sent must not close a data centre. Change: OrderOutcome has NOT_SENT and REFUSED; OrdersCore reports Refused; CapacityCore keeps an endpoint wanted when every place is closed.

--- a/library/src/main/java/org/magnoliabridge/orders/CapacityCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/CapacityCore.java
@@ -62,7 +62,7 @@
                         .add(nowMs, demand.units());
             case CapacityInput.Endpoints all -> adopt(all);
             case CapacityInput.Reclaimed reclaimed -> lose(nowMs, reclaimed.endpoint());
-            case CapacityInput.Refused refused -> lose(nowMs, refused.endpoint());
+            case CapacityInput.Refused refused -> refuse(nowMs, refused.endpoint());
             case CapacityInput.Drained drained -> stop(drained.endpoint());
         }
         if (listed) {
@@ -89,17 +89,27 @@
         listed = true;
     }
 
+    // When every place is closed there is nowhere else to go, so the endpoint stays wanted and is ordered again by
+    // OrdersCore at its own pace; a replacement with a new id would be refused at once, without end.
+    private void refuse(long nowMs, EndpointId endpoint) {
+        Member member = members.get(endpoint);
+        CapacityPlan plan = member == null ? null : plans.get(member.order.service());
+        if (plan == null || !FleetMix.isFull(plan, closedPlaces(nowMs, plan))) {
+            lose(nowMs, endpoint);
+        }
+    }
+
     // The place is avoided for a while: a reclaim takes a whole data centre, and a refusal lasts.
     private void lose(long nowMs, EndpointId endpoint) {
         Member member = members.get(endpoint);
         if (member == null || member.state == State.STOPPED) {
             return;
         }
-        closedUntilMs.put(member.spot(), nowMs + settings.closedMs());
+        Spot spot = member.spot();
+        closedUntilMs.put(spot, nowMs + settings.closedMs());
         member.state = State.STOPPED;
-        if (!member.seen) {
-            members.remove(endpoint);
-        }
+        // The others on order there would be refused too; one that was accepted all the same is adopted from the list.
+        members.values().removeIf(m -> !m.seen && m.spot().equals(spot));
     }
 
     private void stop(EndpointId endpoint) {
--- a/library/src/main/java/org/magnoliabridge/orders/EndpointOrderSender.java
+++ b/library/src/main/java/org/magnoliabridge/orders/EndpointOrderSender.java
@@ -20,7 +20,7 @@
     /** Sends an order and returns its outcome; blocks for at most the send deadline. */
     public OrderOutcome send(OrdersEffect.Send send) {
         if (clock.nowMs() >= send.notAfterMs()) {
-            return OrderOutcome.NOT_DONE;
+            return OrderOutcome.NOT_SENT;
         }
         try {
             orders.order(send.order(), send.orderId(), send.fencing());
@@ -34,9 +34,9 @@
     static OrderOutcome outcome(PlatformException failure) {
         return switch (failure) {
             case PlatformException.Rejected e ->
-                e.status() == CONFLICT ? OrderOutcome.STALE_FENCING : OrderOutcome.NOT_DONE;
-            case PlatformException.Unavailable e -> OrderOutcome.NOT_DONE;
-            case PlatformException.RateLimited e -> OrderOutcome.NOT_DONE;
+                e.status() == CONFLICT ? OrderOutcome.STALE_FENCING : OrderOutcome.REFUSED;
+            case PlatformException.Unavailable e -> OrderOutcome.NOT_SENT;
+            case PlatformException.RateLimited e -> OrderOutcome.NOT_SENT;
             case PlatformException.OutcomeUnknown e -> OrderOutcome.UNKNOWN;
             case PlatformException.VersionConflict e -> OrderOutcome.UNKNOWN;
             case PlatformException.RevisionTooOld e -> OrderOutcome.UNKNOWN;
--- a/library/src/main/java/org/magnoliabridge/orders/EngineLoadSender.java
+++ b/library/src/main/java/org/magnoliabridge/orders/EngineLoadSender.java
@@ -19,7 +19,7 @@
     /** Sends an order to the engine at an address and returns its outcome; blocks for at most the send deadline. */
     public OrderOutcome send(InetSocketAddress engine, WeightsEffect.Load load) {
         if (clock.nowMs() >= load.notAfterMs()) {
-            return OrderOutcome.NOT_DONE;
+            return OrderOutcome.NOT_SENT;
         }
         try {
             orders.loadVersion(engine, load.orderId(), load.fencing(), load.version());
--- a/library/src/main/java/org/magnoliabridge/orders/FleetMix.java
+++ b/library/src/main/java/org/magnoliabridge/orders/FleetMix.java
@@ -44,6 +44,11 @@
         return mix;
     }
 
+    /** Returns whether no data centre is known to have room for a standard endpoint. */
+    static boolean isFull(CapacityPlan plan, Set<Place> closed) {
+        return open(plan, Kind.STANDARD, closed).isEmpty();
+    }
+
     private static List<DataCentre> open(CapacityPlan plan, Kind kind, Set<Place> closed) {
         return plan.dcs().stream()
                 .filter(dc -> !closed.contains(new Place(dc, kind)))
--- a/library/src/main/java/org/magnoliabridge/orders/OrderOutcome.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrderOutcome.java
@@ -4,8 +4,10 @@
 public enum OrderOutcome {
     /** The interface accepted the order. */
     ACCEPTED,
-    /** The order was certainly not carried out: it was not sent, or the interface refused it for now. */
-    NOT_DONE,
+    /** The order was not sent. */
+    NOT_SENT,
+    /** The interface refused the order, for example because a data centre has no room. */
+    REFUSED,
     /** The order may have been carried out. */
     UNKNOWN,
     /** The interface has seen a higher fencing token, so another process holds the lease. */
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
@@ -279,10 +279,10 @@
                 actual.put(order.endpoint(), order);
                 accepted.put(order.endpoint(), order);
             }
-            // A refusal may last, for example while a data centre has no room, so it must not hold up other orders.
-            case NOT_DONE -> {
-                batch.open.remove(sent.orderId());
-                retryAtMs.put(order.endpoint(), nowMs + settings.listPeriodMs());
+            case NOT_SENT -> delay(nowMs, sent.orderId(), order);
+            case REFUSED -> {
+                delay(nowMs, sent.orderId(), order);
+                effects.add(new OrdersEffect.Refused(order.endpoint()));
             }
             case UNKNOWN -> {} // stays open until its send deadline
             case STALE_FENCING -> {
@@ -293,6 +293,12 @@
         }
     }
 
+    // A refusal may last, for example while a data centre has no room, so it must not hold up other orders.
+    private void delay(long nowMs, String orderId, EndpointOrder order) {
+        batch.open.remove(orderId);
+        retryAtMs.put(order.endpoint(), nowMs + settings.listPeriodMs());
+    }
+
     // An order without a known outcome can take effect until its send deadline; only then does the list settle it.
     private void finishBatch(long nowMs, LeaseView lease) {
         if (!batch.open.isEmpty() && nowMs - batch.sentMs < settings.sendDeadlineMs()) {
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersEffect.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersEffect.java
@@ -17,10 +17,13 @@
      * Send an order, with a total limit of the send deadline.
      *
      * @param notAfterMs the sender compares its clock with this moment directly before it writes to the connection, and
-     *     reports {@link OrderOutcome#NOT_DONE} if it has passed
+     *     reports {@link OrderOutcome#NOT_SENT} if it has passed
      */
     record Send(String orderId, EndpointOrder order, FencingToken fencing, long notAfterMs) implements OrdersEffect {}
 
+    /** The interface refused an order; it is tried again after the list period. Tell {@link CapacityCore}. */
+    record Refused(EndpointId endpoint) implements OrdersEffect {}
+
     /** An endpoint has another state than the one last accepted by it; it is ordered again. For metrics. */
     record StaleOrderSeen(EndpointId endpoint) implements OrdersEffect {}
 
--- a/library/src/main/java/org/magnoliabridge/platform/StoreRunner.java
+++ b/library/src/main/java/org/magnoliabridge/platform/StoreRunner.java
@@ -27,7 +27,7 @@
     }
 
     /** Performs a request on this thread and returns the reply; no failure escapes. */
-    static StoreReply perform(ObjectStore store, StoreRequest request) {
+    public static StoreReply perform(ObjectStore store, StoreRequest request) {
         try {
             return switch (request) {
                 case StoreRequest.Read read ->
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/platform/ScriptedCaller.java
@@ -0,0 +1,43 @@
+package org.magnoliabridge.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.magnoliabridge.http.HttpAnswer;
+import org.magnoliabridge.http.HttpCall;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpFailure;
+
+/** Answers every call in the same way and keeps the last one, for tests of adapters. */
+public final class ScriptedCaller implements HttpCaller {
+    /** How many calls were made, and the last of them. */
+    public int calls;
+
+    HttpCall last;
+    private final Object result;
+
+    ScriptedCaller(HttpFailure failure) {
+        this.result = failure;
+    }
+
+    public ScriptedCaller(int status, String header, String value, String body) {
+        this.result = new HttpAnswer(status, Map.of(header, value), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public HttpAnswer call(HttpCall call) throws HttpFailure {
+        calls++;
+        last = call;
+        if (result instanceof HttpFailure failure) {
+            throw failure;
+        }
+        return (HttpAnswer) result;
+    }
+
+    @Override
+    public HttpAnswer stream(HttpCall call, LineReceiver lines) throws HttpFailure {
+        return call(call);
+    }
+
+    @Override
+    public void close() {}
+}
