Add usage windows and their fault matrix; group ids are text

The demo's trainer names groups by text, which the step specification refused.

Change: package usage. Windows are sealed one after the other by create-if-absent; the sealed object is the report. Late counts are carried into the next window with their origin. Confirmations name the process that gave them, so a restarted peer is sent everything again. Rollout group ids are 1 to 64 letters, digits, underscores or hyphens.

The peers input now asks for two copies other than the leader.

Which peers keep the copies is decided outside the core, so the wiring must choose three processes.

--- a/library/src/main/java/org/magnoliabridge/rollout/GroupBody.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/GroupBody.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** The samples of a group in one attempt; stored once and never changed. */
-public record GroupBody(int group, int attempt, List<Sample> samples) {
+public record GroupBody(String group, int attempt, List<Sample> samples) {
     public GroupBody {
         samples = List.copyOf(samples);
         if (samples.isEmpty()) {
--- a/library/src/main/java/org/magnoliabridge/rollout/GroupEntry.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/GroupEntry.java
@@ -8,7 +8,7 @@
  * @param minVersion the oldest weight version in the body
  * @param replacedAt position in the step's log at which the entry was replaced, or 0
  */
-public record GroupEntry(long seq, int group, int attempt, String digest, long minVersion, long replacedAt) {
+public record GroupEntry(long seq, String group, int attempt, String digest, long minVersion, long replacedAt) {
     boolean isLive() {
         return replacedAt == 0;
     }
--- a/library/src/main/java/org/magnoliabridge/rollout/RunnerEffect.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunnerEffect.java
@@ -32,5 +32,5 @@
     record Score(String generation, String prompt, String text) implements RunnerEffect {}
 
     /** Identifies a sample within one attempt of its group. */
-    record SampleRef(StepRef step, int group, int attempt, int index) {}
+    record SampleRef(StepRef step, String group, int attempt, int index) {}
 }
--- a/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
@@ -23,7 +23,7 @@
     static final long SCORE_TIMEOUT_MS = 10_000;
 
     private final StepRef ref;
-    private final Map<Integer, GroupRun> groups = new LinkedHashMap<>();
+    private final Map<String, GroupRun> groups = new LinkedHashMap<>();
     private final StragglerRule stragglers = new StragglerRule();
     private StepHead head;
     private long headVersion;
@@ -180,7 +180,7 @@
         turn.score(sample.answer.generation(), prompt(sample.ref.group()), sample.answer.text());
     }
 
-    private String prompt(int group) {
+    private String prompt(String group) {
         return groups.get(group).group.prompt();
     }
 
--- a/library/src/main/java/org/magnoliabridge/rollout/StepHead.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepHead.java
@@ -40,7 +40,7 @@
     }
 
     /** Appends a group unless it is decided already or the attempt is not the next one. */
-    StepHead append(int group, int attempt, String digest, long minVersion) {
+    StepHead append(String group, int attempt, String digest, long minVersion) {
         if (live(group).isPresent() || attempt != nextAttempt(group)) {
             return this;
         }
@@ -79,12 +79,14 @@
         return entries.stream().filter(e -> e.isLive() && e.seq() > from).toList();
     }
 
-    Optional<GroupEntry> live(int group) {
-        return entries.stream().filter(e -> e.group() == group && e.isLive()).findFirst();
+    Optional<GroupEntry> live(String group) {
+        return entries.stream()
+                .filter(e -> e.group().equals(group) && e.isLive())
+                .findFirst();
     }
 
-    int nextAttempt(int group) {
-        return (int) entries.stream().filter(e -> e.group() == group).count() + 1;
+    int nextAttempt(String group) {
+        return (int) entries.stream().filter(e -> e.group().equals(group)).count() + 1;
     }
 
     /** Returns whether every group is decided. */
--- a/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
@@ -54,7 +54,7 @@
             for (JsonNode e : field(node, "entries")) {
                 entries.add(new GroupEntry(
                         number(e, "seq"),
-                        whole(e, "group"),
+                        text(e, "group"),
                         whole(e, "attempt"),
                         text(e, "digest"),
                         number(e, "min_version"),
@@ -91,7 +91,7 @@
             for (JsonNode s : field(node, "samples")) {
                 samples.add(sample(s));
             }
-            return new GroupBody(whole(node, "group"), whole(node, "attempt"), samples);
+            return new GroupBody(text(node, "group"), whole(node, "attempt"), samples);
         });
     }
 
@@ -152,7 +152,7 @@
     private static StepSpec spec(JsonNode node) throws MalformedStepException {
         List<StepSpec.Group> groups = new ArrayList<>();
         for (JsonNode g : field(node, "groups")) {
-            groups.add(new StepSpec.Group(whole(g, "group"), text(g, "prompt")));
+            groups.add(new StepSpec.Group(text(g, "group"), text(g, "prompt")));
         }
         return new StepSpec(
                 new ServiceId(text(node, "service")),
--- a/library/src/main/java/org/magnoliabridge/rollout/StepRef.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepRef.java
@@ -24,12 +24,12 @@
         return new ObjectKey("steps/" + path());
     }
 
-    ObjectKey bodyKey(int group, int attempt) {
+    ObjectKey bodyKey(String group, int attempt) {
         return new ObjectKey("groups/" + path() + "/" + group + "/" + attempt);
     }
 
     /** Returns the key of a part; it holds the digest of the whole body, so parts of two bodies never mix. */
-    ObjectKey partKey(int group, int attempt, String digest, int part) {
+    ObjectKey partKey(String group, int attempt, String digest, int part) {
         return new ObjectKey("parts/" + path() + "/" + group + "/" + attempt + "/" + digest + "/" + part);
     }
 
--- a/library/src/main/java/org/magnoliabridge/rollout/StepSpec.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepSpec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.magnoliabridge.ids.ServiceId;
 
 /**
@@ -29,18 +30,24 @@
         if (trainerVersion < 0 || maxStaleness < 0 || deadlineMs < 1 || samplesPerGroup < 1 || maxTokens < 1) {
             throw new IllegalArgumentException("a number of the step is out of range");
         }
-        Set<Integer> seen = new HashSet<>();
+        Set<String> seen = new HashSet<>();
         if (groups.isEmpty() || !groups.stream().allMatch(g -> seen.add(g.group()))) {
             throw new IllegalArgumentException("a step has at least one group, and no group twice");
         }
     }
 
-    /** A prompt that is sampled several times. */
-    public record Group(int group, String prompt) {
+    /**
+     * A prompt that is sampled several times.
+     *
+     * @param group 1 to 64 letters, digits, underscores or hyphens, so that it is safe inside an object key
+     */
+    public record Group(String group, String prompt) {
+        private static final Pattern VALID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_-]{0,63}");
+
         public Group {
             Objects.requireNonNull(prompt);
-            if (group < 0) {
-                throw new IllegalArgumentException("group must not be negative: " + group);
+            if (!VALID.matcher(group).matches()) {
+                throw new IllegalArgumentException("invalid group id: " + group);
             }
         }
     }
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/usage/CounterTable.java
@@ -0,0 +1,108 @@
+package org.magnoliabridge.usage;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WindowId;
+
+/** The counters that a node knows, its own and copies of others', and which node has confirmed which of them. */
+final class CounterTable {
+    /** Other nodes' counters are passed on to the leader once they have not changed for this long. */
+    static final long FORWARD_AFTER_MS = 5_000;
+
+    /** Counters in one message; keeps a frame far below its limit of 1 MiB. */
+    static final int MAX_COUNTERS = 2_000;
+
+    private final NodeId self;
+    private final Incarnation incarnation;
+    private final SortedMap<CounterId, Count> counts = new TreeMap<>();
+    private final Map<CounterId, Long> changedMs = new HashMap<>();
+    private final Map<UsageInput.Peer, Map<CounterId, Count>> confirmed = new HashMap<>();
+
+    CounterTable(NodeId self, Incarnation incarnation) {
+        this.self = self;
+        this.incarnation = incarnation;
+    }
+
+    void add(WindowId window, TeamId team, Count count, long nowMs) {
+        CounterId id = new CounterId(window, self, incarnation, team);
+        counts.merge(id, count, Count::plus);
+        changedMs.put(id, nowMs);
+    }
+
+    /** Takes copies; a counter only rises, so the larger state is the newer one and repeats change nothing. */
+    void merge(Map<CounterId, Count> others, boolean byMax, long nowMs) {
+        others.forEach((id, count) -> {
+            Count before = counts.getOrDefault(id, Count.ZERO);
+            Count after = byMax ? before.max(count) : before.plus(count);
+            if (!after.equals(before)) {
+                counts.put(id, after);
+                changedMs.put(id, nowMs);
+            }
+        });
+    }
+
+    void confirm(UsageInput.Peer by, Map<CounterId, Count> acked) {
+        Map<CounterId, Count> known = confirmed.computeIfAbsent(by, n -> new HashMap<>());
+        acked.forEach((id, count) -> known.merge(id, count, Count::max));
+    }
+
+    /** Returns what the node has not confirmed: our counters, and for the leader also others' that are quiet. */
+    SortedMap<CounterId, Count> unconfirmed(UsageInput.Peer node, boolean leader, long nowMs) {
+        Map<CounterId, Count> known = confirmed.getOrDefault(node, Map.of());
+        SortedMap<CounterId, Count> result = new TreeMap<>();
+        for (Map.Entry<CounterId, Count> entry : counts.entrySet()) {
+            CounterId id = entry.getKey();
+            boolean wanted = isOwn(id) || (leader && nowMs - changedMs.get(id) >= FORWARD_AFTER_MS);
+            if (wanted && !entry.getValue().equals(known.get(id)) && result.size() < MAX_COUNTERS) {
+                result.put(id, entry.getValue());
+            }
+        }
+        return result;
+    }
+
+    /** Forgets what other processes than these have confirmed. */
+    void keepConfirmationsOf(Set<UsageInput.Peer> peers) {
+        confirmed.keySet().retainAll(peers);
+    }
+
+    boolean isConfirmedBy(List<UsageInput.Peer> nodes) {
+        return counts.entrySet().stream()
+                .filter(e -> isOwn(e.getKey()))
+                .allMatch(e -> nodes.stream()
+                        .allMatch(n -> e.getValue()
+                                .equals(confirmed.getOrDefault(n, Map.of()).get(e.getKey()))));
+    }
+
+    SortedMap<CounterId, Count> counts() {
+        return counts;
+    }
+
+    SortedMap<CounterId, Count> of(WindowId window) {
+        SortedMap<CounterId, Count> result = new TreeMap<>();
+        counts.forEach((id, count) -> {
+            if (id.window().equals(window)) {
+                result.put(id, count);
+            }
+        });
+        return result;
+    }
+
+    void dropBefore(long window) {
+        counts.keySet().removeIf(id -> id.window().value() < window);
+        changedMs.keySet().removeIf(id -> id.window().value() < window);
+        confirmed
+                .values()
+                .forEach(known -> known.keySet().removeIf(id -> id.window().value() < window));
+    }
+
+    private boolean isOwn(CounterId id) {
+        return id.node().equals(self) && id.incarnation().equals(incarnation);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/usage/SealedWindow.java
@@ -0,0 +1,87 @@
+package org.magnoliabridge.usage;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WindowId;
+
+/**
+ * The sealed record of a window, which is also its report.
+ *
+ * @param counts of the window itself
+ * @param carried what arrived too late for earlier windows, by the counter it belongs to
+ */
+record SealedWindow(WindowId window, SortedMap<CounterId, Count> counts, SortedMap<CounterId, Count> carried) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Returns the figures that are billed: the window's counts and what was carried into it, per team. */
+    SortedMap<TeamId, Count> figures() {
+        SortedMap<TeamId, Count> figures = new TreeMap<>();
+        counts.forEach((id, count) -> figures.merge(id.team(), count, Count::plus));
+        carried.forEach((id, count) -> figures.merge(id.team(), count, Count::plus));
+        return figures;
+    }
+
+    byte[] encode() {
+        ObjectNode node = MAPPER.createObjectNode().put("window", window.value());
+        ArrayNode figures = node.putArray("figures");
+        figures().forEach((team, count) -> put(figures.addObject().put("team", team.value()), count));
+        put(node.putArray("counts"), counts);
+        put(node.putArray("carried"), carried);
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of plain nodes can be written", e);
+        }
+    }
+
+    private static void put(ArrayNode array, Map<CounterId, Count> counts) {
+        counts.forEach((id, count) -> {
+            ObjectNode node = array.addObject().put("window", id.window().value());
+            node.put("node", id.node().value())
+                    .put("incarnation", id.incarnation().value());
+            put(node.put("team", id.team().value()), count);
+        });
+    }
+
+    private static void put(ObjectNode node, Count count) {
+        node.put("requests", count.requests()).put("prompt_tokens", count.promptTokens());
+        node.put("completion_tokens", count.completionTokens());
+    }
+
+    static SealedWindow decode(byte[] json) throws MalformedUsageException {
+        try {
+            JsonNode node = MAPPER.readTree(json);
+            WindowId window = new WindowId(node.required("window").asLong());
+            return new SealedWindow(window, counts(node.required("counts")), counts(node.required("carried")));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new MalformedUsageException("cannot read a sealed window", e);
+        }
+    }
+
+    private static SortedMap<CounterId, Count> counts(JsonNode array) {
+        SortedMap<CounterId, Count> counts = new TreeMap<>();
+        for (JsonNode node : array) {
+            CounterId id = new CounterId(
+                    new WindowId(node.required("window").asLong()),
+                    new NodeId(node.required("node").asText()),
+                    new Incarnation(node.required("incarnation").asLong()),
+                    new TeamId(node.required("team").asText()));
+            Count count = new Count(
+                    node.required("requests").asLong(),
+                    node.required("prompt_tokens").asLong(),
+                    node.required("completion_tokens").asLong());
+            counts.put(id, count);
+        }
+        return counts;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
@@ -0,0 +1,330 @@
+package org.magnoliabridge.usage;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.WindowId;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.platform.StoreRequest;
+
+/**
+ * Seals windows one after the other and reports what is sealed, while this node holds the usage lease.
+ *
+ * <p>A window is sealed only by a node that has read the sealed record of the window before it, so two holders that both
+ * believe they are in charge compute carried counts from the same past, and create-if-absent picks one record.
+ */
+final class UsageSealer {
+    static final long GRACE_MS = 10_000;
+
+    /** Time in which the other nodes send a new holder their counts, before it seals anything. */
+    static final long SETTLE_MS = 8_000;
+
+    /** For how many windows late counts are carried; older ones appear only in the reconciliation. */
+    static final long CARRY_WINDOWS = 24;
+
+    static final long STORE_TIMEOUT_MS = 5_000;
+    static final long RETRY_MS = 1_000;
+
+    private static final ObjectKey HEAD = new ObjectKey("usage-head");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The first window that is sealed at all, and the last one that is reported. */
+    private record Head(long first, long reported) {}
+
+    private final CounterTable table;
+    private final long windowMs;
+    private final Set<Mechanism> mechanisms;
+    private final SortedMap<Long, byte[]> unreported = new TreeMap<>();
+    private final SortedMap<CounterId, Count> included = new TreeMap<>();
+    private final Map<Long, Count> engines = new TreeMap<>();
+    private long sendUntilMs = Long.MIN_VALUE;
+    private long heldSinceMs;
+    private FencingToken fencing = new FencingToken(0);
+
+    private Head head;
+    private long headVersion;
+    private Head writtenHead;
+
+    /** The next window to read or to seal; everything from the head's first window up to it is known. */
+    private long next;
+
+    private boolean sealable;
+    private long lastTag;
+    private long tag;
+    private StoreRequest request;
+    private long requestMs;
+    private long notBeforeMs = Long.MIN_VALUE;
+    private long reportTag;
+    private long reportMs;
+    private long reportNotBeforeMs = Long.MIN_VALUE;
+
+    UsageSealer(CounterTable table, long windowMs, Set<Mechanism> mechanisms) {
+        this.table = table;
+        this.windowMs = windowMs;
+        this.mechanisms = mechanisms;
+    }
+
+    void held(long untilMs, FencingToken token, long nowMs) {
+        if (sendUntilMs <= nowMs || !token.equals(fencing)) {
+            lost();
+            heldSinceMs = nowMs;
+        }
+        sendUntilMs = untilMs;
+        fencing = token;
+    }
+
+    /** Forgets what was read, because another holder may go on from here. */
+    void lost() {
+        sendUntilMs = Long.MIN_VALUE;
+        head = null;
+        tag = 0;
+        reportTag = 0;
+        sealable = false;
+        unreported.clear();
+        included.clear();
+    }
+
+    void tick(long nowMs, List<UsageEffect> effects) {
+        if (nowMs >= sendUntilMs) {
+            return;
+        }
+        if (tag != 0 && nowMs - requestMs >= STORE_TIMEOUT_MS) {
+            reply(tag, new StoreReply.Unknown(), nowMs, effects);
+        }
+        if (reportTag != 0 && nowMs - reportMs >= STORE_TIMEOUT_MS) {
+            reportTag = 0;
+        }
+        proceed(nowMs, effects);
+    }
+
+    private void proceed(long nowMs, List<UsageEffect> effects) {
+        if (nowMs >= sendUntilMs) {
+            return;
+        }
+        report(nowMs, effects);
+        if (tag != 0 || nowMs < notBeforeMs) {
+            return;
+        }
+        if (head == null) {
+            store(new StoreRequest.Read(HEAD), nowMs, effects);
+        } else if (!sealable) {
+            store(new StoreRequest.Read(key(next)), nowMs, effects);
+        } else if (writtenHead != null) {
+            store(new StoreRequest.Write(HEAD, headVersion, encode(writtenHead)), nowMs, effects);
+        } else if (nowMs >= (next + 1) * windowMs + GRACE_MS && nowMs >= heldSinceMs + SETTLE_MS) {
+            long expected = mechanisms.contains(Mechanism.CREATE_IF_ABSENT) ? ObjectStore.ABSENT : -1;
+            store(new StoreRequest.Write(key(next), expected, build().encode()), nowMs, effects);
+        }
+    }
+
+    private SealedWindow build() {
+        WindowId window = new WindowId(next);
+        SortedMap<CounterId, Count> carried = new TreeMap<>();
+        if (mechanisms.contains(Mechanism.CARRY)) {
+            table.counts().forEach((id, count) -> {
+                long origin = id.window().value();
+                Count late = count.above(included.getOrDefault(id, Count.ZERO));
+                if (origin < next && origin >= next - CARRY_WINDOWS && !late.isZero()) {
+                    carried.put(id, late);
+                }
+            });
+        }
+        return new SealedWindow(window, table.of(window), carried);
+    }
+
+    void reply(long replyTag, StoreReply reply, long nowMs, List<UsageEffect> effects) {
+        if (replyTag != tag || tag == 0) {
+            return;
+        }
+        StoreRequest asked = request;
+        tag = 0;
+        if (asked instanceof StoreRequest.Read read) {
+            read(read.key().equals(HEAD), reply, nowMs, effects);
+        } else if (asked instanceof StoreRequest.Write write) {
+            written(write, reply, nowMs, effects);
+        }
+        proceed(nowMs, effects);
+    }
+
+    private void read(boolean isHead, StoreReply reply, long nowMs, List<UsageEffect> effects) {
+        switch (reply) {
+            case StoreReply.Found found -> {
+                try {
+                    if (isHead) {
+                        loadHead(
+                                decodeHead(found.object().value()),
+                                found.object().version());
+                    } else {
+                        include(found.object().value(), effects);
+                    }
+                } catch (MalformedUsageException e) {
+                    notBeforeMs = nowMs + STORE_TIMEOUT_MS;
+                }
+            }
+            case StoreReply.NotFound none -> {
+                if (isHead) {
+                    // The chain starts with the oldest window that this node knows counts of.
+                    long current = nowMs / windowMs;
+                    long first = table.counts().isEmpty()
+                            ? current
+                            : Math.min(
+                                    current, table.counts().firstKey().window().value());
+                    loadHead(new Head(first, first - 1), ObjectStore.ABSENT);
+                    writtenHead = head;
+                } else {
+                    sealable = true;
+                }
+            }
+            default -> notBeforeMs = nowMs + RETRY_MS;
+        }
+    }
+
+    private void loadHead(Head read, long version) {
+        head = read;
+        headVersion = version;
+        next = Math.max(read.first(), read.reported() + 1 - CARRY_WINDOWS);
+        // A head that does not exist yet is created before any window is sealed.
+        sealable = version == ObjectStore.ABSENT;
+    }
+
+    private void written(StoreRequest.Write write, StoreReply reply, long nowMs, List<UsageEffect> effects) {
+        boolean isHead = write.key().equals(HEAD);
+        switch (reply) {
+            case StoreReply.Written done
+            when isHead -> {
+                head = writtenHead;
+                headVersion = done.version();
+                writtenHead = null;
+            }
+            case StoreReply.Written done -> {
+                try {
+                    include(write.value(), effects);
+                } catch (MalformedUsageException e) {
+                    throw new IllegalStateException("our own record can be read", e);
+                }
+            }
+            case StoreReply.Unavailable down -> notBeforeMs = nowMs + RETRY_MS;
+            default -> {
+                // The write, another holder's or ours with a lost answer, decided: read what is there.
+                notBeforeMs = reply instanceof StoreReply.Conflict ? nowMs : nowMs + RETRY_MS;
+                if (isHead) {
+                    reload();
+                } else {
+                    sealable = false;
+                }
+            }
+        }
+    }
+
+    private void reload() {
+        head = null;
+        writtenHead = null;
+        sealable = false;
+        unreported.clear();
+        included.clear();
+    }
+
+    /** Takes the sealed record of the next window as the truth, whoever wrote it. */
+    private void include(byte[] value, List<UsageEffect> effects) throws MalformedUsageException {
+        SealedWindow sealed = SealedWindow.decode(value);
+        sealed.counts().forEach((id, count) -> included.merge(id, count, Count::plus));
+        sealed.carried().forEach((id, count) -> included.merge(id, count, Count::plus));
+        if (next > head.reported()) {
+            unreported.put(next, value);
+        }
+        next++;
+        included.keySet().removeIf(id -> id.window().value() < next - 2 * CARRY_WINDOWS);
+        compare(next - 1, effects);
+    }
+
+    private void report(long nowMs, List<UsageEffect> effects) {
+        if (reportTag != 0 || nowMs < reportNotBeforeMs || unreported.isEmpty() || writtenHead != null) {
+            return;
+        }
+        long window = unreported.firstKey();
+        reportTag = ++lastTag;
+        reportMs = nowMs;
+        byte[] body = mechanisms.contains(Mechanism.REPORT_FROM_SEALED_RECORD)
+                ? unreported.get(window)
+                : new SealedWindow(new WindowId(window), table.of(new WindowId(window)), new TreeMap<>()).encode();
+        effects.add(new UsageEffect.Report(reportTag, new WindowId(window), body, fencing, sendUntilMs));
+    }
+
+    void reported(long replyTag, UsageInput.ReportResult result, long nowMs, List<UsageEffect> effects) {
+        if (replyTag != reportTag || reportTag == 0) {
+            return;
+        }
+        reportTag = 0;
+        if (result == UsageInput.ReportResult.NOT_CONFIRMED) {
+            reportNotBeforeMs = nowMs + RETRY_MS;
+            return;
+        }
+        long window = unreported.firstKey();
+        unreported.remove(window);
+        if (result == UsageInput.ReportResult.OTHER_FIGURES) {
+            effects.add(new UsageEffect.OtherFigures(new WindowId(window)));
+        }
+        writtenHead = new Head(head.first(), window);
+        proceed(nowMs, effects);
+    }
+
+    void engineCounts(UsageInput.EngineCounts counts, List<UsageEffect> effects) {
+        engines.put(counts.window().value(), counts.count());
+        if (head != null && counts.window().value() < next) {
+            compare(counts.window().value(), effects);
+        }
+    }
+
+    /** Compares what is known of a sealed window with what the engines counted, once both are known. */
+    private void compare(long window, List<UsageEffect> effects) {
+        Count theirs = engines.remove(window);
+        if (theirs != null) {
+            Count ours = included.entrySet().stream()
+                    .filter(e -> e.getKey().window().value() == window)
+                    .map(Map.Entry::getValue)
+                    .reduce(Count.ZERO, Count::plus);
+            if (!ours.equals(theirs)) {
+                effects.add(new UsageEffect.Difference(new WindowId(window), ours, theirs));
+            }
+        }
+    }
+
+    private void store(StoreRequest ask, long nowMs, List<UsageEffect> effects) {
+        tag = ++lastTag;
+        request = ask;
+        requestMs = nowMs;
+        effects.add(new UsageEffect.Store(tag, ask));
+    }
+
+    private static ObjectKey key(long window) {
+        return new ObjectKey("usage/" + window);
+    }
+
+    private static byte[] encode(Head head) {
+        try {
+            return MAPPER.writeValueAsBytes(
+                    MAPPER.createObjectNode().put("first", head.first()).put("reported", head.reported()));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of plain nodes can be written", e);
+        }
+    }
+
+    private static Head decodeHead(byte[] value) throws MalformedUsageException {
+        try {
+            JsonNode node = MAPPER.readTree(value);
+            return new Head(
+                    node.required("first").asLong(), node.required("reported").asLong());
+        } catch (IOException | IllegalArgumentException e) {
+            throw new MalformedUsageException("cannot read the head of the usage windows", e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Usage per window and team: counting, copies, sealing, reporting. */
+package org.magnoliabridge.usage;
--- a/library/src/test/java/org/magnoliabridge/rollout/RolloutWorld.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RolloutWorld.java
@@ -30,6 +30,7 @@
     private final List<Node> nodes = new ArrayList<>();
     private final Trainer trainer = new Trainer();
     private int nudges;
+    private long checkedRevision;
 
     RolloutWorld(Map<Integer, Fault> faults, Set<Mechanism> mechanisms) {
         super(faults);
@@ -56,12 +57,15 @@
 
     @Override
     protected void check() {
-        store.objects.values().forEach(checker::stored);
+        if (store.revision() != checkedRevision) {
+            checkedRevision = store.revision();
+            store.objects.values().forEach(checker::stored);
+        }
     }
 
     private static StepSpec spec() {
         List<StepSpec.Group> groups = IntStream.range(0, GROUPS)
-                .mapToObj(g -> new StepSpec.Group(g, "prompt " + g))
+                .mapToObj(g -> new StepSpec.Group("g" + g, "prompt " + g))
                 .toList();
         return new StepSpec(new ServiceId("s"), 10, MAX_STALENESS, END_MS, SAMPLES, 16, groups);
     }
--- a/library/src/test/java/org/magnoliabridge/rollout/RunnerCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RunnerCoreTest.java
@@ -117,7 +117,7 @@
     private void open(int samples, int maxTokens, int maxGenerations, long maxBuffered) {
         core = new RunnerCore(new NodeId("n"), new Incarnation(0), new RunnerLimits(maxGenerations, maxBuffered));
         StepSpec spec =
-                new StepSpec(SERVICE, 5, 1, 600_000, samples, maxTokens, List.of(new StepSpec.Group(0, "prompt")));
+                new StepSpec(SERVICE, 5, 1, 600_000, samples, maxTokens, List.of(new StepSpec.Group("g0", "prompt")));
         store.apply(new StoreRequest.Write(STEP.headKey(), 0, StepJson.head(StepHead.open(spec, 0))));
         run(new RunnerInput.Nudge(STEP, 5), 0);
     }
--- a/library/src/test/java/org/magnoliabridge/rollout/StepHeadTest.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/StepHeadTest.java
@@ -19,14 +19,15 @@
             60_000,
             2,
             16,
-            List.of(new StepSpec.Group(0, "p0"), new StepSpec.Group(1, "p\"1\u00e9")));
-    private final StepHead head = StepHead.open(SPEC, 7).append(0, 1, "d0", 5).append(1, 1, "d1", 6);
+            List.of(new StepSpec.Group("g0", "p0"), new StepSpec.Group("g1", "p\"1\u00e9")));
+    private final StepHead head =
+            StepHead.open(SPEC, 7).append("g0", 1, "d0", 5).append("g1", 1, "d1", 6);
 
     /** Guards against two entries of one group, which would deliver its samples twice. */
     @Test
     void appendsAGroupOnce() {
-        assertThat(head.append(0, 2, "other", 9), is(head));
-        assertThat(head.append(0, 1, "other", 9), is(head));
+        assertThat(head.append("g0", 2, "other", 9), is(head));
+        assertThat(head.append("g0", 1, "other", 9), is(head));
     }
 
     /** Guards against an acknowledgement of an entry that was replaced after the trainer fetched it. */
--- a/library/src/test/java/org/magnoliabridge/sim/SimStore.java
+++ b/library/src/test/java/org/magnoliabridge/sim/SimStore.java
@@ -39,6 +39,11 @@
         };
     }
 
+    /** Rises with every write. */
+    public long revision() {
+        return revision;
+    }
+
     private StoreReply write(StoreRequest.Write write) {
         if (write.value().length > ObjectStore.MAX_VALUE_BYTES) {
             throw new IllegalStateException("object " + write.key() + " is too large: " + write.value().length);
--- a/library/src/test/java/org/magnoliabridge/sim/SimWorld.java
+++ b/library/src/test/java/org/magnoliabridge/sim/SimWorld.java
@@ -79,6 +79,11 @@
             });
         }
 
+        /** Returns whether inputs wait at the moment. */
+        public boolean isPaused() {
+            return resumeMs > now;
+        }
+
         public boolean isUp() {
             return up;
         }
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageFaultMatrixTest.java
@@ -0,0 +1,36 @@
+package org.magnoliabridge.usage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.util.EnumSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.magnoliabridge.sim.FaultMatrix;
+
+class UsageFaultMatrixTest {
+    private static final int PAIRS = 2_000;
+
+    /** Guards against two figures for a window, and lost or doubled counts, under one or two faults. */
+    @Test
+    void invariantsHoldUnderEveryFault() throws IOException {
+        FaultMatrix matrix = matrix(EnumSet.allOf(Mechanism.class)).singles().pairs(PAIRS);
+        matrix.write("Usage: one figure a window, every request counted once", "fault-matrix-usage.txt");
+        assertThat(matrix.failures(), empty());
+    }
+
+    /** Guards against a checker that can't fail: without any one mechanism it must report violations. */
+    @ParameterizedTest
+    @EnumSource(Mechanism.class)
+    void checkerReportsAMissingMechanism(Mechanism missing) {
+        EnumSet<Mechanism> rest = EnumSet.complementOf(EnumSet.of(missing));
+        assertThat(matrix(rest).findsViolation(PAIRS), is(true));
+    }
+
+    private static FaultMatrix matrix(EnumSet<Mechanism> mechanisms) {
+        return new FaultMatrix(faults -> new UsageWorld(faults, mechanisms).run());
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
@@ -0,0 +1,194 @@
+package org.magnoliabridge.usage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.sim.Fault;
+import org.magnoliabridge.sim.SimWorld;
+
+/** Four nodes that count; two of them hold the lease in turn, and for a while both believe that they do. */
+final class UsageWorld extends SimWorld {
+    private static final int NODES = 4;
+    private static final long WINDOW_MS = 6_000;
+    private static final long TRAFFIC_END_MS = 12_000;
+    private static final long TWO_LEADERS_MS = 18_000;
+    private static final long SECOND_LEADER_MS = 32_000;
+    private static final long DRAIN_MS = 9_000;
+    private static final long END_MS = 150_000;
+    private static final long LEASE_MS = 10_000;
+
+    private final Set<Mechanism> mechanisms;
+    private final UsageChecker checker = new UsageChecker(this::require);
+    private final List<Node> nodes = new ArrayList<>();
+    private int leader;
+    private long fencing = 1;
+    private long leaderSeenMs;
+    private int deliveries;
+    private long checkedRevision;
+
+    UsageWorld(Map<Integer, Fault> faults, Set<Mechanism> mechanisms) {
+        super(faults);
+        this.mechanisms = mechanisms;
+        IntStream.range(0, NODES).forEach(i -> nodes.add(new Node(i)));
+    }
+
+    UsageWorld run() {
+        at(0, this::members);
+        at(DRAIN_MS, () -> nodes.get(3).host.after(0, nodes.get(3)::drain));
+        outage(20_000, 26_000);
+        runUntil(END_MS);
+        checker.totals(store.objects.values().stream()
+                .filter(o -> o.key().value().startsWith("usage/"))
+                .toList());
+        for (long w = 0; w < TRAFFIC_END_MS / WINDOW_MS; w++) {
+            require(checker.isReported(w), "a window was never reported");
+        }
+        return this;
+    }
+
+    /** Stands for the lease and the member table: tells every node who leads and who keeps copies. */
+    private void members() {
+        Node current = nodes.get(leader);
+        if (current.host.isUp() && !current.host.isPaused()) {
+            leaderSeenMs = now;
+        }
+        if (now - leaderSeenMs >= LEASE_MS || (now >= SECOND_LEADER_MS && now < SECOND_LEADER_MS + 1_000)) {
+            leader = now >= SECOND_LEADER_MS && now < SECOND_LEADER_MS + 1_000 ? 1 : 1 - leader;
+            leaderSeenMs = now;
+            fencing++;
+        }
+        nodes.get(leader).lease(fencing);
+        if (now >= TWO_LEADERS_MS && now < SECOND_LEADER_MS) {
+            nodes.get(1 - leader).lease(fencing + 1_000);
+        }
+        for (Node node : nodes) {
+            List<UsageInput.Peer> copies = IntStream.range(1, NODES)
+                    .map(i -> (node.number + i) % NODES)
+                    .filter(i -> i != leader)
+                    .limit(2)
+                    .mapToObj(i -> nodes.get(i).peer())
+                    .toList();
+            Optional<UsageInput.Peer> leading = Optional.of(nodes.get(leader).peer());
+            node.host.after(0, () -> node.handle(new UsageInput.Peers(copies, leading)));
+        }
+        at(1_000, this::members);
+    }
+
+    @Override
+    protected void check() {
+        if (store.revision() != checkedRevision) {
+            checkedRevision = store.revision();
+            store.objects.values().forEach(checker::stored);
+        }
+    }
+
+    @Override
+    protected void crashed(Host host) {
+        nodes.stream().filter(n -> n.host == host && !n.handedOver).forEach(n -> checker.died(n.process(), now));
+    }
+
+    private final class Node {
+        private final int number;
+        private final Host host;
+        private int starts;
+        private boolean handedOver;
+        private boolean draining;
+        private UsageCore core;
+
+        Node(int number) {
+            this.number = number;
+            this.host = new Host(this::start);
+            start();
+        }
+
+        private void start() {
+            core = new UsageCore(new NodeId("n" + number), new Incarnation(++starts), WINDOW_MS, mechanisms);
+            handedOver = false;
+            draining = false;
+            host.every(200, () -> handle(new UsageInput.Tick()));
+            host.every(290 + number, this::traffic);
+        }
+
+        UsageInput.Peer peer() {
+            return new UsageInput.Peer(new NodeId("n" + number), new Incarnation(starts));
+        }
+
+        String process() {
+            return "n" + number + "/" + starts;
+        }
+
+        void lease(long token) {
+            host.after(0, () -> handle(new UsageInput.LeaseHeld(now + 7_000, new FencingToken(token))));
+        }
+
+        void drain() {
+            draining = true;
+            handle(new UsageInput.Drain());
+        }
+
+        private void traffic() {
+            if (now < TRAFFIC_END_MS && !draining) {
+                int tokens = 10 + ++deliveries % 7;
+                checker.delivered(process(), now, tokens);
+                handle(new UsageInput.Delivered(new TeamId("team" + deliveries % 2), new Count(1, 5, tokens)));
+            }
+        }
+
+        void handle(UsageInput input) {
+            core.handle(input, now).forEach(this::perform);
+        }
+
+        private Node node(NodeId id) {
+            return nodes.get(id.value().charAt(1) - '0');
+        }
+
+        private void perform(UsageEffect effect) {
+            NodeId self = new NodeId("n" + number);
+            switch (effect) {
+                case UsageEffect.Store s -> storeCall(host, s.request(), r -> handle(new UsageInput.Reply(s.tag(), r)));
+                case UsageEffect.SendCounts c ->
+                    message(host, "counts", () -> {
+                        Node to = node(c.to());
+                        to.host.after(0, () -> to.handle(new UsageInput.Counts(self, c.body())));
+                    });
+                case UsageEffect.SendAck a ->
+                    message(host, "ack", () -> {
+                        Node to = node(a.to());
+                        to.host.after(0, () -> to.handle(new UsageInput.Ack(self, a.body())));
+                    });
+                case UsageEffect.Report r ->
+                    exchange(
+                            host,
+                            "report",
+                            true,
+                            () -> accept(r),
+                            result -> handle(new UsageInput.Reported(r.tag(), result)),
+                            UsageInput.ReportResult.NOT_CONFIRMED);
+                case UsageEffect.HandedOver h -> {
+                    handedOver = true;
+                    host.crash();
+                }
+                case UsageEffect.OtherFigures o -> require(false, "the platform has other figures");
+                case UsageEffect.Difference d -> require(false, "no engine counts were given");
+            }
+        }
+
+        private UsageInput.ReportResult accept(UsageEffect.Report report) {
+            if (now >= report.sendBeforeMs() && !inTransit) {
+                return UsageInput.ReportResult.NOT_CONFIRMED;
+            }
+            long window = report.window().value();
+            boolean accepted =
+                    checker.reported(window, report.body(), store.objects.get(new ObjectKey("usage/" + window)));
+            return accepted ? UsageInput.ReportResult.ACCEPTED : UsageInput.ReportResult.OTHER_FIGURES;
+        }
+    }
+}
