--- a/daemon/src/main/java/org/magnoliabridge/cli/Confirmation.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/Confirmation.java
@@ -50,7 +50,7 @@
     private SortedSet<String> pending() throws CommandException {
         Map<String, Boolean> confirmed = new HashMap<>();
         boolean answered = false;
-        for (NodeClient.Reply reply : nodes.askAll("/status")) {
+        for (NodeClient.Reply reply : nodes.askAll()) {
             if (reply.body().isPresent()) {
                 answered = true;
                 view(reply.body().get(), confirmed);
--- a/daemon/src/main/java/org/magnoliabridge/cli/NodeClient.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/NodeClient.java
@@ -18,6 +18,7 @@
 final class NodeClient {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int OK = 200;
+    private static final String STATUS = "/admin/status";
 
     private final HttpCaller http;
     private final List<InetSocketAddress> operators;
@@ -36,22 +37,22 @@
         }
     }
 
-    /** Asks every configured node. */
-    List<Reply> askAll(String path) throws CommandException {
+    /** Asks every configured node for its status. */
+    List<Reply> askAll() throws CommandException {
         if (operators.isEmpty()) {
             throw CommandException.invalid("operators", "at least one node's operator address is needed");
         }
         List<Reply> replies = new ArrayList<>();
         for (InetSocketAddress node : operators) {
-            replies.add(new Reply(node, ask(node, path)));
+            replies.add(new Reply(node, ask(node)));
         }
         return replies;
     }
 
-    /** Asks the configured nodes in turn until one answers. */
-    JsonNode askAny(String path) throws CommandException {
+    /** Asks the configured nodes in turn for their status until one answers. */
+    JsonNode askAny() throws CommandException {
         for (InetSocketAddress node : operators) {
-            Optional<JsonNode> answer = ask(node, path);
+            Optional<JsonNode> answer = ask(node);
             if (answer.isPresent()) {
                 return answer.get();
             }
@@ -60,9 +61,9 @@
                 ExitCode.UNAVAILABLE, "none of the " + operators.size() + " configured nodes answers");
     }
 
-    private Optional<JsonNode> ask(InetSocketAddress node, String path) {
+    private Optional<JsonNode> ask(InetSocketAddress node) {
         try {
-            HttpAnswer answer = http.call(HttpCall.get(node, path).withLimits(limits));
+            HttpAnswer answer = http.call(HttpCall.get(node, STATUS).withLimits(limits));
             return answer.status() == OK ? Optional.ofNullable(JSON.readTree(answer.body())) : Optional.empty();
         } catch (HttpFailure | IOException e) {
             return Optional.empty();
--- a/daemon/src/main/java/org/magnoliabridge/cli/StatusCommands.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/StatusCommands.java
@@ -30,7 +30,7 @@
         ArrayNode all = json.putArray("nodes");
         List<String> lines = new ArrayList<>();
         boolean answered = false;
-        for (NodeClient.Reply reply : nodes.askAll("/status")) {
+        for (NodeClient.Reply reply : nodes.askAll()) {
             ObjectNode entry = all.addObject().put("operator_address", reply.address());
             entry.put("reachable", reply.body().isPresent());
             reply.body().ifPresent(body -> entry.set("status", body));
@@ -43,7 +43,7 @@
 
     /** Reports the endpoints as one node sees them. */
     Result endpoints() throws CommandException {
-        JsonNode body = nodes.askAny("/endpoints");
+        JsonNode body = nodes.askAny().path("endpoints");
         ObjectNode json = Output.object();
         json.set("endpoints", body);
         List<String> lines = new ArrayList<>();
--- a/standins/src/main/java/org/magnoliabridge/standins/DemoDriver.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/DemoDriver.java
@@ -115,7 +115,7 @@
 
     private void status(JsonClient client, InetSocketAddress node) throws InterruptedException {
         try {
-            JsonNode status = client.get(node, "/status").json();
+            JsonNode status = client.get(node, "/admin/status").json();
             ObjectNode line = Json.object()
                     .put("type", "status")
                     .put("node", node.getAddress().getHostAddress() + ":" + node.getPort())
--- a/standins/src/main/java/org/magnoliabridge/standins/StandinMain.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/StandinMain.java
@@ -29,8 +29,8 @@
 public final class StandinMain {
     private static final int USAGE_ERROR = 2;
 
-    // Kept in a field, because a logger that nobody holds may lose its level.
-    private static final Logger XNIO = Logger.getLogger("org.xnio");
+    // Kept in a field, because loggers that nobody holds may lose their level.
+    private static final List<Logger> LIBRARIES = List.of(Logger.getLogger("org.xnio"), Logger.getLogger("io.undertow"));
 
     private StandinMain() {}
 
@@ -45,7 +45,7 @@
             System.exit(USAGE_ERROR);
             return;
         }
-        XNIO.setLevel(Level.WARNING);
+        LIBRARIES.forEach(logger -> logger.setLevel(Level.WARNING));
         StandIn standIn = start(options);
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
         out.println("listening " + standIn.address().getAddress().getHostAddress() + ":"
@@ -65,7 +65,6 @@
         orders.addArgument("--ignore-fencing").action(Arguments.storeTrue());
         orders.addArgument("--slot")
                 .action(Arguments.append())
-                .setDefault(List.of())
                 .help("service,dc,kind,ip:port[,id of the endpoint that runs there from the start]");
         number(orders, "--start-ms", 2_000);
         number(orders, "--stop-ms", 2_000);
@@ -116,6 +115,7 @@
     }
 
     private static StandIn orders(InetSocketAddress listen, Namespace options) throws UnknownHostException {
+        List<String> slots = options.getList("slot");
         String[] list = options.getString("instances").split(":", 2);
         if (list.length != 2) {
             throw new IllegalArgumentException("--instances must be ip:port");
@@ -127,9 +127,9 @@
                         !options.getBoolean("ignore_fencing"),
                         number(options, "start_ms"),
                         number(options, "stop_ms"),
-                        options.<String>getList("slot").stream()
-                                .map(OrderInterface.Slot::parse)
-                                .toList()));
+                        slots == null
+                                ? List.of()
+                                : slots.stream().map(OrderInterface.Slot::parse).toList()));
     }
 
     private static StandIn engine(InetSocketAddress listen, Namespace options) {
--- a/standins/src/test/java/org/magnoliabridge/standins/PlatformStandInsTest.java
+++ b/standins/src/test/java/org/magnoliabridge/standins/PlatformStandInsTest.java
@@ -134,7 +134,7 @@
         for (String name :
                 List.of("object-api", "usage", "instances", "weights", "scoring", "engine", "bookings", "orders")) {
             String[] args = name.equals("orders")
-                    ? new String[] {name, "--instances", "127.0.0.1:1"}
+                    ? new String[] {name, "--instances", "127.0.0.1:1", "--slot", "s,d,standard,127.0.0.1:2,e1"}
                     : new String[] {name, "--port", "0"};
             try (StandIn standIn = StandinMain.start(StandinMain.parser().parseArgs(args))) {
                 assertThat(name, status(standIn, "POST", "/faults", "{\"mode\":\"none\"}"), is(200));
