--- a/standins/src/main/java/org/magnoliabridge/standins/DemoTrainer.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/DemoTrainer.java
@@ -142,9 +142,9 @@
                 .put("max_tokens", MAX_TOKENS);
         ArrayNode groups = spec.putArray("groups");
         for (int group = 0; group < GROUPS; group++) {
-            String id = "g" + group;
+
             groups.addObject()
-                    .put("group", id)
+                    .put("group", group)
                     .put("prompt", "Coach the group m-" + run + "s" + step + "-" + group + "-m and say why.");
         }
         return spec;
--- a/standins/src/main/java/org/magnoliabridge/standins/StandinMain.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/StandinMain.java
@@ -30,7 +30,8 @@
     private static final int USAGE_ERROR = 2;
 
     // Kept in a field, because loggers that nobody holds may lose their level.
-    private static final List<Logger> LIBRARIES = List.of(Logger.getLogger("org.xnio"), Logger.getLogger("io.undertow"));
+    private static final List<Logger> LIBRARIES =
+            List.of(Logger.getLogger("org.xnio"), Logger.getLogger("io.undertow"));
 
     private StandinMain() {}
 
