--- a/standins/src/main/java/org/magnoliabridge/standins/DemoDriver.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/DemoDriver.java
@@ -45,12 +45,16 @@
             out.println("usage: DemoDriver FOLDER");
             System.exit(2);
         }
-        Path folder = Path.of(args[0]);
+        boolean whole = drive(Path.of(args[0]));
+        out.println(whole ? "all steps whole" : "a step failed");
+        System.exit(whole ? 0 : 1);
+    }
+
+    /** Runs trainer and callers in a folder; returns whether all steps were whole. */
+    static boolean drive(Path folder) throws IOException, BadCallException, InterruptedException {
         DemoConfig config = DemoConfig.parse(Files.readAllBytes(folder.resolve("driver.json")));
         try (ObservationLog log = new ObservationLog(folder.resolve("observed.ndjson"))) {
-            boolean whole = new DemoDriver(config, log).run(folder.resolve("finish"));
-            out.println(whole ? "all steps whole" : "a step failed");
-            System.exit(whole ? 0 : 1);
+            return new DemoDriver(config, log).run(folder.resolve("finish"));
         }
     }
 
--- a/standins/src/test/java/org/magnoliabridge/standins/CommandLineTest.java
+++ b/standins/src/test/java/org/magnoliabridge/standins/CommandLineTest.java
@@ -25,7 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.magnoliabridge.cli.Cli;
 
-/** Guards against exit codes that scripts can't rely on, and against a race or a lost answer that misleads operators. */
+/** Guards against exit codes that scripts can't rely on, and against races and lost answers that mislead operators. */
 class CommandLineTest extends StandInTest {
     private static final String BUNDLE = """
             {"version": 1, // comments are allowed
--- a/standins/src/test/java/org/magnoliabridge/standins/PlatformStandInsTest.java
+++ b/standins/src/test/java/org/magnoliabridge/standins/PlatformStandInsTest.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.standins;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.iterableWithSize;
 
@@ -43,6 +44,9 @@
                 throw new IllegalStateException(e);
             }
         });
+        while (json(objects, "/counts").path("open_watches").asInt() == 0) {
+            Thread.sleep(10);
+        }
         put(objects, "/objects/b", CREATE);
         put(objects, "/objects/a", CREATE);
         JsonNode events = watch.get(LIMIT_MS, TimeUnit.MILLISECONDS).path("events");
@@ -53,6 +57,15 @@
         assertThat(json(objects, "/watch?since=3&wait_ms=0").path("events"), hasSizeOf(0));
     }
 
+    @Test
+    void slowModeDelaysEveryCall() throws Exception {
+        ObjectApi objects = closer.register(new ObjectApi(ANY_PORT, ObjectApi.Settings.defaults()));
+        status(objects, "POST", "/slow", "{\"delay_ms\":300}");
+        long start = System.nanoTime();
+        json(objects, "/list");
+        assertThat(System.nanoTime() - start, greaterThan(300_000_000L));
+    }
+
     @Test
     void staleFencingTokenIsRefusedUnlessIgnored() throws Exception {
         for (boolean checks : new boolean[] {true, false}) {
