--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -163,7 +163,10 @@
                 context.loop(),
                 context.clock(),
                 context.store(),
-                context.metrics());
+                context.metrics(),
+                endpoint -> LOG.atWarning()
+                        .with(LogFields.ENDPOINT, endpoint.value())
+                        .log("the platform refused an order"));
         context.loop().repeat(ORDER_TICK_MS, () -> driver.handle(new OrdersInput.Tick()));
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
@@ -4,8 +4,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.orders.EndpointOrderSender;
 import org.magnoliabridge.orders.OrderOutcome;
 import org.magnoliabridge.orders.OrdersCore;
@@ -30,7 +32,13 @@
     private final MonotonicClock clock;
     private final StoreRunner store;
     private final MetricRegistry metrics;
+    private final Consumer<EndpointId> refusals;
 
+    /**
+     * Creates a driver.
+     *
+     * @param refusals hears on the control thread of each endpoint whose order was refused
+     */
     OrdersDriver(
             OrdersCore core,
             LeaseDriver lease,
@@ -38,7 +46,8 @@
             ControlLoop loop,
             MonotonicClock clock,
             StoreRunner store,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            Consumer<EndpointId> refusals) {
         this.core = core;
         this.lease = lease;
         this.orders = orders;
@@ -47,6 +56,7 @@
         this.clock = clock;
         this.store = store;
         this.metrics = metrics;
+        this.refusals = refusals;
     }
 
     /** Gives the core an input; control thread only. */
@@ -65,6 +75,10 @@
                         reply -> handle(new OrdersInput.StoreReplied(call.callId(), reply)));
             case OrdersEffect.ListEndpoints list -> Thread.ofVirtual().start(() -> list(list.callId()));
             case OrdersEffect.Send send -> Thread.ofVirtual().start(() -> send(send));
+            case OrdersEffect.Refused refused -> {
+                metrics.counter("orders.refused").inc();
+                refusals.accept(refused.endpoint());
+            }
             case OrdersEffect.StaleOrderSeen stale -> {
                 metrics.counter("orders.stale_seen").inc();
                 LOG.atWarning()
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
@@ -195,7 +195,7 @@
     private void load(WeightsEffect.Load load) {
         InetSocketAddress address = addresses.get(load.engine());
         Thread.ofVirtual().start(() -> {
-            OrderOutcome outcome = address == null ? OrderOutcome.NOT_DONE : sender.send(address, load);
+            OrderOutcome outcome = address == null ? OrderOutcome.NOT_SENT : sender.send(address, load);
             loop.post(() -> handle(new WeightsInput.Sent(load.orderId(), load.engine(), outcome)));
         });
     }
