--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -76,7 +76,7 @@
         closer.register(new OperatorServer(
                 settings.listen().operators(),
                 context.metrics(),
-                Map.of("/status", pages::status, "/endpoints", pages::endpoints)));
+                Map.of("/admin/status", pages::status, "/admin/endpoints", pages::endpoints)));
         startOrders(settings);
         startWeights(settings);
         context.loop().repeat(STATUS_PERIOD_MS, pages::refresh);
