--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.http.RefusingPort;
 import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
@@ -78,16 +79,30 @@
     /** Guards I11: a call that a leaving endpoint did not run may go to another one, also if it must not run twice. */
     @Test
     void movesACallThatDidNotRun() throws CallException {
-        script = (request, out) -> FakeBackEnd.respond(out, 503, JSON, "{\"error\":{\"type\":\"draining\"}}");
+        script = (request, out) ->
+                FakeBackEnd.respond(out, 503, JSON, "{\"error\":{\"type\":\"draining\",\"run\":\"not_run\"}}");
         assertThat(call(false).status(), is(201));
     }
 
+    /** Guards I11: words in an answer are no proof that a call did not run, unless the service says just that. */
+    @Test
+    void takesNoOtherRefusalForNotRun() throws CallException {
+        script = (request, out) -> FakeBackEnd.respond(out, 503, JSON, "{\"error\":\"draining\"}");
+        assertThat(call(false).status(), is(503));
+        script = (request, out) -> FakeBackEnd.respond(out, 400, JSON, "{\"error\":\"a\",\"run\":\"not_run\"}");
+        assertThat(call(false).status(), is(400));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
     /** Guards I10: nothing listens, so nothing was written. */
     @Test
     void saysNotRunWhenNoEndpointCouldBeReached() throws IOException {
-        one.close();
-        two.close();
-        assertThat(assertThrows(CallException.class, () -> call(false)).run(), is(RunClaim.NOT_RUN));
+        fixture.endpoints.endpoints.clear();
+        try (RefusingPort first = new RefusingPort();
+                RefusingPort second = new RefusingPort()) {
+            fixture.endpoints.add("one", first.address()).add("two", second.address());
+            assertThat(assertThrows(CallException.class, () -> call(false)).run(), is(RunClaim.NOT_RUN));
+        }
     }
 
     private PlainAnswer call(boolean idempotent) throws CallException {
