--- a/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
@@ -18,6 +18,7 @@
 final class UsageWorld extends SimWorld {
     private static final int NODES = 4;
     private static final long WINDOW_MS = 6_000;
+    private static final long TRAFFIC_MS = 290;
     private static final long TRAFFIC_END_MS = 12_000;
     private static final long TWO_LEADERS_MS = 18_000;
     private static final long SECOND_LEADER_MS = 32_000;
@@ -77,7 +78,8 @@
                     .mapToObj(i -> nodes.get(i).peer())
                     .toList();
             Optional<UsageInput.Peer> leading = Optional.of(nodes.get(leader).peer());
-            node.host.after(0, () -> node.handle(new UsageInput.Peers(copies, leading)));
+            UsageInput.Peers peers = new UsageInput.Peers(copies, leading);
+            node.host.after(0, () -> node.handle(peers));
         }
         at(1_000, this::members);
     }
@@ -114,7 +116,7 @@
             handedOver = false;
             draining = false;
             host.every(200, () -> handle(new UsageInput.Tick()));
-            host.every(290 + number, this::traffic);
+            host.after(TRAFFIC_MS + number, this::traffic);
         }
 
         UsageInput.Peer peer() {
@@ -139,6 +141,7 @@
                 int tokens = 10 + ++deliveries % 7;
                 checker.delivered(process(), now, tokens);
                 handle(new UsageInput.Delivered(new TeamId("team" + deliveries % 2), new Count(1, 5, tokens)));
+                host.after(TRAFFIC_MS + number, this::traffic);
             }
         }
 
