--- a/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
@@ -4,8 +4,11 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.orders.EndpointOrderSender;
 import org.magnoliabridge.orders.OrderOutcome;
 import org.magnoliabridge.orders.OrdersCore;
 import org.magnoliabridge.orders.OrdersEffect;
@@ -20,16 +23,22 @@
 /** Runs the orders core under its lease: the core on the control thread, calls on virtual threads. */
 final class OrdersDriver {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final int STALE_FENCING_STATUS = 409;
 
     private final OrdersCore core;
     private final LeaseDriver lease;
     private final EndpointOrders orders;
+    private final EndpointOrderSender sender;
     private final ControlLoop loop;
     private final MonotonicClock clock;
     private final StoreRunner store;
     private final MetricRegistry metrics;
+    private final Consumer<EndpointId> refusals;
 
+    /**
+     * Creates a driver.
+     *
+     * @param refusals hears on the control thread of each endpoint whose order was refused
+     */
     OrdersDriver(
             OrdersCore core,
             LeaseDriver lease,
@@ -37,14 +46,17 @@
             ControlLoop loop,
             MonotonicClock clock,
             StoreRunner store,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            Consumer<EndpointId> refusals) {
         this.core = core;
         this.lease = lease;
         this.orders = orders;
+        this.sender = new EndpointOrderSender(orders, clock);
         this.loop = loop;
         this.clock = clock;
         this.store = store;
         this.metrics = metrics;
+        this.refusals = refusals;
     }
 
     /** Gives the core an input; control thread only. */
@@ -63,6 +75,10 @@
                         reply -> handle(new OrdersInput.StoreReplied(call.callId(), reply)));
             case OrdersEffect.ListEndpoints list -> Thread.ofVirtual().start(() -> list(list.callId()));
             case OrdersEffect.Send send -> Thread.ofVirtual().start(() -> send(send));
+            case OrdersEffect.Refused refused -> {
+                metrics.counter("orders.refused").inc();
+                refusals.accept(refused.endpoint());
+            }
             case OrdersEffect.StaleOrderSeen stale -> {
                 metrics.counter("orders.stale_seen").inc();
                 LOG.atWarning()
@@ -90,21 +106,8 @@
     }
 
     private void send(OrdersEffect.Send send) {
-        OrderOutcome outcome = clock.nowMs() >= send.notAfterMs() ? OrderOutcome.NOT_DONE : order(send);
+        OrderOutcome outcome = sender.send(send);
         metrics.counter("orders.sent." + outcome).inc();
         loop.post(() -> handle(new OrdersInput.Sent(send.orderId(), outcome)));
     }
-
-    private OrderOutcome order(OrdersEffect.Send send) {
-        try {
-            orders.order(send.order(), send.orderId(), send.fencing());
-            return OrderOutcome.ACCEPTED;
-        } catch (PlatformException.Rejected e) {
-            return e.status() == STALE_FENCING_STATUS ? OrderOutcome.STALE_FENCING : OrderOutcome.NOT_DONE;
-        } catch (PlatformException.Unavailable | PlatformException.RateLimited e) {
-            return OrderOutcome.NOT_DONE;
-        } catch (PlatformException e) {
-            return OrderOutcome.UNKNOWN;
-        }
-    }
 }
