--- a/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
@@ -34,6 +34,19 @@
         return parse(json, StepJson::spec);
     }
 
+    /**
+     * Reads the number of the step from the body of a request.
+     *
+     * @throws MalformedStepException if it is missing or negative
+     */
+    public static long step(byte[] json) throws MalformedStepException {
+        long step = parse(json, node -> number(node, "step"));
+        if (step < 0) {
+            throw new MalformedStepException("step must not be negative", null);
+        }
+        return step;
+    }
+
     static byte[] head(StepHead head) {
         ObjectNode node = MAPPER.createObjectNode();
         node.set("spec", specNode(head.spec()));
@@ -54,7 +67,7 @@
             for (JsonNode e : field(node, "entries")) {
                 entries.add(new GroupEntry(
                         number(e, "seq"),
-                        whole(e, "group"),
+                        text(e, "group"),
                         whole(e, "attempt"),
                         text(e, "digest"),
                         number(e, "min_version"),
@@ -91,7 +104,7 @@
             for (JsonNode s : field(node, "samples")) {
                 samples.add(sample(s));
             }
-            return new GroupBody(whole(node, "group"), whole(node, "attempt"), samples);
+            return new GroupBody(text(node, "group"), whole(node, "attempt"), samples);
         });
     }
 
@@ -152,7 +165,7 @@
     private static StepSpec spec(JsonNode node) throws MalformedStepException {
         List<StepSpec.Group> groups = new ArrayList<>();
         for (JsonNode g : field(node, "groups")) {
-            groups.add(new StepSpec.Group(whole(g, "group"), text(g, "prompt")));
+            groups.add(new StepSpec.Group(text(g, "group"), text(g, "prompt")));
         }
         return new StepSpec(
                 new ServiceId(text(node, "service")),
