Accept group ids as text or number

Cause: the design's example has a number; the slice took text only, and the demo's trainer was refused with 400. Change: both are taken, numbers as their decimal text.

--- a/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
@@ -165,7 +165,7 @@
     private static StepSpec spec(JsonNode node) throws MalformedStepException {
         List<StepSpec.Group> groups = new ArrayList<>();
         for (JsonNode g : field(node, "groups")) {
-            groups.add(new StepSpec.Group(text(g, "group"), text(g, "prompt")));
+            groups.add(new StepSpec.Group(groupId(g), text(g, "prompt")));
         }
         return new StepSpec(
                 new ServiceId(text(node, "service")),
@@ -177,6 +177,11 @@
                 groups);
     }
 
+    // Trainers name groups by text or by number.
+    private static String groupId(JsonNode node) throws MalformedStepException {
+        return field(node, "group").isIntegralNumber() ? Long.toString(number(node, "group")) : text(node, "group");
+    }
+
     private static <T> T parse(byte[] json, Parser<T> parser) throws MalformedStepException {
         try {
             return parser.parse(MAPPER.readTree(json));
