Take every 4xx of the order interface as a refusal, and no 5xx

Cause: the order stand-in answers 422 when a data centre has no room, so the special case for a 503 with "no_capacity" is not needed.

--- a/library/src/main/java/org/magnoliabridge/platform/HttpEndpointOrders.java
+++ b/library/src/main/java/org/magnoliabridge/platform/HttpEndpointOrders.java
@@ -20,9 +20,6 @@
     private static final String RUNNING = "running";
     private static final String STOPPED = "stopped";
 
-    // The interface's own refusal of an order when a data centre has no free endpoint; the order had no effect.
-    private static final String NO_ROOM = "no_capacity";
-
     private final PlatformHttp http;
 
     /** Creates the adapter; the total limit is the send deadline and must be below the lease margin. */
@@ -39,8 +36,8 @@
         body.put("service", order.service().value());
         body.put("kind", order.kind().word());
         body.put("desired", order.running() ? RUNNING : STOPPED);
-        HttpAnswer answer = http.change(
-                http.send("PUT", "/endpoints/" + order.endpoint().value(), PlatformHttp.bytes(body)), NO_ROOM);
+        HttpAnswer answer =
+                http.change(http.send("PUT", "/endpoints/" + order.endpoint().value(), PlatformHttp.bytes(body)));
         if (answer.status() < 200 || answer.status() > 299) {
             throw PlatformHttp.rejected(answer);
         }
--- a/library/src/main/java/org/magnoliabridge/platform/PlatformHttp.java
+++ b/library/src/main/java/org/magnoliabridge/platform/PlatformHttp.java
@@ -19,7 +19,6 @@
     static final ObjectMapper JSON = new ObjectMapper();
     private static final long MS_PER_SECOND = 1_000;
     private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
-    private static final String NO_REFUSAL = "";
     private static final int MAX_QUOTED_CHARS = 200;
 
     private final HttpCaller caller;
@@ -42,22 +41,17 @@
 
     /** Makes a call that changes nothing, so a lost answer is the same as no call. */
     HttpAnswer read(HttpCall call) throws PlatformException {
-        return run(call, false, NO_REFUSAL);
+        return run(call, false);
     }
 
     /** Makes a call that may change something. */
     HttpAnswer change(HttpCall call) throws PlatformException {
-        return run(call, true, NO_REFUSAL);
+        return run(call, true);
     }
 
-    /** Makes a call that may change something; a server error that names the refusal is returned as an answer. */
-    HttpAnswer change(HttpCall call, String refusal) throws PlatformException {
-        return run(call, true, refusal);
-    }
-
-    private HttpAnswer run(HttpCall call, boolean change, String refusal) throws PlatformException {
+    private HttpAnswer run(HttpCall call, boolean change) throws PlatformException {
         try {
-            return checked(caller.call(call), change, refusal);
+            return checked(caller.call(call), change);
         } catch (HttpFailure e) {
             throw failure(call.path() + ": " + e.getMessage(), change, e);
         }
@@ -74,14 +68,11 @@
     }
 
     // A server error does not prove that a write took no effect, so a write's outcome is unknown then.
-    private static HttpAnswer checked(HttpAnswer answer, boolean change, String refusal) throws PlatformException {
+    private static HttpAnswer checked(HttpAnswer answer, boolean change) throws PlatformException {
         int status = answer.status();
         if (status == 429) {
             throw new PlatformException.RateLimited(retryAfterMs(answer));
         }
-        if (status >= 500 && !refusal.isEmpty() && errorOf(answer).equals(refusal)) {
-            return answer;
-        }
         if (status >= 500 && change) {
             throw new PlatformException.OutcomeUnknown("status " + status, null);
         }
@@ -91,14 +82,6 @@
         return answer;
     }
 
-    private static String errorOf(HttpAnswer answer) {
-        try {
-            return JSON.readTree(answer.body()).path("error").asText();
-        } catch (IOException e) {
-            return "";
-        }
-    }
-
     private static long retryAfterMs(HttpAnswer answer) {
         try {
             double seconds = answer.header("retry-after")
