Keep the fencing token rising over a deleted lease, and a watch running

Change: LeaseCore remembers the highest token it has seen; ObjectWatch logs the failure, waits and lists again.

--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -46,6 +46,7 @@
     private long version = ObjectStore.ABSENT;
     private Optional<LeaseRecord> seen = Optional.empty();
     private long seenSinceMs;
+    private long highestFencing;
     private InFlight inFlight;
     private long nextCallId = 1;
     private long nextActionMs = Long.MIN_VALUE;
@@ -169,8 +170,7 @@
     }
 
     private FencingToken nextFencing() {
-        long last = seen.map(r -> r.fencing().value()).orElse(0L);
-        return new FencingToken(isOff(LeaseMechanism.FENCING) ? Math.max(last, 1) : last + 1);
+        return new FencingToken(isOff(LeaseMechanism.FENCING) ? Math.max(highestFencing, 1) : highestFencing + 1);
     }
 
     private LeaseRecord record(String holder, FencingToken fencing) {
@@ -214,6 +214,9 @@
         }
         version = newVersion;
         seen = record;
+        // Kept beyond the object, which somebody may delete: a token must never be used again.
+        highestFencing =
+                Math.max(highestFencing, record.map(r -> r.fencing().value()).orElse(0L));
         lostWrites.keepThoseAt(newVersion);
     }
 
--- a/library/src/main/java/org/magnoliabridge/platform/ObjectWatch.java
+++ b/library/src/main/java/org/magnoliabridge/platform/ObjectWatch.java
@@ -1,6 +1,8 @@
 package org.magnoliabridge.platform;
 
 import java.util.Objects;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
 
 /**
@@ -10,6 +12,7 @@
  * or over a failure. When the store no longer knows the changes since that revision, it lists again.
  */
 public final class ObjectWatch implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(ObjectWatch.class.getName());
     private static final long FIRST_BACKOFF_MS = 200;
     private static final long MAX_BACKOFF_MS = 5_000;
     private static final long NO_REVISION = -1;
@@ -53,6 +56,11 @@
                 backoff.reset();
             } catch (PlatformException.RevisionTooOld e) {
                 revision = NO_REVISION;
+            } catch (RuntimeException e) {
+                // The listener may have missed this poll's changes, so everything is listed again.
+                LOG.log(Level.SEVERE, "listener of the watch on " + prefix + " failed", e);
+                revision = NO_REVISION;
+                pause();
             } catch (PlatformException e) {
                 if (!closed) {
                     listener.failed(e);
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -13,6 +13,7 @@
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.platform.MemoryStore;
 import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.PlatformException;
 import org.magnoliabridge.platform.StoreReply;
 import org.magnoliabridge.platform.StoreRunner;
 
@@ -61,6 +62,17 @@
         assertThat(heard, hasItem(new LeaseEffect.MustStop(new FencingToken(1))));
     }
 
+    /** Guards against a token that is used again after somebody deleted the lease object. */
+    @Test
+    void deletedLeaseDoesNotRestartTheToken() throws PlatformException {
+        LeaseCore core = core("node-0");
+        run(core, 0, core.onTick(0));
+        store.delete(KEY, 1);
+        run(core, 3_000, core.onTick(3_000));
+        run(core, 3_001, core.onTick(3_001));
+        assertThat(core.view().fencing(), is(new FencingToken(2)));
+    }
+
     private static LeaseCore core(String name) {
         LeaseCore core = new LeaseCore(KEY, new NodeId(name), new Incarnation(1), LeaseSettings.DEFAULT);
         core.setCandidate(true);
--- a/library/src/test/java/org/magnoliabridge/platform/BudgetedStoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/platform/BudgetedStoreTest.java
@@ -120,6 +120,7 @@
     @Test
     void watchMissesNothing() throws Exception {
         AtomicBoolean fail = new AtomicBoolean();
+        AtomicBoolean listenerFails = new AtomicBoolean(true);
         CountDownLatch failed = new CountDownLatch(1);
         MemoryStore store = new MemoryStore() {
             @Override
@@ -140,6 +141,9 @@
             @Override
             public void changed(ObjectStore.Listing changes) {
                 changes.entries().forEach(e -> seen.add(e.version()));
+                if (listenerFails.compareAndSet(true, false)) {
+                    throw new IllegalStateException("listener fails once");
+                }
             }
 
             @Override
@@ -154,7 +158,7 @@
                 1,
                 listener,
                 RandomGeneratorFactory.getDefault().create(7))) {
-            await(() -> seen.contains(1L));
+            await(() -> seen.size() == 2);
             fail.set(true);
             assertThat(failed.await(10, TimeUnit.SECONDS), is(true));
             store.write(KEY, 1, new byte[0]);
@@ -168,7 +172,8 @@
             await(() -> seen.contains(4L));
             assertThat(watch, is(watch));
         }
-        assertThat(seen, contains(1L, 2L, 3L, 4L));
+        // The first listing is given again, because the listener failed on it.
+        assertThat(seen, contains(1L, 1L, 2L, 3L, 4L));
     }
 
     private int waiting() {
