--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -0,0 +1,143 @@
+package org.magnoliabridge.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.Region;
+import org.magnoliabridge.membership.Standing.State;
+import org.magnoliabridge.wire.FrameType;
+
+class MembershipCoreTest {
+    private static final List<State> STATES = List.of(State.ALIVE, State.SUSPECT, State.DEAD);
+    private static final NodeId OTHER = new NodeId("other");
+
+    private static Standing standing(int bits) {
+        return new Standing(new Incarnation(bits & 1), (bits >> 1) & 1, STATES.get((bits >> 2) % 3), (bits & 32) != 0);
+    }
+
+    private static Place place(String name) {
+        return new Place(name, name, new DataCentre("trent"), new Region("midlands"));
+    }
+
+    private static MembershipCore core() {
+        Standing alive = new Standing(new Incarnation(5), 0, State.ALIVE, false);
+        return new MembershipCore(new Member(new NodeId("self"), alive, place("self"), 0), List.of(), new Random(1));
+    }
+
+    private static byte[] ping(MemberUpdate... updates) {
+        Standing alive = new Standing(new Incarnation(1), 0, State.ALIVE, false);
+        MemberUpdate sender = new MemberUpdate(OTHER, alive, Optional.of(place("other")));
+        return MembershipCodec.pack(
+                new MembershipCodec.Contact(sender, List.of(0L, 0L), 0, 1, -1, 0, List.of(updates), List.of()));
+    }
+
+    /** Guards against tables that differ for good because reports came in another order or twice. */
+    @Property(tries = 300, seed = "46")
+    void reportsMergeInAnyOrder(
+            @ForAll @IntRange(max = 63) int a, @ForAll @IntRange(max = 63) int b, @ForAll @IntRange(max = 63) int c) {
+        Standing left = standing(a).merge(standing(b)).merge(standing(c));
+        assertThat(standing(c).merge(standing(a)).merge(standing(b)), equalTo(left));
+        assertThat(left.merge(standing(b)), equalTo(left));
+    }
+
+    /** Guards against a crash of the control thread on any body, from random bytes to an altered ping. */
+    @Property(tries = 500, seed = "47")
+    void reportsMalformedBodies(@ForAll @Size(max = 120) byte[] random, @ForAll @IntRange(max = 200) int at) {
+        byte[] altered = ping();
+        altered[at % altered.length] ^= (byte) (random.length + 1);
+        for (FrameType type : FrameType.values()) {
+            core().handle(new MembershipInput.Received(OTHER, type, 1, random), 0);
+            core().handle(new MembershipInput.Received(OTHER, type, 1, altered), 0);
+        }
+        List<MembershipEffect> effects =
+                core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, new byte[] {1}), 0);
+        assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
+    }
+
+    /** Guards against a live node that stays dead in the others' tables. */
+    @Test
+    void contradictsItsOwnDeath() {
+        MembershipCore core = core();
+        Standing dead = new Standing(new Incarnation(5), 3, State.DEAD, false);
+        MemberUpdate claim = new MemberUpdate(new NodeId("self"), dead, Optional.empty());
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(claim)), 0);
+        Standing mine = core.members().stream()
+                .filter(m -> m.id().value().equals("self"))
+                .findFirst()
+                .orElseThrow()
+                .standing();
+        assertThat(mine, equalTo(new Standing(new Incarnation(5), 4, State.ALIVE, false)));
+    }
+
+    /** Guards I13: a node that leaves is not offered to callers, and says so at once. */
+    @Test
+    void tellsThatItLeaves() {
+        MembershipCore core = core();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        List<MembershipEffect> effects = core.handle(new MembershipInput.Leave(), 0);
+        List<FrameType> sent = new ArrayList<>();
+        for (MembershipEffect effect : effects) {
+            if (effect instanceof MembershipEffect.Send send) {
+                sent.add(send.type());
+            }
+        }
+        assertThat(sent, hasItem(FrameType.LEAVING));
+        assertThat(
+                core.members().stream()
+                        .filter(Member::takesWork)
+                        .map(Member::id)
+                        .toList(),
+                equalTo(List.of(OTHER)));
+    }
+
+    /** Guards the limit of news in a ping. */
+    @Test
+    void keepsPingsSmall() {
+        Piggyback news = new Piggyback();
+        for (int i = 0; i < 500; i++) {
+            news.add(new MemberUpdate(new NodeId("node-" + i), standing(i % 64), Optional.of(place("10.0.0.1:7000"))));
+            news.add(new Item("endpoint/" + i, 1, new byte[100]));
+        }
+        List<MemberUpdate> updates = new ArrayList<>();
+        List<Item> items = new ArrayList<>();
+        news.take(340, updates, items);
+        int bytes = items.stream().mapToInt(i -> i.payload().length).sum()
+                + updates.stream().mapToInt(MembershipCodec::size).sum();
+        assertThat(bytes, lessThanOrEqualTo(Piggyback.MAX_BYTES));
+        assertThat(news.add(new Item("endpoint/499", 1, new byte[1])), is(false));
+    }
+
+    /** Guards against duties that all move when one member leaves. */
+    @Test
+    void rankingMovesLittle() {
+        List<NodeId> nodes = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            nodes.add(new NodeId("node-" + i));
+        }
+        int moved = 0;
+        for (int scope = 0; scope < 200; scope++) {
+            NodeId before = Rendezvous.first("scope-" + scope, 1, nodes).get(0);
+            NodeId after =
+                    Rendezvous.first("scope-" + scope, 1, nodes.subList(1, 20)).get(0);
+            moved += before.equals(after) ? 0 : 1;
+        }
+        assertThat(moved, lessThan(30));
+    }
+}
