--- a/library/src/main/java/org/magnoliabridge/membership/Piggyback.java
+++ b/library/src/main/java/org/magnoliabridge/membership/Piggyback.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** News that waits to travel inside pings; each piece is sent a number of times that grows with log10 of the members. */
+/** News that waits to travel inside pings; each piece is sent a number of times that grows with log10 of the table. */
 final class Piggyback {
     /** Most bytes of news in one ping or ack. */
     static final int MAX_BYTES = 900;
