Choose the holders of usage copies in the core; match confirmations by address

Cause: the caller had to keep the leader out of the two copies, which the daemon's driver does not do, so a count could have two holders instead of three. And a confirmation named the incarnation of the confirming process, so it matched only if the peers input carries exactly that number; the core depended on a detail of the member table.

Change: the peers input takes live candidates and the core keeps the first two other than the leader. Counts name the incarnation they are addressed to and a confirmation repeats it. UsageCore counts messages that can't be unpacked.

Conclusion: the daemon should pass all ranked live members instead of two.

--- a/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
@@ -21,6 +21,7 @@
 
     static final long MIN_GENERATION_TIMEOUT_MS = 10_000;
     static final long SCORE_TIMEOUT_MS = 10_000;
+    static final long RETRY_MS = GroupRun.RETRY_MS;
 
     private final StepRef ref;
     private final Map<String, GroupRun> groups = new LinkedHashMap<>();
@@ -85,7 +86,7 @@
                 try {
                     loaded(StepJson.head(found.object().value()), found.object().version());
                 } catch (MalformedStepException e) {
-                    notBeforeMs = turn.nowMs + STORE_RETRY_MS;
+                    notBeforeMs = turn.nowMs + RETRY_MS;
                 }
             }
             case StoreReply.NotFound none -> missing = true;
@@ -97,18 +98,16 @@
             case StoreReply.Conflict conflict -> refreshNow();
             case StoreReply.Unknown unknown -> {
                 refreshNow();
-                notBeforeMs = turn.nowMs + STORE_RETRY_MS;
+                notBeforeMs = turn.nowMs + RETRY_MS;
             }
             case StoreReply.Unavailable down -> {
                 refreshNow();
-                notBeforeMs = turn.nowMs + STORE_RETRY_MS;
+                notBeforeMs = turn.nowMs + RETRY_MS;
             }
             case StoreReply.Listed listed -> refreshNow();
         }
     }
 
-    private static final long STORE_RETRY_MS = GroupRun.RETRY_MS;
-
     private void refreshNow() {
         refresh = true;
         headMs = Long.MIN_VALUE / 2;
@@ -143,7 +142,7 @@
         if (sample != null && sample.generations.remove(generation) != null) {
             turn.ended(generation);
             turn.forget(generation);
-            sample.notBeforeMs = turn.nowMs + STORE_RETRY_MS;
+            sample.notBeforeMs = turn.nowMs + RETRY_MS;
         }
     }
 
@@ -158,7 +157,7 @@
         SampleRun sample = find(generation);
         if (sample != null) {
             // Asked again by the next turn after a retry interval.
-            sample.scoreAskedMs = turn.nowMs - SCORE_TIMEOUT_MS + STORE_RETRY_MS;
+            sample.scoreAskedMs = turn.nowMs - SCORE_TIMEOUT_MS + RETRY_MS;
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/usage/CountsCodec.java
+++ b/library/src/main/java/org/magnoliabridge/usage/CountsCodec.java
@@ -20,12 +20,12 @@
 
     private CountsCodec() {}
 
-    /** Counts with the incarnation of the process that sends or acknowledges them. */
-    record Message(Incarnation sender, SortedMap<CounterId, Count> counts) {}
+    /** Counts with the incarnation that they were addressed to; an acknowledgement repeats both. */
+    record Message(Incarnation addressee, SortedMap<CounterId, Count> counts) {}
 
-    static byte[] pack(Incarnation sender, Map<CounterId, Count> counts) {
+    static byte[] pack(Incarnation addressee, Map<CounterId, Count> counts) {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            out.packLong(sender.value()).packArrayHeader(counts.size());
+            out.packLong(addressee.value()).packArrayHeader(counts.size());
             for (Map.Entry<CounterId, Count> entry : counts.entrySet()) {
                 pack(out, entry.getKey(), entry.getValue());
             }
@@ -45,7 +45,7 @@
     static Message unpack(byte[] body) throws MalformedUsageException {
         SortedMap<CounterId, Count> counts = new TreeMap<>();
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
-            Incarnation sender = new Incarnation(in.unpackLong());
+            Incarnation addressee = new Incarnation(in.unpackLong());
             int size = in.unpackArrayHeader();
             for (int i = 0; i < size; i++) {
                 if (in.unpackArrayHeader() != FIELDS) {
@@ -58,7 +58,7 @@
                         new TeamId(in.unpackString()));
                 counts.put(id, new Count(in.unpackLong(), in.unpackLong(), in.unpackLong()));
             }
-            return new Message(sender, counts);
+            return new Message(addressee, counts);
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new MalformedUsageException("cannot unpack usage counts", e);
         }
--- a/library/src/main/java/org/magnoliabridge/usage/UsageCore.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageCore.java
@@ -25,6 +25,9 @@
     /** Windows whose counters are kept in memory. */
     static final long KEPT_WINDOWS = 2 * UsageSealer.CARRY_WINDOWS;
 
+    /** With the leader, three processes hold each count, so that two deaths lose none. */
+    private static final int COPIES = 2;
+
     private static final long DRAIN_COPY_MS = 250;
 
     private final NodeId self;
@@ -32,12 +35,12 @@
     private final Set<Mechanism> mechanisms;
     private final CounterTable table;
     private final UsageSealer sealer;
-    private final Incarnation incarnation;
     private List<UsageInput.Peer> copies = List.of();
     private Optional<UsageInput.Peer> leader = Optional.empty();
     private long nextCopyMs;
     private boolean draining;
     private boolean handedOver;
+    private long malformed;
 
     /**
      * Creates a core without counts.
@@ -54,7 +57,6 @@
             throw new IllegalArgumentException("windowMs must be at least 1: " + windowMs);
         }
         this.self = self;
-        this.incarnation = incarnation;
         this.windowMs = windowMs;
         this.mechanisms = mechanisms;
         this.table = new CounterTable(self, incarnation);
@@ -69,8 +71,13 @@
             case UsageInput.Counts counts -> receive(counts, nowMs, effects);
             case UsageInput.Ack ack -> confirm(ack);
             case UsageInput.Peers peers -> {
-                copies = List.copyOf(peers.copies());
                 leader = peers.leader();
+                copies = peers.candidates().stream()
+                        .filter(p -> !p.node().equals(self))
+                        .filter(p ->
+                                leader.filter(l -> l.node().equals(p.node())).isEmpty())
+                        .limit(COPIES)
+                        .toList();
                 table.keepConfirmationsOf(targets());
             }
             case UsageInput.LeaseHeld held -> sealer.held(held.sendUntilMs(), held.fencing(), nowMs);
@@ -91,27 +98,32 @@
         return effects;
     }
 
+    /** Returns the number of messages of other nodes that could not be unpacked. */
+    public long malformed() {
+        return malformed;
+    }
+
     private void receive(UsageInput.Counts counts, long nowMs, List<UsageEffect> effects) {
         try {
             Map<CounterId, Count> received = CountsCodec.unpack(counts.body()).counts();
             table.merge(received, mechanisms.contains(Mechanism.MERGE_BY_MAX), nowMs);
-            effects.add(new UsageEffect.SendAck(counts.from(), CountsCodec.pack(incarnation, received)));
+            effects.add(new UsageEffect.SendAck(counts.from(), counts.body()));
         } catch (MalformedUsageException e) {
-            // Not acknowledged, so the sender sends it again and its own metrics show it.
-            effects.clear();
+            // Not acknowledged, so the sender sends it again.
+            malformed++;
         }
     }
 
     private void confirm(UsageInput.Ack ack) {
         try {
             CountsCodec.Message message = CountsCodec.unpack(ack.body());
-            UsageInput.Peer peer = new UsageInput.Peer(ack.from(), message.sender());
+            UsageInput.Peer peer = new UsageInput.Peer(ack.from(), message.addressee());
             if (targets().contains(peer)) {
                 table.confirm(peer, message.counts());
             }
         } catch (MalformedUsageException e) {
             // The counts stay unconfirmed and are sent again.
-            nextCopyMs = Math.max(nextCopyMs, 0);
+            malformed++;
         }
     }
 
@@ -123,7 +135,8 @@
                 boolean isLeader = leader.filter(target::equals).isPresent() && mechanisms.contains(Mechanism.COPIES);
                 Map<CounterId, Count> counts = table.unconfirmed(target, isLeader, nowMs);
                 if (!counts.isEmpty()) {
-                    effects.add(new UsageEffect.SendCounts(target.node(), CountsCodec.pack(incarnation, counts)));
+                    effects.add(
+                            new UsageEffect.SendCounts(target.node(), CountsCodec.pack(target.incarnation(), counts)));
                 }
             }
         }
--- a/library/src/main/java/org/magnoliabridge/usage/UsageInput.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageInput.java
@@ -25,12 +25,17 @@
     /**
      * Who gets copies.
      *
-     * @param copies 2 peers, other than the leader, that keep copies of this node's counts
+     * @param candidates live peers in order of preference, at least 3 if there are as many; the first 2 other than the
+     *     leader keep copies of this node's counts
      * @param leader the holder of the usage lease, if known; may be this node
      */
-    record Peers(List<Peer> copies, Optional<Peer> leader) implements UsageInput {}
+    record Peers(List<Peer> candidates, Optional<Peer> leader) implements UsageInput {}
 
-    /** A process that gets copies; one that was restarted has forgotten what it confirmed. */
+    /**
+     * A process that gets copies.
+     *
+     * @param incarnation changes at least when the node is restarted, because it has then forgotten what it confirmed
+     */
     record Peer(NodeId node, Incarnation incarnation) {}
 
     /**
--- a/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
@@ -86,6 +88,20 @@
         assertThat(effects, hasItem(new UsageEffect.HandedOver()));
     }
 
+    /** Guards against the leader counting as one of the copies, so that two deaths would lose counts. */
+    @Test
+    void threeProcessesHoldACount() {
+        List<UsageInput.Peer> candidates = Stream.of("n1", "n3", "n2", "n4", "n5")
+                .map(n -> new UsageInput.Peer(new NodeId(n), new Incarnation(1)))
+                .toList();
+        deliver(0);
+        run(new UsageInput.Peers(candidates, Optional.of(candidates.get(1))), 2_000);
+        List<String> targets = effects.stream()
+                .map(e -> ((UsageEffect.SendCounts) e).to().value())
+                .toList();
+        assertThat(targets, containsInAnyOrder("n2", "n3", "n4"));
+    }
+
     /** Guards against a difference between our counts and the engines' that nobody sees. */
     @Test
     void showsADifferenceFromTheEnginesCounts() {
@@ -109,6 +125,7 @@
             run(new UsageInput.Counts(OTHER, part), 0);
         }
         assertThat(effects, empty());
+        assertThat(core.malformed(), is((long) body.length));
     }
 
     private static byte[] ack(byte[] sent, long incarnation) {
--- a/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
@@ -72,10 +72,7 @@
         }
         for (Node node : nodes) {
             List<UsageInput.Peer> copies = IntStream.range(1, NODES)
-                    .map(i -> (node.number + i) % NODES)
-                    .filter(i -> i != leader)
-                    .limit(2)
-                    .mapToObj(i -> nodes.get(i).peer())
+                    .mapToObj(i -> nodes.get((node.number + i) % NODES).peer())
                     .toList();
             Optional<UsageInput.Peer> leading = Optional.of(nodes.get(leader).peer());
             UsageInput.Peers peers = new UsageInput.Peers(copies, leading);
