Measure the teams' demand at a node

Cause: the split of a team's rate by demand needs each node's own figure, which nothing gave. Conclusion: ready for pings to carry demand.

--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -13,6 +13,7 @@
 import org.magnoliabridge.calls.Failure;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
 
 /**
@@ -81,6 +82,11 @@
         return inFlight.size();
     }
 
+    /** Returns the tokens per second that each team asks for at this node, for pings and {@link DemandShare}. */
+    public Map<TeamId, Double> demand(long nowMs) {
+        return rates.demand(nowMs);
+    }
+
     /** Returns the number of endpoints in each state. */
     public Map<EndpointState, Integer> endpointCounts() {
         return table.counts();
@@ -104,6 +110,7 @@
     }
 
     private void arrive(Ticket ticket, long nowMs, List<AdmissionEffect> effects) {
+        rates.asked(ticket.team(), ticket.generatedTokens(), nowMs);
         long rateWaitMs = rates.waitMs(ticket.team(), nowMs);
         if (rateWaitMs > 0) {
             effects.add(new AdmissionEffect.Refuse(ticket.id(), new Failure.RateLimited(rateWaitMs)));
--- a/library/src/main/java/org/magnoliabridge/routing/TeamRates.java
+++ b/library/src/main/java/org/magnoliabridge/routing/TeamRates.java
@@ -2,11 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import org.magnoliabridge.ids.TeamId;
 
 /** The teams' weights and token buckets at this node. Deterministic and not thread-safe. */
 final class TeamRates {
     private final Map<TeamId, TokenBucket> buckets = new HashMap<>();
+    private final Map<TeamId, DemandMeter> demand = new TreeMap<>();
     private Map<TeamId, TeamPolicy> policies = Map.of();
     private Map<TeamId, Double> shares = Map.of();
     private double defaultShare = 1;
@@ -14,6 +16,7 @@
     void setPolicies(Map<TeamId, TeamPolicy> teams, long nowMs) {
         policies = teams;
         buckets.keySet().retainAll(teams.keySet());
+        demand.keySet().retainAll(teams.keySet());
         update(nowMs);
     }
 
@@ -34,6 +37,20 @@
         return bucket == null ? 0 : bucket.waitMs(nowMs);
     }
 
+    /** Counts what a team asks for, also what is then refused. */
+    void asked(TeamId team, int tokens, long nowMs) {
+        if (policies.containsKey(team)) {
+            demand.computeIfAbsent(team, t -> new DemandMeter(nowMs)).add(tokens, nowMs);
+        }
+    }
+
+    /** Returns the tokens per second that each team asks for at this node. */
+    Map<TeamId, Double> demand(long nowMs) {
+        Map<TeamId, Double> all = new TreeMap<>();
+        demand.forEach((team, meter) -> all.put(team, meter.perSecond(nowMs)));
+        return all;
+    }
+
     void take(TeamId team, int tokens, long nowMs) {
         TokenBucket bucket = buckets.get(team);
         if (bucket != null) {
--- a/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.routing;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
@@ -18,6 +19,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.magnoliabridge.calls.EndpointSource.Priority;
 import org.magnoliabridge.calls.Failure;
 import org.magnoliabridge.ids.EndpointId;
@@ -126,6 +129,26 @@
         assertThat(f.dispatched(), hasSize(2));
     }
 
+    /** Guards the split of a team's rate: what a node refuses counts as demand too, and old demand fades. */
+    @Test
+    void measuresWhatATeamAsksFor() {
+        TeamId team = new TeamId("a");
+        RoutingFixture f = new RoutingFixture(1, 100, 100, Map.of(team, new TeamPolicy(1, 10)));
+        for (int i = 0; i < 600; i++) {
+            f.nowMs += 100;
+            f.arrive("a", Priority.TRAINING, 5);
+        }
+        assertThat(f.core.demand(f.nowMs).get(team), is(closeTo(50, 1)));
+        assertThat(f.core.demand(f.nowMs + 60_000).get(team), is(closeTo(0, 1)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"30,90,true,0.25", "0,90,true,0.0625", "0,0,true,0.25", "90,0,false,0.25", "90,0,true,0.8125"})
+    void splitsARateByDemand(double own, double others, boolean reachable, double expected) {
+        double share = DemandShare.of(own, List.of(others, 0.0, 0.0), 4, reachable);
+        assertThat(share, is(closeTo(expected, 1e-9)));
+    }
+
     /** Guards a resumed call against the engine that has just failed it, and the requests behind it against waiting. */
     @Test
     void waitsForAnotherEndpointThanTheExcludedOne() {
--- a/library/src/test/java/org/magnoliabridge/routing/RoutingMeasurement.java
+++ b/library/src/test/java/org/magnoliabridge/routing/RoutingMeasurement.java
@@ -196,9 +196,9 @@
         long seed = args.length > 0 ? Long.parseLong(args[0]) : 1;
         int seconds = args.length > 1 ? Integer.parseInt(args[1]) : 120;
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
-        out.println(
-                "| load | policy | goodput tokens/s | interactive first token p50 / p99 ms"
-                        + " | training first token p50 / p99 ms | worst team, of fair share | worst team, of demand | prefix hits | max / mean load |");
+        out.println("| load | policy | goodput tokens/s | interactive first token p50 / p99 ms"
+                + " | training first token p50 / p99 ms | worst team, of fair share"
+                + " | worst team, of demand | prefix hits | max / mean load |");
         out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (double load : new double[] {0.5, 1, 2}) {
             Map<SimulatedNode.Policy, Result> results = new EnumMap<>(SimulatedNode.Policy.class);
