--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -76,7 +76,7 @@
         closer.register(new OperatorServer(
                 settings.listen().operators(),
                 context.metrics(),
-                Map.of("/status", pages::status, "/endpoints", pages::endpoints)));
+                Map.of("/admin/status", pages::status, "/admin/endpoints", pages::endpoints)));
         startOrders(settings);
         startWeights(settings);
         context.loop().repeat(STATUS_PERIOD_MS, pages::refresh);
@@ -163,7 +163,10 @@
                 context.loop(),
                 context.clock(),
                 context.store(),
-                context.metrics());
+                context.metrics(),
+                endpoint -> LOG.atWarning()
+                        .with(LogFields.ENDPOINT, endpoint.value())
+                        .log("the platform refused an order"));
         context.loop().repeat(ORDER_TICK_MS, () -> driver.handle(new OrdersInput.Tick()));
     }
 
