Spread demand for team limits, use the address book, poll swapping engines faster

Cause: each node took an equal part of a team's rate wherever the team's traffic entered; the usage core wants all candidates for copies; engines that swap were asked once a second, too slow for 16 s at 600 engines. A switch guard that Checkstyle cannot parse is an if.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
+import org.magnoliabridge.addresses.AddressBook;
 import org.magnoliabridge.bundle.Bundle;
 import org.magnoliabridge.bundle.ConfigSnapshot;
 import org.magnoliabridge.bundle.Service;
@@ -38,7 +39,6 @@
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.ledger.LedgerCore;
 import org.magnoliabridge.membership.Item;
-import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MembershipInput;
 import org.magnoliabridge.platform.HttpInstanceList;
 import org.magnoliabridge.platform.HttpScoringService;
@@ -195,13 +195,13 @@
         control.configuration().onChange(this::configured);
         control.membership().addListener(new LeavingFromPeers());
         control.membership().onFrame(FrameType.STEP_NUDGE, runner::nudged);
-        control.membership().onMembers(this::membersChanged);
         context.loop().repeat(CORE_TICK_MS, () -> {
             ledger.tick();
             delivery.tick();
             runner.handle(new RunnerInput.Tick());
         });
         context.loop().repeat(SECOND_MS, this::reportVersions);
+        new ShareDriver(context, control.membership(), admission, dispatcher).start();
     }
 
     private void configured(ConfigSnapshot config) {
@@ -217,12 +217,6 @@
         return new AdmissionInput.Policies(teams, bundle.bounds().engineSlots());
     }
 
-    // Without figures of the demand at other nodes each node takes an equal part of every team's rate.
-    private void membersChanged(List<Member> members) {
-        long alive = members.stream().filter(Member::takesWork).count();
-        dispatcher.post(new AdmissionInput.Shares(Map.of(), 1.0 / Math.max(1, alive)));
-    }
-
     private void spreadLeaving(Endpoint endpoint) {
         LOG.atInfo().log("endpoint %s is leaving", endpoint.id());
         Item item = new Item(
@@ -251,12 +245,11 @@
     }
 
     private AddressSource.Addresses addresses(Optional<DataCentre> near, String callerIp) {
-        List<AddressSource.NodeAddress> chosen = control.membership().members().stream()
-                .filter(Member::takesWork)
-                .limit(3)
-                .map(m -> new AddressSource.NodeAddress(
-                        m.place().callerAddress(), m.place().dataCentre(), 1))
-                .toList();
+        List<AddressSource.NodeAddress> chosen = new AddressBook(
+                        control.membership().members())
+                .addresses(callerIp, near).stream()
+                        .map(e -> new AddressSource.NodeAddress(e.address(), e.dataCentre(), e.weight()))
+                        .toList();
         return new AddressSource.Addresses(chosen, context.settings().limits().addressTtlMs());
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -54,7 +54,8 @@
     private static final long STORE_DEADLINE_MS = 2_000;
     private static final long ORDER_TICK_MS = 200;
     private static final long STATUS_PERIOD_MS = 500;
-    private static final long SECOND_MS = 1_000;
+    // A roll-out over 600 engines in 16 s leaves no room for a slower look at the engines that swap.
+    private static final long WEIGHTS_POLL_MS = 250;
     private static final long HAND_OVER_LIMIT_MS = 3_000;
     // A store of the stated size serves 600 samplers within 16 s; the store itself refuses what is over its rate.
     private static final WeightsSettings WEIGHTS = WeightsSettings.forRate(60, 20);
@@ -183,7 +184,7 @@
                 context.clock(),
                 context.metrics());
         context.loop().repeat(ORDER_TICK_MS, driver::tick);
-        context.loop().repeat(SECOND_MS, () -> driver.poll(data.modelEndpoints()));
+        context.loop().repeat(WEIGHTS_POLL_MS, () -> driver.poll(data.modelEndpoints()));
     }
 
     private static NodeContext context(NodeSettings settings, Closer closer) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
@@ -29,7 +29,6 @@
 final class UsageDriver implements UsageSink {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String LEADER_ITEM = "leader.usage";
-    private static final int COPIES = 2;
     private static final long TICK_MS = 100;
     private static final int CONFLICT = 409;
     private static final HttpLimits REPORT_LIMITS = HttpLimits.total(2_000);
@@ -105,11 +104,11 @@
         membership.handle(new MembershipInput.Hold(item));
     }
 
+    // The core takes the first two that are not the leader.
     private List<UsageInput.Peer> copies() {
         NodeId self = context.settings().nodeId();
         return membership.ranked("usage-copies/" + self).stream()
                 .filter(n -> !n.equals(self))
-                .limit(COPIES)
                 .flatMap(n -> peer(n).stream())
                 .toList();
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
@@ -36,7 +36,8 @@
 final class WeightsDriver {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // Engines that are up to date are asked seldom: only a restart could have changed their version.
-    private static final int FULL_POLL_EVERY = 10;
+    private static final int FULL_POLL_EVERY = 40;
+    private static final int POLLS_PER_SECOND = 4;
 
     private final WeightsCore core;
     private final LeaseDriver lease;
@@ -51,7 +52,7 @@
     private final Map<EndpointId, WeightVersion> reported = new HashMap<>();
     private final Map<ServiceId, WeightVersion> newest = new HashMap<>();
     private final Set<EndpointId> polling = new HashSet<>();
-    private long seconds;
+    private long polls;
 
     WeightsDriver(
             WeightsCore core,
@@ -79,24 +80,27 @@
         handle(new WeightsInput.Tick());
     }
 
-    /** Looks for new versions and at the engines, once a second; control thread only. */
+    /** Looks for new versions and at the engines that are behind, four times a second; control thread only. */
     void poll(Map<Service, List<Endpoint>> engineList) {
         if (!lease.view().held()) {
             return;
         }
-        seconds++;
+        polls++;
+        boolean wholeSecond = polls % POLLS_PER_SECOND == 0;
         List<WeightsInput.Engine> all = new ArrayList<>();
         addresses.clear();
         engineList.forEach((service, endpoints) -> {
             boolean sampler = service.priority() == Service.Priority.TRAINING;
-            Thread.ofVirtual().start(() -> findNewest(service.id()));
+            if (wholeSecond) {
+                Thread.ofVirtual().start(() -> findNewest(service.id()));
+            }
             for (Endpoint endpoint : endpoints) {
                 all.add(new WeightsInput.Engine(endpoint.id(), service.id(), sampler));
                 SocketAddresses.parse(endpoint.address()).ifPresent(a -> addresses.put(endpoint.id(), a));
             }
         });
         handle(new WeightsInput.Engines(all));
-        boolean full = seconds % FULL_POLL_EVERY == 0;
+        boolean full = polls % FULL_POLL_EVERY == 0;
         all.stream()
                 .filter(e -> full || isBehind(e))
                 .filter(e -> polling.add(e.id()))
--- a/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
@@ -19,8 +19,8 @@
 /**
  * Seals windows one after the other and reports what is sealed, while this node holds the usage lease.
  *
- * <p>A window is sealed only by a node that has read the sealed record of the window before it, so two holders that both
- * believe they are in charge compute carried counts from the same past, and create-if-absent picks one record.
+ * <p>A window is sealed only by a node that has read the sealed record of the window before it, so two holders that
+ * both believe they are in charge compute carried counts from the same past, and create-if-absent picks one record.
  */
 final class UsageSealer {
     static final long GRACE_MS = 10_000;
@@ -196,20 +196,24 @@
         sealable = version == ObjectStore.ABSENT;
     }
 
+    private void includeOwn(byte[] sealed, List<UsageEffect> effects) {
+        try {
+            include(sealed, effects);
+        } catch (MalformedUsageException e) {
+            throw new IllegalStateException("our own record can be read", e);
+        }
+    }
+
     private void written(StoreRequest.Write write, StoreReply reply, long nowMs, List<UsageEffect> effects) {
         boolean isHead = write.key().equals(HEAD);
         switch (reply) {
-            case StoreReply.Written done
-            when isHead -> {
-                head = writtenHead;
-                headVersion = done.version();
-                writtenHead = null;
-            }
             case StoreReply.Written done -> {
-                try {
-                    include(write.value(), effects);
-                } catch (MalformedUsageException e) {
-                    throw new IllegalStateException("our own record can be read", e);
+                if (isHead) {
+                    head = writtenHead;
+                    headVersion = done.version();
+                    writtenHead = null;
+                } else {
+                    includeOwn(write.value(), effects);
                 }
             }
             case StoreReply.Unavailable down -> notBeforeMs = nowMs + RETRY_MS;
