--- a/daemon/src/main/java/org/magnoliabridge/cli/NodeClient.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/NodeClient.java
@@ -44,15 +44,15 @@
         }
         List<Reply> replies = new ArrayList<>();
         for (InetSocketAddress node : operators) {
-            replies.add(new Reply(node, ask(node)));
+            replies.add(new Reply(node, ask(node, STATUS)));
         }
         return replies;
     }
 
-    /** Asks the configured nodes in turn for their status until one answers. */
-    JsonNode askAny() throws CommandException {
+    /** Asks the configured nodes in turn for a page until one answers. */
+    JsonNode askAny(String page) throws CommandException {
         for (InetSocketAddress node : operators) {
-            Optional<JsonNode> answer = ask(node);
+            Optional<JsonNode> answer = ask(node, page);
             if (answer.isPresent()) {
                 return answer.get();
             }
@@ -61,9 +61,9 @@
                 ExitCode.UNAVAILABLE, "none of the " + operators.size() + " configured nodes answers");
     }
 
-    private Optional<JsonNode> ask(InetSocketAddress node) {
+    private Optional<JsonNode> ask(InetSocketAddress node, String page) {
         try {
-            HttpAnswer answer = http.call(HttpCall.get(node, STATUS).withLimits(limits));
+            HttpAnswer answer = http.call(HttpCall.get(node, page).withLimits(limits));
             return answer.status() == OK ? Optional.ofNullable(JSON.readTree(answer.body())) : Optional.empty();
         } catch (HttpFailure | IOException e) {
             return Optional.empty();
--- a/daemon/src/main/java/org/magnoliabridge/cli/StatusCommands.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/StatusCommands.java
@@ -43,7 +43,7 @@
 
     /** Reports the endpoints as one node sees them. */
     Result endpoints() throws CommandException {
-        JsonNode body = nodes.askAny().path("endpoints");
+        JsonNode body = nodes.askAny("/admin/endpoints");
         ObjectNode json = Output.object();
         json.set("endpoints", body);
         List<String> lines = new ArrayList<>();
--- a/standins/src/main/java/org/magnoliabridge/standins/DemoTrainer.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/DemoTrainer.java
@@ -144,7 +144,7 @@
         for (int group = 0; group < GROUPS; group++) {
 
             groups.addObject()
-                    .put("group", group)
+                    .put("group", "g" + group)
                     .put("prompt", "Coach the group m-" + run + "s" + step + "-" + group + "-m and say why.");
         }
         return spec;
--- a/standins/src/test/java/org/magnoliabridge/standins/CommandLineTest.java
+++ b/standins/src/test/java/org/magnoliabridge/standins/CommandLineTest.java
@@ -232,13 +232,16 @@
     }
 
     private Answer nodeAnswer(Call call) {
+        if (call.path().equals("/admin/endpoints")) {
+            ObjectNode endpoint = Json.object().put("id", "e1").put("service", "coachgen");
+            return Answer.json(200, Json.array().add(endpoint));
+        }
         ObjectNode status = Json.object()
                 .put("node_id", "n1")
                 .put("data_centre", "trent")
                 .put("state", "serving")
                 .put("bundle_version", Long.MAX_VALUE)
                 .put("withdrawals_version", Long.MAX_VALUE);
-        status.putArray("endpoints").addObject().put("id", "e1").put("service", "coachgen");
         status.putArray("members")
                 .addObject()
                 .put("node_id", "n2")
