Answer the caller of a call with an idempotency key

Cause: the demo's bookings with an idempotency key had no answer within 20 s; only a repeat at another node got the stored one. LedgerDriver forgot the waiting caller when the service had answered, before the result was recorded. Change: the caller is kept until it has its outcome; the booking stand-in answers an outcome look-up with 200, as the ledger expects. Conclusion: a unit test of LedgerDriver for this is still missing.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
@@ -227,7 +227,11 @@
         Thread.ofVirtual().name("ledger-call").start(() -> {
             LedgerInput.SendResult result = perform(call.request, send.sendBeforeMs());
             loop.post(() -> {
-                waiting.remove(send.callId());
+                // The caller is answered only when the result is recorded, so the call may wait on.
+                call.sent = false;
+                if (call.outcome.isDone()) {
+                    waiting.remove(send.callId());
+                }
                 handle(new LedgerInput.Sent(send.callId(), result));
             });
         });
--- a/standins/src/main/java/org/magnoliabridge/standins/BookingService.java
+++ b/standins/src/main/java/org/magnoliabridge/standins/BookingService.java
@@ -95,7 +95,7 @@
 
     private synchronized Answer outcome(String key) {
         ObjectNode result = outcomes.get(key);
-        return result == null ? Answer.error(404, "no such booking") : Answer.json(201, result);
+        return result == null ? Answer.error(404, "no such booking") : Answer.json(200, result);
     }
 
     private ObjectNode execution(Call call) {
