--- a/standins/src/main/java/org/magnoliabridge/measure/MemoryObjects.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/MemoryObjects.java
@@ -13,6 +13,7 @@
     private long lastVersion;
     private long calls;
     private long writes;
+    private long writtenBytes;
     private int lastWriteBytes;
 
     StoreReply answer(StoreRequest request) {
@@ -29,6 +30,7 @@
 
     private StoreReply write(StoreRequest.Write write) {
         writes++;
+        writtenBytes += write.value().length;
         lastWriteBytes = write.value().length;
         StoredObject object = objects.get(write.key());
         long version = object == null ? 0 : object.version();
@@ -47,6 +49,10 @@
         return writes;
     }
 
+    long writtenBytes() {
+        return writtenBytes;
+    }
+
     int lastWriteBytes() {
         return lastWriteBytes;
     }
