--- a/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
@@ -227,12 +227,9 @@
         Thread.ofVirtual().name("ledger-call").start(() -> {
             LedgerInput.SendResult result = perform(call.request, send.sendBeforeMs());
             loop.post(() -> {
-                // The caller is answered only when the result is recorded, so the call may wait on.
-                call.sent = false;
-                if (call.outcome.isDone()) {
-                    waiting.remove(send.callId());
-                }
+                // Handling the result answers the caller, so the call is forgotten only after it.
                 handle(new LedgerInput.Sent(send.callId(), result));
+                waiting.remove(send.callId());
             });
         });
     }
