Count acknowledged samples for usage exactly once

Entries of the step head carry samples, prompt tokens and completion tokens; each move of the cursor is recorded with a token of the request that wrote it. All moves are kept, because a later move may come before an earlier request reads its token back. A request whose answer or caller is gone is kept until its write is settled, so that a late effect is counted too. The rollout fault matrix checks the counts against the lines that trainers were given.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
@@ -107,12 +107,13 @@
         ledger = ledger(plain);
         runner = runner(generations);
         delivery = new DeliveryDriver(
-                new DeliveryCore(CACHE_BYTES),
+                new DeliveryCore(settings.nodeId(), context.incarnation(), CACHE_BYTES),
                 context.loop(),
                 context.clock(),
                 context.wallClock(),
                 context.store(),
-                runner::nudge);
+                runner::nudge,
+                usage);
         EdgeTools edge = new EdgeTools(
                 control.configuration()::snapshot,
                 generations,
--- a/daemon/src/main/java/org/magnoliabridge/daemon/DeliveryDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/DeliveryDriver.java
@@ -17,10 +17,12 @@
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.RolloutService;
+import org.magnoliabridge.edge.UsageSink;
 import org.magnoliabridge.ids.RunId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.platform.StoreRequest.Priority;
 import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.rollout.DeliveredFigures;
 import org.magnoliabridge.rollout.DeliveryCore;
 import org.magnoliabridge.rollout.DeliveryEffect;
 import org.magnoliabridge.rollout.DeliveryInput;
@@ -39,6 +41,7 @@
     private final LongSupplier wallClock;
     private final StoreRunner store;
     private final BiConsumer<StepRef, Long> nudge;
+    private final UsageSink usage;
     private final AtomicLong lastRequest = new AtomicLong();
     // Used on the control thread only.
     private final Map<Long, CompletableFuture<DeliveryEffect.Answer>> waiting = new HashMap<>();
@@ -47,6 +50,7 @@
      * Creates a driver.
      *
      * @param nudge tells a step's runner that a trainer at a version wants samples; called on the control thread
+     * @param usage counts acknowledged samples, each as one request; called on the control thread
      */
     DeliveryDriver(
             DeliveryCore core,
@@ -54,13 +58,15 @@
             MonotonicClock clock,
             LongSupplier wallClock,
             StoreRunner store,
-            BiConsumer<StepRef, Long> nudge) {
+            BiConsumer<StepRef, Long> nudge,
+            UsageSink usage) {
         this.core = core;
         this.loop = loop;
         this.clock = clock;
         this.wallClock = wallClock;
         this.store = store;
         this.nudge = nudge;
+        this.usage = usage;
     }
 
     /** Takes the time; called on the control thread at least every 100 ms. */
@@ -170,6 +176,18 @@
         };
     }
 
+    private void count(DeliveryEffect.Acknowledged answer) {
+        DeliveredFigures figures = answer.delivered();
+        if (figures.samples() > 0) {
+            usage.delivered(new UsageSink.Delivery(
+                    answer.step().team(),
+                    answer.service(),
+                    figures.samples(),
+                    figures.promptTokens(),
+                    figures.completionTokens()));
+        }
+    }
+
     private void handle(DeliveryInput input) {
         for (DeliveryEffect effect : core.handle(input, wallClock.getAsLong())) {
             switch (effect) {
@@ -179,7 +197,11 @@
                             Priority.DECISION,
                             reply -> handle(new DeliveryInput.Reply(request.tag(), reply)));
                 case DeliveryEffect.Nudge n -> nudge.accept(n.step(), n.trainerVersion());
+                case DeliveryEffect.Settled settled -> count(settled.outcome());
                 case DeliveryEffect.Reply reply -> {
+                    if (reply.answer() instanceof DeliveryEffect.Acknowledged acknowledged) {
+                        count(acknowledged);
+                    }
                     CompletableFuture<DeliveryEffect.Answer> answer = waiting.remove(reply.requestId());
                     if (answer != null) {
                         answer.complete(reply.answer());
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationRequest.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationRequest.java
@@ -76,7 +76,8 @@
         }
     }
 
-    static int countTokens(String text) {
+    /** Returns the number of words of a text, which is counted as its tokens. */
+    public static int countTokens(String text) {
         String stripped = text.strip();
         return stripped.isEmpty() ? 0 : stripped.split("\\s+").length;
     }
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryCore.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryCore.java
@@ -4,9 +4,12 @@
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.platform.StoreRequest;
 
 /**
@@ -16,22 +19,26 @@
  * acknowledgement is refused if it covers a group that was replaced after the trainer fetched it.
  */
 public final class DeliveryCore {
+    private final String tokenPrefix;
     private final StepCache cache;
     private final Set<Mechanism> mechanisms;
     private final Map<Long, DeliveryRequest> requests = new LinkedHashMap<>();
+    private final Set<DeliveryRequest> settling = new LinkedHashSet<>();
     private final Map<Long, DeliveryRequest> requestByTag = new HashMap<>();
     private long lastTag;
 
     /**
      * Creates a core that serves no request.
      *
+     * @param incarnation differs from that of every earlier process of this node, which keeps tokens unique
      * @param maxCacheBytes size of the group bodies kept in memory
      */
-    public DeliveryCore(long maxCacheBytes) {
-        this(maxCacheBytes, EnumSet.allOf(Mechanism.class));
+    public DeliveryCore(NodeId node, Incarnation incarnation, long maxCacheBytes) {
+        this(node, incarnation, maxCacheBytes, EnumSet.allOf(Mechanism.class));
     }
 
-    DeliveryCore(long maxCacheBytes, Set<Mechanism> mechanisms) {
+    DeliveryCore(NodeId node, Incarnation incarnation, long maxCacheBytes, Set<Mechanism> mechanisms) {
+        this.tokenPrefix = node + "." + incarnation + ".";
         this.cache = new StepCache(maxCacheBytes);
         this.mechanisms = mechanisms;
     }
@@ -43,17 +50,26 @@
             case DeliveryInput.Open open ->
                 start(new OpenRequest(open.requestId(), open.step(), open.deadlineMs(), open.spec()), turn);
             case DeliveryInput.Fetch f -> start(new FetchRequest(f), turn);
-            case DeliveryInput.Acknowledge a -> start(new AckRequest(a), turn);
+            case DeliveryInput.Acknowledge a -> start(new AckRequest(a, tokenPrefix + a.requestId()), turn);
             case DeliveryInput.Reply reply -> {
                 DeliveryRequest request = requestByTag.remove(reply.tag());
                 if (request != null) {
                     request.reply(reply.tag(), reply.reply(), turn);
                 }
             }
-            case DeliveryInput.Cancel cancel -> requests.remove(cancel.requestId());
-            case DeliveryInput.Tick tick -> List.copyOf(requests.values()).forEach(request -> request.tick(turn));
+            case DeliveryInput.Cancel cancel -> {
+                DeliveryRequest request = requests.remove(cancel.requestId());
+                if (request != null) {
+                    turn.settleLater(request);
+                }
+            }
+            case DeliveryInput.Tick tick -> {
+                List<DeliveryRequest> all = new ArrayList<>(requests.values());
+                all.addAll(settling);
+                all.forEach(request -> request.tick(turn));
+            }
         }
-        requestByTag.values().removeIf(r -> !requests.containsKey(r.id));
+        requestByTag.values().removeIf(r -> !requests.containsKey(r.id) && !settling.contains(r));
         return turn.effects;
     }
 
@@ -84,6 +100,24 @@
         void answer(DeliveryRequest request, DeliveryEffect.Answer answer) {
             if (requests.remove(request.id) != null) {
                 effects.add(new DeliveryEffect.Reply(request.id, answer));
+                if (!(answer instanceof DeliveryEffect.Acknowledged)) {
+                    settleLater(request);
+                }
+            }
+        }
+
+        /** Keeps a request that is over until the outcome of its write is known, so that it can be counted. */
+        private void settleLater(DeliveryRequest request) {
+            if (request.hasOpenWrite()) {
+                settling.add(request);
+                request.detach(this);
+            }
+        }
+
+        /** Ends a request that was kept; the outcome is null if its write did nothing or stays unknown. */
+        void settled(DeliveryRequest request, DeliveryEffect.Acknowledged outcome) {
+            if (settling.remove(request) && outcome != null) {
+                effects.add(new DeliveryEffect.Settled(outcome));
             }
         }
 
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryEffect.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryEffect.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.rollout;
 
 import java.util.List;
+import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.platform.StoreRequest;
 
 /** What {@link DeliveryCore} orders. */
@@ -14,6 +15,12 @@
     /** Answer a request; given exactly once for each, unless it is cancelled. */
     record Reply(long requestId, Answer answer) implements DeliveryEffect {}
 
+    /**
+     * Count an acknowledgement whose outcome became known only after its request was answered or cancelled. Its figures
+     * are in no {@link Reply}.
+     */
+    record Settled(Acknowledged outcome) implements DeliveryEffect {}
+
     /** What a trainer is told. */
     sealed interface Answer {}
 
@@ -28,8 +35,12 @@
      */
     record Groups(List<Line> lines, long cursor, boolean complete) implements Answer {}
 
-    /** Everything up to the cursor is acknowledged. */
-    record Acknowledged(long cursor) implements Answer {}
+    /**
+     * Everything up to the cursor is acknowledged.
+     *
+     * @param delivered what this request newly delivered; nothing if an earlier request had moved the cursor
+     */
+    record Acknowledged(StepRef step, long cursor, ServiceId service, DeliveredFigures delivered) implements Answer {}
 
     /**
      * A group that the trainer holds has been replaced, or the cursor is unknown.
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryRequest.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryRequest.java
@@ -10,6 +10,12 @@
 
     static final long RETRY_MS = 200;
 
+    /** How often the head is read to settle a write after its request is over. */
+    static final long SETTLE_RETRY_MS = 1_000;
+
+    /** How long a write is settled after its request is over; longer than a write stays under way in the network. */
+    static final long SETTLE_MS = 60_000;
+
     final long id;
     final StepRef step;
     final long deadlineMs;
@@ -17,6 +23,8 @@
     private long requestMs;
     private StepHead written;
     private long readAtMs = Long.MAX_VALUE;
+    private boolean detached;
+    private long settleUntilMs;
 
     DeliveryRequest(long id, StepRef step, long deadlineMs) {
         this.id = id;
@@ -32,6 +40,24 @@
     /** There is no head. */
     abstract void noHead(DeliveryCore.Turn turn);
 
+    /** Returns whether a write with figures to count may have taken effect or still may. */
+    boolean hasOpenWrite() {
+        return false;
+    }
+
+    /** The request is over for the trainer, and goes on only to settle its open write. */
+    final void detach(DeliveryCore.Turn turn) {
+        detached = true;
+        settleUntilMs = turn.nowMs + SETTLE_MS;
+        if (tag == 0) {
+            readLater(SETTLE_RETRY_MS, turn);
+        }
+    }
+
+    final boolean isDetached() {
+        return detached;
+    }
+
     /** The store certainly did nothing. */
     void unavailable(DeliveryCore.Turn turn) {
         turn.answer(this, new DeliveryEffect.Unavailable());
@@ -44,7 +70,9 @@
     void otherTick(DeliveryCore.Turn turn) {}
 
     final void tick(DeliveryCore.Turn turn) {
-        if (turn.nowMs >= deadlineMs) {
+        if (detached && turn.nowMs >= settleUntilMs && tag == 0) {
+            turn.settled(this, null);
+        } else if (!detached && turn.nowMs >= deadlineMs) {
             turn.answer(this, new DeliveryEffect.Unavailable());
         } else if (tag != 0 && turn.nowMs - requestMs >= STORE_TIMEOUT_MS) {
             reply(tag, new StoreReply.Unknown(), turn);
--- a/library/src/main/java/org/magnoliabridge/rollout/GroupBody.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/GroupBody.java
@@ -11,6 +11,10 @@
         }
     }
 
+    long tokens() {
+        return samples.stream().mapToLong(Sample::tokens).sum();
+    }
+
     long minVersion() {
         return samples.stream().mapToLong(Sample::minVersion).min().orElseThrow();
     }
--- a/library/src/main/java/org/magnoliabridge/rollout/GroupRun.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/GroupRun.java
@@ -137,7 +137,7 @@
         if (phase == Phase.WRITE_PARTS) {
             nextPart++;
         } else if (phase == Phase.WRITE_MAIN) {
-            store(new StoredBody.Manifest(body.parts().size(), body.digest(), body.minVersion()), turn);
+            store(new StoredBody.Manifest(body.parts().size(), body.digest(), body.minVersion(), body.tokens()), turn);
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/rollout/Mechanism.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/Mechanism.java
@@ -6,5 +6,6 @@
     HEAD_CONDITIONAL_UPDATE,
     EXPIRY,
     REPLACED_CHECK,
-    GAP_CHECK
+    GAP_CHECK,
+    ACK_TOKEN_READ_BACK
 }
--- a/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
@@ -298,7 +298,7 @@
         }
         for (GroupRun group : ready) {
             StoredBody.Manifest body = group.stored();
-            next = next.append(group.group.group(), group.attempt, body.digest(), body.minVersion());
+            next = next.append(group.group.group(), group.attempt, body.digest(), body.minVersion(), body.tokens());
         }
         if (!next.equals(head)) {
             long expected = turn.uses(Mechanism.HEAD_CONDITIONAL_UPDATE) ? headVersion : -1;
--- a/library/src/main/java/org/magnoliabridge/rollout/StepHead.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepHead.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.magnoliabridge.calls.GenerationRequest;
 
 /**
  * The deciding record of a step, as an immutable value; every transition returns a new head.
@@ -15,16 +16,25 @@
  * @param openedMs wall-clock time of the opening
  * @param position the last position of the log
  * @param acknowledged the cursor up to which the trainer has acknowledged
+ * @param acknowledgements the moves of the cursor, oldest first; all are kept, because a later move may come before an
+ *     earlier request with a lost answer reads its token back
  * @param trainerVersion the highest weight version that the trainer has named
  */
 public record StepHead(
-        StepSpec spec, long openedMs, long position, long acknowledged, long trainerVersion, List<GroupEntry> entries) {
+        StepSpec spec,
+        long openedMs,
+        long position,
+        long acknowledged,
+        long trainerVersion,
+        List<GroupEntry> entries,
+        List<AckRecord> acknowledgements) {
     public StepHead {
         entries = List.copyOf(entries);
+        acknowledgements = List.copyOf(acknowledgements);
     }
 
     static StepHead open(StepSpec spec, long nowMs) {
-        return new StepHead(spec, nowMs, 0, 0, spec.trainerVersion(), List.of());
+        return new StepHead(spec, nowMs, 0, 0, spec.trainerVersion(), List.of(), List.of());
     }
 
     /** Returns the oldest weight version that may be delivered at a trainer version. */
@@ -36,17 +46,17 @@
     StepHead observe(long version) {
         return version <= trainerVersion
                 ? this
-                : new StepHead(spec, openedMs, position, acknowledged, version, entries);
+                : new StepHead(spec, openedMs, position, acknowledged, version, entries, acknowledgements);
     }
 
     /** Appends a group unless it is decided already or the attempt is not the next one. */
-    StepHead append(String group, int attempt, String digest, long minVersion) {
+    StepHead append(String group, int attempt, String digest, long minVersion, long completionTokens) {
         if (live(group).isPresent() || attempt != nextAttempt(group)) {
             return this;
         }
         List<GroupEntry> next = new ArrayList<>(entries);
-        next.add(new GroupEntry(position + 1, group, attempt, digest, minVersion, 0));
-        return new StepHead(spec, openedMs, position + 1, acknowledged, trainerVersion, next);
+        next.add(new GroupEntry(position + 1, group, attempt, digest, minVersion, figures(group, completionTokens), 0));
+        return new StepHead(spec, openedMs, position + 1, acknowledged, trainerVersion, next, acknowledgements);
     }
 
     /** Replaces all entries that are not acknowledged and too old for the trainer's version. */
@@ -59,7 +69,7 @@
         List<GroupEntry> next = entries.stream()
                 .map(e -> old.test(e) ? e.replaced(position + 1) : e)
                 .toList();
-        return new StepHead(spec, openedMs, position + 1, acknowledged, trainerVersion, next);
+        return new StepHead(spec, openedMs, position + 1, acknowledged, trainerVersion, next, acknowledgements);
     }
 
     /** Returns whether an entry that a trainer at the cursor holds has been replaced, or the cursor is unknown. */
@@ -69,8 +79,33 @@
                         .anyMatch(e -> e.seq() > acknowledged && e.seq() <= cursor && e.replacedAt() > cursor);
     }
 
-    StepHead acknowledge(long cursor) {
-        return cursor <= acknowledged ? this : new StepHead(spec, openedMs, position, cursor, trainerVersion, entries);
+    /** Moves the cursor forward and records which request moved it. */
+    StepHead acknowledge(long cursor, String token) {
+        if (cursor <= acknowledged) {
+            return this;
+        }
+        List<AckRecord> moves = new ArrayList<>(acknowledgements);
+        moves.add(new AckRecord(acknowledged, cursor, token));
+        return new StepHead(spec, openedMs, position, cursor, trainerVersion, entries, moves);
+    }
+
+    /** Returns what the request with the token delivered, or nothing if it did not move the cursor. */
+    Optional<DeliveredFigures> deliveredBy(String token) {
+        return acknowledgements.stream()
+                .filter(a -> a.token().equals(token))
+                .findFirst()
+                .map(a -> entries.stream()
+                        .filter(e -> e.isLive() && e.seq() > a.from() && e.seq() <= a.cursor())
+                        .map(GroupEntry::figures)
+                        .reduce(DeliveredFigures.NONE, DeliveredFigures::plus));
+    }
+
+    private DeliveredFigures figures(String group, long completionTokens) {
+        long words = spec.groups().stream()
+                .filter(g -> g.group().equals(group))
+                .mapToLong(g -> GenerationRequest.countTokens(g.prompt()))
+                .sum();
+        return new DeliveredFigures(spec.samplesPerGroup(), words * spec.samplesPerGroup(), completionTokens);
     }
 
     /** Returns the live entries after a cursor that are not acknowledged. */
--- a/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepJson.java
@@ -57,6 +57,17 @@
             ObjectNode entry = entries.addObject().put("seq", e.seq());
             entry.put("group", e.group()).put("attempt", e.attempt()).put("digest", e.digest());
             entry.put("min_version", e.minVersion()).put("replaced_at", e.replacedAt());
+            entry.put("samples", e.figures().samples());
+            entry.put("prompt_tokens", e.figures().promptTokens());
+            entry.put("completion_tokens", e.figures().completionTokens());
+        }
+        ArrayNode acknowledgements = node.putArray("acknowledgements");
+        for (AckRecord a : head.acknowledgements()) {
+            acknowledgements
+                    .addObject()
+                    .put("from", a.from())
+                    .put("cursor", a.cursor())
+                    .put("token", a.token());
         }
         return bytes(node);
     }
@@ -71,15 +82,22 @@
                         whole(e, "attempt"),
                         text(e, "digest"),
                         number(e, "min_version"),
+                        new DeliveredFigures(
+                                number(e, "samples"), number(e, "prompt_tokens"), number(e, "completion_tokens")),
                         number(e, "replaced_at")));
             }
+            List<AckRecord> acknowledgements = new ArrayList<>();
+            for (JsonNode a : field(node, "acknowledgements")) {
+                acknowledgements.add(new AckRecord(number(a, "from"), number(a, "cursor"), text(a, "token")));
+            }
             return new StepHead(
                     spec(field(node, "spec")),
                     number(node, "opened_ms"),
                     number(node, "position"),
                     number(node, "acknowledged"),
                     number(node, "trainer_version"),
-                    entries);
+                    entries,
+                    acknowledgements);
         });
     }
 
@@ -122,7 +140,8 @@
 
     static byte[] manifest(StoredBody.Manifest manifest) {
         ObjectNode node = MAPPER.createObjectNode().put("parts", manifest.parts());
-        return bytes(node.put("digest", manifest.digest()).put("min_version", manifest.minVersion()));
+        node.put("digest", manifest.digest()).put("min_version", manifest.minVersion());
+        return bytes(node.put("tokens", manifest.tokens()));
     }
 
     /** Returns the manifest, or null if the bytes are a whole body. */
@@ -131,7 +150,10 @@
                 json,
                 node -> node.has("parts")
                         ? new StoredBody.Manifest(
-                                whole(node, "parts"), text(node, "digest"), number(node, "min_version"))
+                                whole(node, "parts"),
+                                text(node, "digest"),
+                                number(node, "min_version"),
+                                number(node, "tokens"))
                         : null);
     }
 
--- a/library/src/test/java/org/magnoliabridge/rollout/RolloutChecker.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RolloutChecker.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,12 +18,17 @@
 final class RolloutChecker {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final long PROMPT_WORDS = 2;
+
     private final FakeEngine engine;
     private final long maxStaleness;
     private final BiConsumer<Boolean, String> require;
     private final Map<String, String> lineBySeq = new HashMap<>();
     private final Map<String, Long> seenVersions = new HashMap<>();
     private final Map<String, Long> acknowledged = new HashMap<>();
+    private final Map<String, long[]> due = new HashMap<>();
+    private final Map<String, long[]> counted = new HashMap<>();
+    private final Set<String> crashed = new HashSet<>();
     final Set<String> delivered = new HashSet<>();
 
     RolloutChecker(FakeEngine engine, long maxStaleness, BiConsumer<Boolean, String> require) {
@@ -62,6 +69,58 @@
         }
     }
 
+    /** A process counted an acknowledgement of a step. */
+    void counted(String process, String stepKey, long samples, long promptTokens, long completionTokens) {
+        add(counted, process + " " + stepKey, samples, promptTokens, completionTokens);
+    }
+
+    void crashed(String process) {
+        crashed.add(process);
+    }
+
+    /**
+     * Returns whether each process has counted exactly the groups that its own requests acknowledged. A process that
+     * crashed may have counted less, because it may have died between its conditional update and its answer.
+     */
+    boolean isUsageComplete() {
+        return due.keySet().stream()
+                .allMatch(k ->
+                        crashed.contains(k.substring(0, k.indexOf(' '))) || Arrays.equals(due.get(k), counted.get(k)));
+    }
+
+    /** Requires that no process counts what its requests did not acknowledge. */
+    void checkUsage() {
+        counted.forEach((key, figures) -> {
+            long[] limit = due.getOrDefault(key, new long[3]);
+            boolean within = figures[0] <= limit[0] && figures[1] <= limit[1] && figures[2] <= limit[2];
+            require.accept(within, "an acknowledged group was counted more than once");
+        });
+    }
+
+    private static void add(Map<String, long[]> map, String key, long... figures) {
+        long[] sum = map.computeIfAbsent(key, k -> new long[3]);
+        for (int i = 0; i < figures.length; i++) {
+            sum[i] += figures[i];
+        }
+    }
+
+    /** Adds what the newest acknowledgement of a head delivered, from the lines that trainers were given. */
+    private void acknowledgedBy(String key, JsonNode head, long from, long cursor) {
+        JsonNode moves = head.get("acknowledgements");
+        String token = moves.get(moves.size() - 1).get("token").asText();
+        String owner = token.substring(0, token.lastIndexOf('.')) + " " + key;
+        String step = key.substring(key.lastIndexOf('/') + 1);
+        for (JsonNode entry : head.get("entries")) {
+            long seq = entry.get("seq").asLong();
+            if (seq > from && seq <= cursor && entry.get("replaced_at").asLong() == 0) {
+                for (JsonNode sample : parse(lineBySeq.get(step + "/" + seq).getBytes(StandardCharsets.UTF_8))
+                        .get("samples")) {
+                    add(due, owner, 1, PROMPT_WORDS, sample.get("tokens").asLong());
+                }
+            }
+        }
+    }
+
     /** Checks the bound whenever an acknowledged cursor has moved, against the version that the same write names. */
     void stored(StoredObject object) {
         String key = object.key().value();
@@ -85,6 +144,9 @@
                 require.accept(age <= maxStaleness, "a sample was older than the bound when it was delivered");
             }
         }
+        if (cursor > before) {
+            acknowledgedBy(key, head, before, cursor);
+        }
         acknowledged.put(key, cursor);
     }
 }
--- a/library/src/test/java/org/magnoliabridge/rollout/RolloutWorld.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RolloutWorld.java
@@ -47,12 +47,13 @@
         outage(1_500, 2_500);
         runUntil(END_MS);
         require(checker.delivered.size() == STEPS * GROUPS * SAMPLES, "a step did not complete after the faults");
+        require(checker.isUsageComplete(), "an acknowledged group was not counted");
         return this;
     }
 
     @Override
     protected boolean isDone() {
-        return trainer.step == STEPS;
+        return trainer.step == STEPS && checker.isUsageComplete();
     }
 
     @Override
@@ -61,6 +62,12 @@
             checkedRevision = store.revision();
             store.objects.values().forEach(checker::stored);
         }
+        checker.checkUsage();
+    }
+
+    @Override
+    protected void crashed(Host host) {
+        nodes.stream().filter(n -> n.host == host).forEach(n -> checker.crashed(n.process()));
     }
 
     private static StepSpec spec() {
@@ -104,7 +111,7 @@
         }
 
         void turn() {
-            if (!waiting.isEmpty() || isDone()) {
+            if (!waiting.isEmpty() || step == STEPS) {
                 return;
             }
             long version = FakeEngine.versionAt(now);
@@ -198,7 +205,7 @@
         private void start() {
             runner = new RunnerCore(
                     new NodeId("n" + number), new Incarnation(starts++), new RunnerLimits(4, 100_000), mechanisms);
-            delivery = new DeliveryCore(1, mechanisms);
+            delivery = new DeliveryCore(new NodeId("n" + number), new Incarnation(starts - 1), 1, mechanisms);
             host.every(200, () -> {
                 RunnerInput engines =
                         new RunnerInput.Engines(new ServiceId("s"), FakeEngine.versionAt(now), FakeEngine.VERSION_MS);
@@ -208,6 +215,16 @@
             });
         }
 
+        private String process() {
+            return "n" + number + "." + new Incarnation(starts - 1);
+        }
+
+        private void count(DeliveryEffect.Acknowledged answer) {
+            DeliveredFigures d = answer.delivered();
+            checker.counted(
+                    process(), answer.step().headKey().value(), d.samples(), d.promptTokens(), d.completionTokens());
+        }
+
         private void run(RunnerInput input) {
             runner.handle(input, now).forEach(this::perform);
         }
@@ -259,11 +276,15 @@
                             target.host.after(0, () -> target.run(nudge));
                         }
                     });
+                case DeliveryEffect.Settled s -> count(s.outcome());
                 case DeliveryEffect.Reply r -> {
                     int sequence = trainer.steps.get(r.requestId());
                     if (r.answer() instanceof DeliveryEffect.Groups groups) {
                         groups.lines().forEach(line -> checker.offered(sequence, parse(line)));
                     }
+                    if (r.answer() instanceof DeliveryEffect.Acknowledged acknowledged) {
+                        count(acknowledged);
+                    }
                     message(host, "answer", () -> trainer.answer(r.requestId(), sequence, r.answer()));
                 }
             }
--- a/library/src/test/java/org/magnoliabridge/rollout/RunnerCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RunnerCoreTest.java
@@ -80,7 +80,7 @@
         assertThat(
                 store.objects.values().stream().allMatch(o -> o.value().length < ObjectStore.MAX_VALUE_BYTES),
                 is(true));
-        List<DeliveryEffect.Line> lines = fetch(new DeliveryCore(1));
+        List<DeliveryEffect.Line> lines = fetch(new DeliveryCore(new NodeId("n"), new Incarnation(0), 1));
         assertThat(lines, hasSize(1));
         assertThat(StepJson.digest(lines.getFirst().body()), is(lines.getFirst().digest()));
         assertThat(lines.getFirst().body().length > ObjectStore.MAX_VALUE_BYTES, is(true));
@@ -92,7 +92,7 @@
         open(2, 10, 4, 1 << 20);
         generations.subList(0, 2).forEach(g -> finish(g, "text", 10));
         tick(1_500);
-        DeliveryCore delivery = new DeliveryCore(1 << 20);
+        DeliveryCore delivery = new DeliveryCore(new NodeId("n"), new Incarnation(0), 1 << 20);
         List<DeliveryEffect.Line> lines = fetch(delivery);
         store.out = true;
         assertThat(fetch(delivery), is(lines));
--- a/library/src/test/java/org/magnoliabridge/rollout/StepHeadTest.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/StepHeadTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.ids.RunId;
 import org.magnoliabridge.ids.ServiceId;
@@ -21,13 +22,13 @@
             16,
             List.of(new StepSpec.Group("g0", "p0"), new StepSpec.Group("g1", "p\"1\u00e9")));
     private final StepHead head =
-            StepHead.open(SPEC, 7).append("g0", 1, "d0", 5).append("g1", 1, "d1", 6);
+            StepHead.open(SPEC, 7).append("g0", 1, "d0", 5, 30).append("g1", 1, "d1", 6, 40);
 
     /** Guards against two entries of one group, which would deliver its samples twice. */
     @Test
     void appendsAGroupOnce() {
-        assertThat(head.append("g0", 2, "other", 9), is(head));
-        assertThat(head.append("g0", 1, "other", 9), is(head));
+        assertThat(head.append("g0", 2, "other", 9, 1), is(head));
+        assertThat(head.append("g0", 1, "other", 9, 1), is(head));
     }
 
     /** Guards against an acknowledgement of an entry that was replaced after the trainer fetched it. */
@@ -42,11 +43,21 @@
     /** Guards against the replacement of samples that the trainer has already used. */
     @Test
     void acknowledgedEntriesDoNotExpire() {
-        StepHead acknowledged = head.acknowledge(head.position()).observe(100);
+        StepHead acknowledged = head.acknowledge(head.position(), "t").observe(100);
         assertThat(acknowledged.expire(), is(acknowledged));
         assertThat(acknowledged.isClosed(), is(true));
     }
 
+    /** Guards against samples that are counted for two requests, or lost when a later request moves the cursor on. */
+    @Test
+    void eachAcknowledgementDeliversTheGroupsThatItCovers() {
+        StepHead acknowledged =
+                head.acknowledge(1, "first").acknowledge(2, "second").acknowledge(2, "third");
+        assertThat(acknowledged.deliveredBy("first"), is(Optional.of(new DeliveredFigures(2, 2, 30))));
+        assertThat(acknowledged.deliveredBy("second"), is(Optional.of(new DeliveredFigures(2, 2, 40))));
+        assertThat(acknowledged.deliveredBy("third"), is(Optional.empty()));
+    }
+
     /** Guards against a trainer version that goes back when requests arrive out of order. */
     @Test
     void theTrainerVersionNeverGoesBack() {
@@ -56,8 +67,10 @@
     /** Guards against a field that is lost in the head object or the nudge between nodes. */
     @Test
     void encodingsAreReversible() throws MalformedStepException {
-        StepHead full = head.observe(8).expire().acknowledge(1);
+        StepHead full = head.observe(8).expire().acknowledge(1, "t");
         assertThat(StepJson.head(StepJson.head(full)), is(full));
+        StoredBody.Manifest manifest = new StoredBody.Manifest(2, "d", 5, 30);
+        assertThat(StepJson.manifest(StepJson.manifest(manifest)), is(manifest));
         StepRef ref = new StepRef(new TeamId("t"), new RunId("r"), 3);
         assertThat(StepRef.unpackNudge(ref.packNudge(4)), is(new RunnerInput.Nudge(ref, 4)));
     }
