--- a/standins/src/main/java/org/magnoliabridge/measure/RolloutStep.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/RolloutStep.java
@@ -36,7 +36,7 @@
     private final StepRef step = new StepRef(new TeamId("team"), new RunId("run"), 0);
     private final RunnerCore runner =
             new RunnerCore(new NodeId("node"), new Incarnation(1), new RunnerLimits(MAX_GENERATIONS, 4 << 20));
-    private final DeliveryCore delivery = new DeliveryCore(4 << 20);
+    private final DeliveryCore delivery = new DeliveryCore(new NodeId("node"), new Incarnation(1), 4 << 20);
     private final List<RunnerInput> generated = new ArrayList<>();
     private long nowMs = 1_000_000;
     private long lastRequest;
@@ -98,6 +98,7 @@
                 case DeliveryEffect.Store s -> deliver(new DeliveryInput.Reply(s.tag(), store.answer(s.request())));
                 case DeliveryEffect.Nudge n -> work(new RunnerInput.Nudge(n.step(), n.trainerVersion()));
                 case DeliveryEffect.Reply r -> answered(r.answer());
+                case DeliveryEffect.Settled settled -> acknowledged = true;
             }
         }
     }
