--- a/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
@@ -4,11 +4,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.Incarnation;
@@ -31,6 +34,8 @@
 final class MembershipDriver implements PeerEvents, ConfigurationDriver.Spreader {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    private static final int MAX_RANKINGS = 256;
+
     private final NodeId self;
     private final MembershipCore core;
     private final ControlLoop loop;
@@ -39,6 +44,8 @@
     private final Map<FrameType, FrameHandler> handlers = new EnumMap<>(FrameType.class);
     private final List<Listener> listeners = new ArrayList<>();
     private final List<Consumer<List<Member>>> memberListeners = new CopyOnWriteArrayList<>();
+    // Ranking hashes every member, and several ticks a second ask for the same few scopes.
+    private final Map<String, List<NodeId>> rankings = new HashMap<>();
     private PeerConnections peers;
     private volatile List<Member> members = List.of();
 
@@ -92,8 +99,15 @@
         return core;
     }
 
-    /** Returns the live members that take work, the preferred one for a scope first. */
+    /** Returns the live members that take work, the preferred one for a scope first; control thread only. */
     List<NodeId> ranked(String scope) {
+        if (rankings.size() >= MAX_RANKINGS) {
+            rankings.clear();
+        }
+        return rankings.computeIfAbsent(scope, this::rank);
+    }
+
+    private List<NodeId> rank(String scope) {
         List<NodeId> alive =
                 members.stream().filter(Member::takesWork).map(Member::id).toList();
         return Rendezvous.rank(scope, alive);
@@ -106,11 +120,11 @@
 
     /** Returns whether this node is among the first live members of its region for a scope. */
     boolean isAmongFirstOfRegion(String scope, int count, Region region) {
-        List<NodeId> alive = members.stream()
-                .filter(m -> m.takesWork() && m.place().region().equals(region))
+        Set<NodeId> local = members.stream()
+                .filter(m -> m.place().region().equals(region))
                 .map(Member::id)
-                .toList();
-        return Rendezvous.first(scope, count, alive).contains(self);
+                .collect(Collectors.toSet());
+        return ranked(scope).stream().filter(local::contains).limit(count).anyMatch(self::equals);
     }
 
     /** Sends a frame of another slice to a member; a member that is not known is not sent to. */
@@ -182,6 +196,7 @@
         long alive = next.stream().filter(Member::isAlive).count();
         LOG.atInfo().with(LogFields.COUNT, alive).log("live members changed, %d known", next.size());
         members = List.copyOf(next);
+        rankings.clear();
         memberListeners.forEach(listener -> listener.accept(members));
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -53,7 +53,7 @@
     private static final int STORE_CALLS = 32;
     private static final long STORE_DEADLINE_MS = 2_000;
     private static final long ORDER_TICK_MS = 200;
-    private static final long STATUS_PERIOD_MS = 500;
+    private static final long STATUS_PERIOD_MS = 1_000;
     // A roll-out over 600 engines in 16 s leaves no room for a slower look at the engines that swap.
     private static final long WEIGHTS_POLL_MS = 250;
     private static final long HAND_OVER_LIMIT_MS = 3_000;
--- a/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
@@ -25,7 +25,7 @@
 
 /** Lets calls on traffic threads wait for slots that the admission core hands out on the control thread. */
 public final class Dispatcher implements EndpointSource, AutoCloseable {
-    private static final long TICK_MS = 50;
+    private static final long TICK_MS = 100;
 
     private final AdmissionCore core;
     private final ControlLoop loop;
