Test the ledger driver

Change: five tests over fakes: answer, repeat, conflict, keys scoped by team, platform out. Conclusion: the fault is guarded.

--- /dev/null
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
@@ -0,0 +1,237 @@
+package org.magnoliabridge.daemon;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.calls.CallException;
+import org.magnoliabridge.calls.CallLimits;
+import org.magnoliabridge.calls.CallMetrics;
+import org.magnoliabridge.calls.CallTools;
+import org.magnoliabridge.calls.Cancellation;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.PlainAnswer;
+import org.magnoliabridge.calls.PlainCaller;
+import org.magnoliabridge.calls.PlainRequest;
+import org.magnoliabridge.calls.PlainServiceAdapter;
+import org.magnoliabridge.calls.RetryBudget;
+import org.magnoliabridge.calls.RunClaim;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.http.HttpAnswer;
+import org.magnoliabridge.http.HttpCall;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpFailure;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.Incarnation;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ledger.LedgerCore;
+import org.magnoliabridge.platform.BudgetedStore;
+import org.magnoliabridge.platform.ObjectKey;
+import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.telemetry.TracerSpans;
+import org.magnoliabridge.telemetry.Tracing;
+
+class LedgerDriverTest {
+    private static final long DEADLINE_MS = 10_000;
+
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final ControlLoop loop = new ControlLoop("test");
+    private final FakeService service = new FakeService();
+    private final FakeStore objects = new FakeStore();
+    private final LedgerDriver driver = driver();
+
+    @AfterEach
+    void stop() {
+        loop.close();
+    }
+
+    /** Guards against a caller that is forgotten before the result of its own call is there. */
+    @Test
+    void answersTheCallerOfTheCall() throws CallException {
+        assertThat(call("oak", "k1", "{}").status(), is(201));
+    }
+
+    /** Guards against a second execution when a caller repeats its call. */
+    @Test
+    void givesARepeatTheStoredAnswer() throws CallException {
+        call("oak", "k1", "{}");
+        assertThat(call("oak", "k1", "{}").status(), is(201));
+        assertThat(service.calls, hasSize(1));
+    }
+
+    /** Guards against one key standing for two different requests. */
+    @Test
+    void refusesTheSameKeyWithAnotherBody() throws CallException {
+        call("oak", "k1", "{}");
+        CallException refused = assertThrows(CallException.class, () -> call("oak", "k1", "{\"bench\":2}"));
+        assertThat(refused.failure(), instanceOf(Failure.Conflict.class));
+        assertThat(service.calls, hasSize(1));
+    }
+
+    /** Guards against a service that takes equal keys of two teams for one call. */
+    @Test
+    void scopesTheKeyByTeam() throws CallException {
+        call("oak", "k1", "{}");
+        call("elm", "k1", "{}");
+        List<String> keys = service.calls.stream()
+                .map(c -> c.headers().get("idempotency-key"))
+                .toList();
+        assertThat(keys, is(List.of("oak.k1", "elm.k1")));
+    }
+
+    /** Guards against a call that is sent although its claim could not be recorded. */
+    @Test
+    void sendsNothingWithoutThePlatform() {
+        objects.down = true;
+        CallException refused = assertThrows(CallException.class, () -> call("oak", "k1", "{}"));
+        assertThat(refused.run(), is(RunClaim.NOT_RUN));
+        assertThat(service.calls, hasSize(0));
+    }
+
+    private PlainAnswer call(String team, String key, String body) throws CallException {
+        PlainRequest request = new PlainRequest(
+                new ServiceId("benchdesk"),
+                new TeamId(team),
+                "POST",
+                "/bookings",
+                Map.of("idempotency-key", key),
+                body.getBytes(StandardCharsets.UTF_8),
+                false,
+                clock.nowMs() + DEADLINE_MS,
+                new RequestId("r1"),
+                Optional.empty());
+        return driver.call(key, Optional.empty(), request, new Cancellation());
+    }
+
+    private LedgerDriver driver() {
+        MetricRegistry metrics = new MetricRegistry();
+        CallTools tools = new CallTools(
+                new FakeEndpoints(),
+                new RetryBudget(),
+                CallLimits.DEFAULT,
+                clock,
+                () -> new RequestId("hop"),
+                Runnable::run,
+                new CallMetrics(metrics),
+                new TracerSpans(Tracing.none().tracer()));
+        return new LedgerDriver(
+                new LedgerCore(new NodeId("n1"), new Incarnation(1), 4),
+                new PlainCaller(new PlainServiceAdapter(service), tools),
+                loop,
+                clock,
+                System::currentTimeMillis,
+                new StoreRunner(new BudgetedStore(objects, 4, 1_000, metrics), loop),
+                metrics);
+    }
+
+    /** Counts executions. */
+    private static final class FakeService implements HttpCaller {
+        private final List<HttpCall> calls = new CopyOnWriteArrayList<>();
+
+        @Override
+        public HttpAnswer call(HttpCall call) {
+            calls.add(call);
+            return new HttpAnswer(201, Map.of("content-type", "application/json"), new byte[] {'{', '}'});
+        }
+
+        @Override
+        public HttpAnswer stream(HttpCall call, LineReceiver lines) throws HttpFailure {
+            throw new HttpFailure.NotSent("no streams here", null);
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    private static final class FakeEndpoints implements EndpointSource {
+        @Override
+        public Slot acquire(Need need, Cancellation cancellation) {
+            return new Slot() {
+                @Override
+                public EndpointId endpoint() {
+                    return new EndpointId("e1");
+                }
+
+                @Override
+                public InetSocketAddress address() {
+                    return new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+                }
+
+                @Override
+                public void observed(Observation observation) {}
+
+                @Override
+                public void release(int usedTokens) {}
+
+                @Override
+                public void close() {}
+            };
+        }
+    }
+
+    /** An object store in memory that can be out. */
+    private static final class FakeStore implements ObjectStore {
+        private final Map<ObjectKey, StoredObject> objects = new HashMap<>();
+        private volatile boolean down;
+
+        @Override
+        public synchronized Optional<StoredObject> read(ObjectKey key) throws PlatformException {
+            check();
+            return Optional.ofNullable(objects.get(key));
+        }
+
+        @Override
+        public synchronized long write(ObjectKey key, long expectedVersion, byte[] value) throws PlatformException {
+            check();
+            StoredObject current = objects.get(key);
+            long version = current == null ? ABSENT : current.version();
+            if (version != expectedVersion) {
+                throw new PlatformException.VersionConflict(key, expectedVersion);
+            }
+            objects.put(key, new StoredObject(key, version + 1, value));
+            return version + 1;
+        }
+
+        @Override
+        public void delete(ObjectKey key, long expectedVersion) {
+            throw new UnsupportedOperationException("not used");
+        }
+
+        @Override
+        public Listing list(String prefix) {
+            throw new UnsupportedOperationException("not used");
+        }
+
+        @Override
+        public Listing watch(String prefix, long sinceRevision, long waitMs) {
+            throw new UnsupportedOperationException("not used");
+        }
+
+        private void check() throws PlatformException {
+            if (down) {
+                throw new PlatformException.Unavailable("out", null);
+            }
+        }
+    }
+}
