--- a/daemon/src/main/java/org/magnoliabridge/daemon/NodeSettings.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NodeSettings.java
@@ -30,7 +30,6 @@
  * @param platform the platform's interfaces
  * @param clusterSecrets secrets that authenticate peers; the first signs, all are accepted
  * @param operatorPublicKeys base64 of the Ed25519 keys that may sign bundles
- * @param dataFolder the folder for bulk data, on nodes with a disk
  * @param limits time limits
  * @param telemetry logs and spans
  */
@@ -43,7 +42,6 @@
         Platform platform,
         List<String> clusterSecrets,
         List<String> operatorPublicKeys,
-        Optional<Path> dataFolder,
         Limits limits,
         Telemetry telemetry) {
     private static final int MIN_SECRET_CHARS = 32;
@@ -64,7 +62,7 @@
             InetSocketAddress scoring) {}
 
     /** Time limits in milliseconds. */
-    public record Limits(long drainMs, long addressTtlMs, long usageWindowMs, long usageGraceMs) {}
+    public record Limits(long drainMs, long addressTtlMs, long usageWindowMs) {}
 
     /** Where logs and spans go. */
     public record Telemetry(Level level, Optional<Path> spansFile, double spanSampleRatio) {}
@@ -91,7 +89,6 @@
         Platform platform = platform(root);
         List<String> secrets = secrets(root);
         List<String> operatorKeys = root.texts("operator_public_keys");
-        Optional<Path> dataFolder = root.optionalText("data_folder").map(Path::of);
         Limits limits = limits(root);
         Telemetry telemetry = telemetry(root);
         if (operatorKeys.isEmpty()) {
@@ -107,7 +104,6 @@
                 platform,
                 secrets,
                 operatorKeys,
-                dataFolder,
                 limits,
                 telemetry);
     }
@@ -126,8 +122,7 @@
         return new Limits(
                 root.integer("drain_limit_ms", 1_000, 3_600_000, 60_000),
                 root.integer("address_ttl_ms", 100, 60_000, 5_000),
-                root.integer("usage_window_ms", 1_000, 3_600_000, 60_000),
-                root.integer("usage_grace_ms", 500, 600_000, 10_000));
+                root.integer("usage_window_ms", 1_000, 3_600_000, 60_000));
     }
 
     private static Telemetry telemetry(SettingsObject root) {
