--- a/daemon/src/main/java/org/magnoliabridge/daemon/RunnerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RunnerDriver.java
@@ -36,7 +36,7 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // The core cancels a generation that takes longer than its own, shorter limit.
     private static final long GENERATION_LIMIT_MS = 600_000;
-    // A nudge that a runner does not get is repeated with the trainer's next poll, to the next candidate as well.
+    // One runner saves work; a nudge that it does not get is repeated with the trainer's next poll.
     private static final int RUNNERS = 1;
 
     private final NodeId self;
