--- a/daemon/src/main/java/org/magnoliabridge/cli/BundleCommands.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/BundleCommands.java
@@ -16,7 +16,7 @@
 import org.magnoliabridge.bundle.InvalidBundleException;
 import org.magnoliabridge.bundle.SignedBundle;
 import org.magnoliabridge.bundle.UnacceptableBundleException;
-import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.external.PlatformException;
 
 /** The commands on bundles: create, validate, diff, sign, roll, status, keypair. */
 final class BundleCommands {
--- a/daemon/src/main/java/org/magnoliabridge/cli/Cli.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/Cli.java
@@ -17,12 +17,12 @@
 import org.magnoliabridge.bundle.BundleStore;
 import org.magnoliabridge.bundle.InvalidBundleException;
 import org.magnoliabridge.bundle.UnacceptableBundleException;
+import org.magnoliabridge.external.HttpObjectStore;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.http.UndertowHttpCaller;
-import org.magnoliabridge.platform.HttpObjectStore;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.PlatformException;
 
 /**
  * The command line of operators.
--- a/daemon/src/main/java/org/magnoliabridge/cli/KeyCommands.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/KeyCommands.java
@@ -13,11 +13,11 @@
 import org.magnoliabridge.bundle.InvalidBundleException;
 import org.magnoliabridge.bundle.UnacceptableBundleException;
 import org.magnoliabridge.bundle.Withdrawals;
+import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.ids.InvalidIdException;
 import org.magnoliabridge.ids.KeyId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.keys.TeamKey;
-import org.magnoliabridge.platform.PlatformException;
 
 /** The commands on keys: issue and withdraw. */
 final class KeyCommands {
--- a/daemon/src/main/java/org/magnoliabridge/cli/StatusCommands.java
+++ b/daemon/src/main/java/org/magnoliabridge/cli/StatusCommands.java
@@ -7,10 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoredObject;
 
 /** The commands that only read: status, endpoints, usage. */
 final class StatusCommands {
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchFront.java
@@ -0,0 +1,292 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.magnoliabridge.batch.Acceptance;
+import org.magnoliabridge.batch.BatchHead;
+import org.magnoliabridge.batch.BatchInput;
+import org.magnoliabridge.batch.BatchItem;
+import org.magnoliabridge.batch.BatchMessages;
+import org.magnoliabridge.batch.BatchMessages.Offer;
+import org.magnoliabridge.batch.BatchMessages.ReadRequest;
+import org.magnoliabridge.batch.ItemResult;
+import org.magnoliabridge.batch.MalformedBatchException;
+import org.magnoliabridge.batch.ReadAnswer;
+import org.magnoliabridge.batch.StoredBatches;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.telemetry.LogFields;
+
+/**
+ * Batches as callers see them, at any node: acceptance by the store, reads from the runner or, if it gives no answer,
+ * from the store.
+ */
+final class BatchFront implements BatchService {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // A frame between nodes takes 1 MiB; a larger batch is read from the store by the runner.
+    private static final int MAX_OFFER_BYTES = 900_000;
+    private static final long OFFER_LIMIT_MS = 500;
+    private static final int MAX_OFFERS = 8;
+    // An answer of the runner that takes longer than its wait and this is no longer waited for.
+    private static final long READ_SLACK_MS = 300;
+    private static final long PAUSE_MS = 20;
+    private static final byte[] DONE = {1};
+
+    private final GatewayContext context;
+    private final PeerCalls peers;
+    private final BatchRole role;
+    private final BatchScheduler scheduler;
+    private final StoredBatches stored;
+
+    BatchFront(
+            GatewayContext context, PeerCalls peers, BatchRole role, BatchScheduler scheduler, StoredBatches stored) {
+        this.context = context;
+        this.peers = peers;
+        this.role = role;
+        this.scheduler = scheduler;
+        this.stored = stored;
+        peers.serve(PeerCalls.Method.OFFER_BATCH, (from, body, answer) -> offered(body, answer));
+        peers.serve(PeerCalls.Method.END_BATCH, (from, body, answer) -> ended(body, answer));
+        peers.serve(PeerCalls.Method.READ_BATCH, (from, body, answer) -> asked(body, answer));
+    }
+
+    @Override
+    public Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs) throws InterruptedException {
+        Acceptance acceptance = new Acceptance(head, items);
+        try {
+            while (acceptance.accepted().isEmpty() && context.clock().nowMs() < deadlineMs) {
+                if (!stored.advance(acceptance)) {
+                    Thread.sleep(PAUSE_MS);
+                }
+            }
+        } catch (MalformedBatchException e) {
+            LOG.atSevere().withCause(e).with(LogFields.BATCH, head.id().value()).log("stored head cannot be read");
+            return Submission.UNKNOWN;
+        }
+        if (acceptance.accepted().isEmpty()) {
+            return acceptance.undecided() ? Submission.UNKNOWN : Submission.NOT_ACCEPTED;
+        }
+        BatchHead accepted = acceptance.accepted().get();
+        if (!accepted.team().equals(head.team())) {
+            return Submission.CONFLICT;
+        }
+        if (!accepted.ended()) {
+            Thread.ofVirtual().name("batch-offer").start(() -> offer(accepted, items, acceptance.fresh()));
+        }
+        return Submission.ACCEPTED;
+    }
+
+    @Override
+    public ReadAnswer read(BatchId batch, TeamId team, int after, long waitMs) throws InterruptedException {
+        ReadRequest request = new ReadRequest(batch, team, after, waitMs, Optional.empty());
+        ReadAnswer answer = ask(request);
+        return answer instanceof ReadAnswer.Unsure ? readStored(batch, team, after) : answer;
+    }
+
+    @Override
+    public ReadAnswer body(BatchId batch, TeamId team, ItemId item) throws InterruptedException {
+        ReadAnswer answer = ask(new ReadRequest(batch, team, 0, 0, Optional.of(item)));
+        return answer instanceof ReadAnswer.Unsure ? readStoredBody(batch, team, item) : answer;
+    }
+
+    @Override
+    public ReadAnswer end(BatchId batch, TeamId team, long deadlineMs) throws InterruptedException {
+        while (true) {
+            try {
+                Optional<BatchHead> head = stored.head(batch);
+                if (head.isEmpty() || !head.get().team().equals(team)) {
+                    return new ReadAnswer.Missing();
+                }
+                if (!head.get().ended()) {
+                    stored.end(batch);
+                }
+                tellEnd(batch);
+                return new ReadAnswer.Results(head.get().items(), List.of());
+            } catch (PlatformException | MalformedBatchException e) {
+                LOG.atWarning()
+                        .withCause(e)
+                        .with(LogFields.BATCH, batch.value())
+                        .log("end is not confirmed");
+            }
+            if (context.clock().nowMs() >= deadlineMs) {
+                return new ReadAnswer.Unsure();
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    private void tellEnd(BatchId batch) {
+        context.loop().post(() -> {
+            scheduler.handle(new BatchInput.End(batch));
+            role.runner()
+                    .filter(r -> !isSelf(r))
+                    .ifPresent(r -> peers.tell(r, PeerCalls.Method.END_BATCH, BatchMessages.pack(batch)));
+        });
+    }
+
+    // The runner's regular look into the store finds a batch whose offers were all lost.
+    private void offer(BatchHead head, List<BatchItem> items, boolean fresh) {
+        byte[] whole = BatchMessages.pack(new Offer(head, fresh, Optional.of(items)));
+        byte[] body =
+                whole.length <= MAX_OFFER_BYTES ? whole : BatchMessages.pack(new Offer(head, fresh, Optional.empty()));
+        try {
+            for (int i = 0; i < MAX_OFFERS; i++) {
+                Optional<NodeId> runner = role.runner();
+                if (runner.isEmpty()) {
+                    Thread.sleep(PAUSE_MS);
+                } else if (isSelf(runner.get())) {
+                    context.loop().post(() -> scheduler.handle(new BatchInput.Open(head, items, fresh)));
+                    return;
+                } else if (call(runner.get(), PeerCalls.Method.OFFER_BATCH, body, OFFER_LIMIT_MS)
+                        .isPresent()) {
+                    return;
+                }
+            }
+            LOG.atWarning().with(LogFields.BATCH, head.id().value()).log("no runner has taken the offer");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Optional<byte[]> call(NodeId to, PeerCalls.Method method, byte[] body, long limitMs)
+            throws InterruptedException {
+        try {
+            return Optional.of(peers.call(to, method, body, limitMs).get());
+        } catch (ExecutionException e) {
+            LOG.atInfo()
+                    .withCause(e.getCause())
+                    .with(LogFields.PEER, to.value())
+                    .log("call %s failed", method);
+            return Optional.empty();
+        }
+    }
+
+    private ReadAnswer ask(ReadRequest request) throws InterruptedException {
+        Optional<NodeId> runner = role.runner();
+        if (runner.isEmpty()) {
+            return new ReadAnswer.Unsure();
+        }
+        if (isSelf(runner.get())) {
+            return askHere(request);
+        }
+        Optional<byte[]> answer = call(
+                runner.get(),
+                PeerCalls.Method.READ_BATCH,
+                BatchMessages.pack(request),
+                request.waitMs() + READ_SLACK_MS);
+        try {
+            return answer.isEmpty() ? new ReadAnswer.Unsure() : BatchMessages.answer(answer.get());
+        } catch (MalformedBatchException e) {
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.BATCH, request.batch().value())
+                    .log("the runner's answer cannot be read");
+            return new ReadAnswer.Unsure();
+        }
+    }
+
+    private ReadAnswer askHere(ReadRequest request) throws InterruptedException {
+        CompletableFuture<ReadAnswer> answer = new CompletableFuture<>();
+        context.loop().post(() -> serve(request, answer::complete));
+        try {
+            return answer.get(request.waitMs() + READ_SLACK_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.BATCH, request.batch().value())
+                    .log("no answer from this node's runner");
+            return new ReadAnswer.Unsure();
+        }
+    }
+
+    private void serve(ReadRequest request, Consumer<ReadAnswer> answer) {
+        if (!scheduler.isActive()) {
+            answer.accept(new ReadAnswer.Unsure());
+        } else if (request.item().isPresent()) {
+            scheduler.readBody(
+                    new BatchInput.ReadBody(
+                            0, request.batch(), request.team(), request.item().get()),
+                    answer);
+        } else {
+            scheduler.read(request.batch(), request.team(), request.after(), request.waitMs(), answer);
+        }
+    }
+
+    private ReadAnswer readStored(BatchId batch, TeamId team, int after) {
+        try {
+            Optional<BatchHead> head = stored.head(batch);
+            if (head.isEmpty() || !head.get().team().equals(team)) {
+                return new ReadAnswer.Missing();
+            }
+            List<ItemResult> results = stored.results(batch);
+            return ReadAnswer.Results.page(head.get().items(), results, after);
+        } catch (PlatformException | MalformedBatchException e) {
+            LOG.atWarning().withCause(e).with(LogFields.BATCH, batch.value()).log("batch cannot be read now");
+            return new ReadAnswer.Unsure();
+        }
+    }
+
+    private ReadAnswer readStoredBody(BatchId batch, TeamId team, ItemId item) {
+        try {
+            Optional<BatchHead> head = stored.head(batch);
+            if (head.isEmpty() || !head.get().team().equals(team)) {
+                return new ReadAnswer.Missing();
+            }
+            return stored.items(head.get()).stream()
+                    .filter(i -> i.id().equals(item))
+                    .findFirst()
+                    .<ReadAnswer>map(i -> new ReadAnswer.Body(i.body()))
+                    .orElseGet(ReadAnswer.Missing::new);
+        } catch (PlatformException | MalformedBatchException e) {
+            LOG.atWarning().withCause(e).with(LogFields.BATCH, batch.value()).log("item cannot be read now");
+            return new ReadAnswer.Unsure();
+        }
+    }
+
+    private void offered(byte[] body, Consumer<byte[]> answer) {
+        try {
+            Offer offer = BatchMessages.offer(body);
+            if (!scheduler.isActive()) {
+                return;
+            }
+            if (offer.items().isPresent()) {
+                scheduler.handle(new BatchInput.Open(offer.head(), offer.items().get(), offer.fresh()));
+            } else {
+                scheduler.refresh();
+            }
+            answer.accept(DONE);
+        } catch (MalformedBatchException e) {
+            LOG.atWarning().withCause(e).log("offer of a batch cannot be read");
+        }
+    }
+
+    private void ended(byte[] body, Consumer<byte[]> answer) {
+        try {
+            scheduler.handle(new BatchInput.End(BatchMessages.batch(body)));
+            answer.accept(DONE);
+        } catch (MalformedBatchException e) {
+            LOG.atWarning().withCause(e).log("end of a batch cannot be read");
+        }
+    }
+
+    private void asked(byte[] body, Consumer<byte[]> answer) {
+        try {
+            serve(BatchMessages.read(body), result -> answer.accept(BatchMessages.pack(result)));
+        } catch (MalformedBatchException e) {
+            LOG.atWarning().withCause(e).log("read of a batch cannot be understood");
+        }
+    }
+
+    private boolean isSelf(NodeId node) {
+        return node.equals(context.settings().nodeId());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -0,0 +1,59 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.TimeUnit;
+import org.magnoliabridge.batch.BatchEvent;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Writes the decisions about batches to the log and counts them. */
+final class BatchLog {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final MetricRegistry metrics;
+
+    BatchLog(MetricRegistry metrics) {
+        this.metrics = metrics;
+    }
+
+    void write(BatchEvent event) {
+        switch (event) {
+            case BatchEvent.Opened e ->
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.COUNT, (long) e.items())
+                        .log("batch opened, started %d, fresh %b", e.started(), e.fresh());
+            case BatchEvent.Closed e ->
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.COUNT, (long) e.items())
+                        .log("batch closed, listed %d: %s", e.listed(), e.reason());
+            case BatchEvent.Placed e ->
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.ITEM, e.item().value())
+                        .with(LogFields.ENDPOINT, e.endpoint().value())
+                        .log("item placed after event %d, waiting %d", e.lastEvent(), e.waiting());
+            case BatchEvent.RunEnded e -> {
+                metrics.timer("batch.run_time").update(e.tookMs(), TimeUnit.MILLISECONDS);
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.ITEM, e.item().value())
+                        .with(LogFields.ENDPOINT, e.endpoint().value())
+                        .log("run ended after %d ms at event %d: %s", e.tookMs(), e.lastEvent(), e.outcome());
+            }
+            case BatchEvent.GivenUp e -> {
+                metrics.counter("batch.given_up").inc();
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.ITEM, e.item().value())
+                        .log("item given up: %s", e.reason());
+            }
+            case BatchEvent.Listed e ->
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.COUNT, (long) e.items())
+                        .log("results listed %d", e.listed());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -0,0 +1,103 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import org.magnoliabridge.batch.BatchMessages;
+import org.magnoliabridge.batch.BatchMessages.Announcement;
+import org.magnoliabridge.batch.MalformedBatchException;
+import org.magnoliabridge.batch.RunnerElection;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Follows which node runs the batches, and announces this node when it is its turn; control thread only. */
+final class BatchRole {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String SCOPE = "batches";
+    // A node that missed the announcement learns of the runner within this time.
+    private static final long REPEAT_MS = 1_000;
+
+    private final NodeId self;
+    private final MembershipDriver membership;
+    private final PeerCalls peers;
+    private final RunnerElection election;
+    private final BatchScheduler scheduler;
+    private long announcedAtMs;
+    private volatile Optional<NodeId> runner = Optional.empty();
+
+    BatchRole(
+            NodeId self,
+            MembershipDriver membership,
+            PeerCalls peers,
+            RunnerElection election,
+            BatchScheduler scheduler) {
+        this.self = self;
+        this.membership = membership;
+        this.peers = peers;
+        this.election = election;
+        this.scheduler = scheduler;
+        peers.serve(PeerCalls.Method.ANNOUNCE_RUNNER, (from, body, answer) -> announced(from, body));
+    }
+
+    /** Returns the node that runs the batches, as far as is known; any thread may call. */
+    Optional<NodeId> runner() {
+        return runner;
+    }
+
+    /** Returns whether this node runs the batches; control thread only. */
+    boolean isSelf() {
+        return election.isSelf();
+    }
+
+    /** Takes the time, several times a second. */
+    void tick(long nowMs) {
+        boolean elected = election.members(nowMs, membership.ranked(SCOPE));
+        if (elected) {
+            LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node runs the batches from now on");
+        }
+        if (election.isSelf() && (elected || nowMs - announcedAtMs >= REPEAT_MS)) {
+            announcedAtMs = nowMs;
+            announce();
+        }
+        apply();
+    }
+
+    /** Gives the role up before the node ends. */
+    void resign() {
+        election.resign();
+        apply();
+    }
+
+    private void announce() {
+        byte[] body = BatchMessages.pack(new Announcement(self, election.term()));
+        membership.members().stream()
+                .filter(Member::isAlive)
+                .map(Member::id)
+                .filter(id -> !id.equals(self))
+                .forEach(id -> peers.tell(id, PeerCalls.Method.ANNOUNCE_RUNNER, body));
+    }
+
+    private void announced(NodeId from, byte[] body) {
+        try {
+            Announcement announcement = BatchMessages.announcement(body);
+            if (election.announced(announcement.runner(), announcement.term())) {
+                LOG.atInfo()
+                        .with(LogFields.PEER, announcement.runner().value())
+                        .with(LogFields.VERSION, announcement.term())
+                        .log("node runs the batches");
+            }
+            apply();
+        } catch (MalformedBatchException e) {
+            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("announcement cannot be read");
+        }
+    }
+
+    private void apply() {
+        runner = election.runner();
+        if (election.isSelf()) {
+            scheduler.activate();
+        } else {
+            scheduler.deactivate();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -0,0 +1,213 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.magnoliabridge.batch.BatchCore;
+import org.magnoliabridge.batch.BatchEffect;
+import org.magnoliabridge.batch.BatchHead;
+import org.magnoliabridge.batch.BatchInput;
+import org.magnoliabridge.batch.BatchItem;
+import org.magnoliabridge.batch.Engines;
+import org.magnoliabridge.batch.ItemRun;
+import org.magnoliabridge.batch.ItemRunId;
+import org.magnoliabridge.batch.MalformedBatchException;
+import org.magnoliabridge.batch.ReadAnswer;
+import org.magnoliabridge.batch.RunOutcome;
+import org.magnoliabridge.batch.StoredBatches;
+import org.magnoliabridge.batch.Transcript;
+import org.magnoliabridge.calls.EndpointSource.Observation;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.routing.AdmissionInput;
+import org.magnoliabridge.routing.Dispatcher;
+import org.magnoliabridge.routing.Endpoint;
+import org.magnoliabridge.routing.EndpointInput;
+
+/** Runs the batch core: its decisions on the control thread, its runs and store calls on virtual threads. */
+final class BatchScheduler {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final GatewayContext context;
+    private final BatchCore core;
+    private final Engines engines;
+    private final Dispatcher dispatcher;
+    private final StoredBatches stored;
+    private final BatchLog log;
+    private final Map<ItemRunId, Thread> runs = new ConcurrentHashMap<>();
+    // Used on the control thread only.
+    private final Map<Long, Consumer<ReadAnswer>> tickets = new HashMap<>();
+    private long lastTicket;
+    private boolean active;
+    private boolean loading;
+
+    BatchScheduler(
+            GatewayContext context, BatchCore core, Engines engines, Dispatcher dispatcher, StoredBatches stored) {
+        this.context = context;
+        this.core = core;
+        this.engines = engines;
+        this.dispatcher = dispatcher;
+        this.stored = stored;
+        this.log = new BatchLog(context.metrics());
+        context.metrics().gauge("batch.runs", () -> runs::size);
+    }
+
+    /** Returns whether this node runs batches; control thread only. */
+    boolean isActive() {
+        return active;
+    }
+
+    /** Returns the batches that are open here; control thread only. */
+    List<BatchHead> open() {
+        return core.open();
+    }
+
+    /** Begins to run batches; those that are open in the store are read first. */
+    void activate() {
+        if (!active) {
+            active = true;
+            refresh();
+        }
+    }
+
+    /** Stops to run batches. */
+    void deactivate() {
+        if (active) {
+            active = false;
+            handle(new BatchInput.Dismissed());
+        }
+    }
+
+    /** Looks in the store for batches that are open or have ended without this node's knowing; control thread only. */
+    void refresh() {
+        if (active && !loading) {
+            loading = true;
+            Thread.ofVirtual().name("batch-refresh").start(this::load);
+        }
+    }
+
+    /** Gives the core an input; control thread only. */
+    void handle(BatchInput input) {
+        if (input instanceof BatchInput.Open && !active) {
+            return;
+        }
+        for (BatchEffect effect : core.on(context.clock().nowMs(), input)) {
+            carryOut(effect);
+        }
+    }
+
+    /** Answers a read on the control thread, when there is a result or the wait is over. */
+    void read(BatchId batch, TeamId team, int after, long waitMs, Consumer<ReadAnswer> answer) {
+        long ticket = ticket(answer);
+        handle(new BatchInput.Read(ticket, batch, team, after, waitMs));
+    }
+
+    /** Answers a read of a body on the control thread. */
+    void readBody(BatchInput.ReadBody read, Consumer<ReadAnswer> answer) {
+        handle(new BatchInput.ReadBody(ticket(answer), read.batch(), read.team(), read.item()));
+    }
+
+    private long ticket(Consumer<ReadAnswer> answer) {
+        tickets.put(++lastTicket, answer);
+        return lastTicket;
+    }
+
+    private void carryOut(BatchEffect effect) {
+        switch (effect) {
+            case BatchEffect.StartRun start -> start(start.run());
+            case BatchEffect.StopRun stop -> {
+                Thread run = runs.get(stop.run());
+                if (run != null) {
+                    run.interrupt();
+                }
+            }
+            case BatchEffect.Store store ->
+                context.store()
+                        .run(
+                                store.request(),
+                                Priority.DECISION,
+                                reply -> handle(new BatchInput.StoreReplied(store.tag(), reply)));
+            case BatchEffect.Answer answer -> {
+                Consumer<ReadAnswer> reader = tickets.remove(answer.ticket());
+                if (reader != null) {
+                    reader.accept(answer.answer());
+                }
+            }
+            case BatchEffect.Decided decided -> log.write(decided.event());
+        }
+    }
+
+    private void start(ItemRun run) {
+        Thread thread = Thread.ofVirtual().name("item-run").unstarted(() -> run(run));
+        runs.put(run.id(), thread);
+        thread.start();
+    }
+
+    private void run(ItemRun run) {
+        List<Transcript.Event> events = new ArrayList<>();
+        RunOutcome outcome;
+        try {
+            outcome = engines.run(run, events::add);
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log(
+                    "run of item %s failed unexpectedly", run.item().id());
+            outcome = new RunOutcome.Broken("unexpected failure");
+        }
+        runs.remove(run.id());
+        observe(run.endpoint(), outcome);
+        RunOutcome result = outcome;
+        context.loop().post(() -> handle(new BatchInput.RunEnded(run.id(), result, events)));
+    }
+
+    private void observe(Endpoint endpoint, RunOutcome outcome) {
+        Observation seen = switch (outcome) {
+            case RunOutcome.Completed completed -> Observation.ANSWERED;
+            case RunOutcome.Impossible impossible -> Observation.ANSWERED;
+            case RunOutcome.Unreachable unreachable -> Observation.UNREACHABLE;
+            case RunOutcome.Refused refused when refused.leaving() -> Observation.DRAINING;
+            case RunOutcome.Failed failed -> Observation.FAULTY_ANSWER;
+            case RunOutcome.Broken broken -> Observation.FAULTY_ANSWER;
+            case RunOutcome.Refused refused -> null;
+            case RunOutcome.Stale stale -> null;
+            case RunOutcome.Stopped stopped -> null;
+        };
+        if (seen != null) {
+            dispatcher.post(
+                    new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), seen)));
+        }
+    }
+
+    private void load() {
+        try {
+            for (BatchHead head : stored.heads()) {
+                load(head);
+            }
+        } catch (PlatformException | MalformedBatchException e) {
+            LOG.atWarning().withCause(e).log("open batches cannot be read; trying again");
+        } finally {
+            context.loop().post(() -> loading = false);
+        }
+    }
+
+    private void load(BatchHead head) throws PlatformException, MalformedBatchException {
+        if (head.ended()) {
+            context.loop().post(() -> handle(new BatchInput.End(head.id())));
+            return;
+        }
+        boolean late = context.wallClock().getAsLong() >= head.giveUpAtMs();
+        if (!late && !isKnown(head.id())) {
+            List<BatchItem> items = stored.items(head);
+            context.loop().post(() -> handle(new BatchInput.Open(head, items, false)));
+        }
+    }
+
+    private boolean isKnown(BatchId batch) {
+        return context.loop().ask(() -> core.knows(batch)).join();
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ConfigurationDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ConfigurationDriver.java
@@ -10,8 +10,8 @@
 import org.magnoliabridge.bundle.BundleInput;
 import org.magnoliabridge.bundle.ConfigSnapshot;
 import org.magnoliabridge.core.MonotonicClock;
-import org.magnoliabridge.platform.StoreRequest.Priority;
-import org.magnoliabridge.platform.StoreRunner;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs the bundle core on the control thread and gives traffic threads the configuration in force. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
@@ -29,6 +29,8 @@
 import org.magnoliabridge.edge.CallerServer;
 import org.magnoliabridge.edge.EdgeTools;
 import org.magnoliabridge.edge.UsageSink;
+import org.magnoliabridge.external.HttpInstanceList;
+import org.magnoliabridge.external.HttpScoringService;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
@@ -40,8 +42,6 @@
 import org.magnoliabridge.ledger.LedgerCore;
 import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.MembershipInput;
-import org.magnoliabridge.platform.HttpInstanceList;
-import org.magnoliabridge.platform.HttpScoringService;
 import org.magnoliabridge.rollout.DeliveryCore;
 import org.magnoliabridge.rollout.RunnerCore;
 import org.magnoliabridge.rollout.RunnerInput;
@@ -271,11 +271,5 @@
                 context.metrics().counter("peers.malformed.leaving").inc();
             }
         }
-
-        @Override
-        public void confirmed(List<Long> itemVersions, long confirmedAtMs) {}
-
-        @Override
-        public void majority(boolean reached) {}
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/FleetDriver.java
@@ -0,0 +1,116 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.ObjectWatch;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.fleet.FleetCore;
+import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.fleet.FleetInput;
+import org.magnoliabridge.routing.AdmissionInput;
+import org.magnoliabridge.routing.Dispatcher;
+import org.magnoliabridge.routing.EndpointInput;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Follows the list of endpoints and tells routing and other listeners of it; the core on the control thread. */
+final class FleetDriver implements ObjectWatch.Listener {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final GatewayContext context;
+    private final FleetCore core = new FleetCore();
+    private final Dispatcher dispatcher;
+    private final List<Consumer<List<FleetEndpoint>>> listeners = new ArrayList<>();
+    private boolean reachable = true;
+
+    FleetDriver(GatewayContext context, Dispatcher dispatcher) {
+        this.context = context;
+        this.dispatcher = dispatcher;
+    }
+
+    /** Adds a listener that hears of each change on the control thread. */
+    void onChange(Consumer<List<FleetEndpoint>> listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns whether the list was ever read; control thread only. */
+    boolean known() {
+        return core.known();
+    }
+
+    /** Returns the endpoints; control thread only. */
+    List<FleetEndpoint> endpoints() {
+        return core.endpoints();
+    }
+
+    /** Takes the time; control thread only. */
+    void tick() {
+        handle(new FleetInput.Tick());
+    }
+
+    @Override
+    public void listed(ObjectStore.Listing all) {
+        List<FleetInput.Entry> entries = context.platform().fleet(all);
+        context.loop().post(() -> reached(new FleetInput.Listed(all.revision(), entries)));
+    }
+
+    @Override
+    public void changed(ObjectStore.Listing changes) {
+        List<FleetInput.Entry> entries = context.platform().fleet(changes);
+        context.loop().post(() -> reached(new FleetInput.Changed(changes.revision(), entries)));
+    }
+
+    @Override
+    public void failed(PlatformException cause) {
+        context.loop().post(() -> {
+            if (reachable) {
+                reachable = false;
+                LOG.atWarning().withCause(cause).log("endpoint list cannot be followed");
+            }
+            handle(new FleetInput.Unreachable());
+        });
+    }
+
+    private void reached(FleetInput input) {
+        if (!reachable) {
+            reachable = true;
+            LOG.atInfo()
+                    .with(LogFields.AGE_MS, core.ageMs(context.clock().nowMs()))
+                    .log("endpoint list can be followed again");
+        }
+        handle(input);
+    }
+
+    private void handle(FleetInput input) {
+        if (core.on(context.clock().nowMs(), input)) {
+            publish();
+        }
+    }
+
+    private void publish() {
+        List<FleetEndpoint> endpoints = core.endpoints();
+        LOG.atInfo()
+                .with(LogFields.VERSION, core.revision())
+                .with(LogFields.COUNT, (long) endpoints.size())
+                .log("endpoints changed: %s", summary(endpoints));
+        List<EndpointInput.ListedEndpoint> listed = endpoints.stream()
+                .map(e -> new EndpointInput.ListedEndpoint(e.endpoint(), e.draining(), OptionalInt.of(e.slots())))
+                .toList();
+        dispatcher.post(new AdmissionInput.Endpoints(new EndpointInput.Listed(listed)));
+        // Posted after the endpoint table has taken the list, so that listeners see the table's new state.
+        context.loop().post(() -> listeners.forEach(l -> l.accept(endpoints)));
+    }
+
+    private static String summary(List<FleetEndpoint> endpoints) {
+        StringBuilder text = new StringBuilder();
+        for (FleetEndpoint e : endpoints) {
+            text.append(text.isEmpty() ? "" : " ").append(e.endpoint().id());
+            text.append(e.draining() ? "(leaving)" : "");
+            e.weights().values().forEach(v -> text.append('@').append(v));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -0,0 +1,104 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.magnoliabridge.core.Closer;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MembershipCore;
+import org.magnoliabridge.membership.MembershipInput;
+import org.magnoliabridge.membership.MembershipSettings;
+import org.magnoliabridge.membership.Place;
+import org.magnoliabridge.membership.Standing;
+import org.magnoliabridge.settings.SocketAddresses;
+import org.magnoliabridge.wire.ClusterSecrets;
+import org.magnoliabridge.wire.PeerConnections;
+import org.magnoliabridge.wire.PeerListener;
+
+/** The other nodes: their liveness and the calls to them. */
+final class GatewayCluster {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // Nodes find each other at their start; a later look finds those that started while this one could not look.
+    private static final long LOOK_MS = 10_000;
+
+    private final GatewayContext context;
+    private final MembershipDriver membership;
+    private final PeerCalls peers;
+    private long lookedAtMs;
+
+    /** Opens the peer port and begins to join the others. */
+    GatewayCluster(GatewayContext context, Closer closer) throws IOException {
+        this.context = context;
+        GatewaySettings settings = context.settings();
+        NodeRegistry.Joined joined = context.joined();
+        Place place = new Place(
+                SocketAddresses.format(settings.listen().peers()),
+                SocketAddresses.format(settings.listen().callers()),
+                settings.dataCentre(),
+                settings.region());
+        Standing standing = new Standing(joined.incarnation(), 0, Standing.State.ALIVE, false);
+        MembershipCore core = new MembershipCore(
+                new Member(settings.nodeId(), standing, place, 0),
+                List.copyOf(others(joined.peerAddresses()).values()),
+                context.random(),
+                MembershipSettings.FAST);
+        membership = new MembershipDriver(settings.nodeId(), core, context.loop(), context.clock(), context.metrics());
+        ClusterSecrets secrets = new ClusterSecrets(joined.secret().getBytes(StandardCharsets.UTF_8), Optional.empty());
+        PeerConnections connections = closer.register(
+                new PeerConnections(settings.nodeId(), joined.incarnation(), secrets, membership, context.clock()));
+        membership.connect(connections);
+        closer.register(new PeerListener(settings.listen().peers(), connections));
+        peers = new PeerCalls(membership, context.loop(), context.metrics());
+        lookedAtMs = context.clock().nowMs();
+        context.loop().post(() -> list(joined.peerAddresses()));
+    }
+
+    MembershipDriver membership() {
+        return membership;
+    }
+
+    PeerCalls peers() {
+        return peers;
+    }
+
+    /** Takes the time; control thread only. */
+    void tick() {
+        membership.handle(new MembershipInput.Tick());
+        if (context.clock().nowMs() - lookedAtMs >= LOOK_MS) {
+            lookedAtMs = context.clock().nowMs();
+            Thread.ofVirtual().name("node-registry").start(this::look);
+        }
+    }
+
+    /** Tells the others that this node leaves; control thread only. */
+    void leave() {
+        membership.handle(new MembershipInput.Leave());
+    }
+
+    private void look() {
+        try {
+            Map<NodeId, String> nodes =
+                    new NodeRegistry(context.budget().at(Priority.STATUS), context.newBackoff()).nodes();
+            context.loop().post(() -> list(nodes));
+        } catch (PlatformException e) {
+            LOG.atInfo().withCause(e).log("the registered nodes cannot be read now");
+        }
+    }
+
+    private void list(Map<NodeId, String> nodes) {
+        membership.handle(new MembershipInput.Instances(nodes));
+    }
+
+    private Map<NodeId, String> others(Map<NodeId, String> nodes) {
+        Map<NodeId, String> others = new TreeMap<>(nodes);
+        others.remove(context.settings().nodeId());
+        return others;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
@@ -0,0 +1,52 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Random;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.magnoliabridge.calls.Spans;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.Backoff;
+import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.StoreRunner;
+
+/**
+ * What all parts of a gateway node share.
+ *
+ * @param wallClock milliseconds since the epoch, for what outlives the process
+ * @param random used on the control thread only
+ * @param budget the platform's object store within this node's limits
+ * @param store runs the store requests of decision cores
+ * @param joined what the node learned when it joined
+ */
+record GatewayContext(
+        GatewaySettings settings,
+        GatewayPlatform platform,
+        MonotonicClock clock,
+        LongSupplier wallClock,
+        RandomGenerator random,
+        MetricRegistry metrics,
+        Spans spans,
+        ControlLoop loop,
+        BudgetedStore budget,
+        StoreRunner store,
+        NodeRegistry.Joined joined) {
+    private static final long FIRST_BACKOFF_MS = 100;
+    private static final long MAX_BACKOFF_MS = 500;
+
+    /** Returns the name of this process, which no other process of any node has. */
+    String processName() {
+        return settings.nodeId() + "-" + joined.incarnation();
+    }
+
+    /** Returns a back-off for calls to the platform. */
+    static Backoff newBackoff(RandomGenerator random) {
+        return new Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, random);
+    }
+
+    /** Returns a back-off for calls to the platform, for use on one thread. */
+    Backoff newBackoff() {
+        return newBackoff(new Random(random.nextLong()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -0,0 +1,149 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.magnoliabridge.batch.BatchHead;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectWatch;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.lease.LeaseCore;
+import org.magnoliabridge.lease.LeaseSettings;
+import org.magnoliabridge.orders.EngineLoadSender;
+import org.magnoliabridge.orders.WeightsCore;
+import org.magnoliabridge.orders.WeightsSettings;
+import org.magnoliabridge.usage.UsageCore;
+import org.magnoliabridge.usage.UsageTimes;
+
+/**
+ * The duties that one node at a time performs under one lease: weights, usage reports and emptied instances.
+ *
+ * <p>The node that runs the batches is the only candidate, so that weights follow the batches that need them.
+ */
+final class GatewayDuties implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final ObjectWatch.Times WATCH = new ObjectWatch.Times(3_000, 20, 500);
+    // Parts of the lease's length: three renewals fit in before the margin, and a holder's last call has ended before
+    // the next holder's first one.
+    private static final int RENEWALS_PER_LEASE = 3;
+    private static final int MARGIN_PART = 4;
+    private static final int TAKEOVER_PART = 7;
+    private static final long RETRY_MS = 150;
+
+    private final GatewayContext context;
+    private final LeaseDriver lease;
+    private final WeightRollout weights;
+    private final UsageDriver usage;
+    private Optional<List<ObjectWatch>> watches = Optional.empty();
+
+    GatewayDuties(GatewayContext context, GatewayCluster cluster, KnownWeights known) {
+        this.context = context;
+        GatewaySettings settings = context.settings();
+        lease = new LeaseDriver(
+                "duties",
+                new LeaseCore(
+                        new ObjectKey("leases/duties"),
+                        settings.nodeId(),
+                        context.joined().incarnation(),
+                        leaseSettings(settings.bounds().leaseMs())),
+                context.clock(),
+                context.store(),
+                context.metrics());
+        weights = new WeightRollout(
+                context,
+                new WeightsCore(
+                        WeightsSettings.withoutPermits(), context.clock().nowMs()),
+                lease,
+                new EngineLoadSender(context.platform().engineOrders(), context.clock()),
+                context.platform().engineReports(),
+                known);
+        UsageTimes times = UsageTimes.due(
+                settings.bounds().usageWindowMs(), settings.bounds().usageDueMs());
+        usage = new UsageDriver(
+                settings.nodeId(),
+                new UsageCore(settings.nodeId(), context.joined().incarnation(), times),
+                context.platform().usageReports(),
+                cluster.membership(),
+                lease,
+                context.store(),
+                context.loop(),
+                context.clock(),
+                context.wallClock(),
+                context.metrics());
+        usage.start();
+    }
+
+    UsageDriver usage() {
+        return usage;
+    }
+
+    /** Takes the endpoints; control thread only. */
+    void fleetChanged(List<FleetEndpoint> fleet) {
+        weights.fleetChanged(fleet);
+    }
+
+    /**
+     * Takes the time, several times a second; control thread only.
+     *
+     * @param candidate whether this node may hold the duties
+     * @param batches the open batches
+     */
+    void tick(boolean candidate, List<BatchHead> batches) {
+        lease.tick(candidate);
+        follow(candidate || lease.view().held());
+        for (BatchHead batch : batches) {
+            if (batch.model().isPresent() && batch.minVersion().isPresent()) {
+                ModelId model = batch.model().get();
+                weights.lag(model, batch.minVersion().get());
+            }
+        }
+        weights.tick();
+    }
+
+    /** Gives the duties back and hands the usage counts over; any thread may call. */
+    CompletableFuture<Void> handOver() {
+        CompletableFuture<Void> handedBack = new CompletableFuture<>();
+        context.loop().post(() -> {
+            CompletableFuture<Void> unused =
+                    lease.handBack().whenComplete((done, failure) -> handedBack.complete(null));
+        });
+        return CompletableFuture.allOf(usage.handOver(), handedBack);
+    }
+
+    @Override
+    public void close() {
+        watches.ifPresent(all -> all.forEach(ObjectWatch::close));
+    }
+
+    private void follow(boolean needed) {
+        if (needed && watches.isEmpty()) {
+            watches = Optional.of(List.of(
+                    watch(context.platform().weightsPrefix(), weights),
+                    watch(
+                            context.platform().retirementsPrefix(),
+                            new Retirements(context.platform(), lease, context.loop(), context.clock()))));
+            LOG.atInfo().log("this node may hold the duties");
+        } else if (!needed && watches.isPresent()) {
+            close();
+            watches = Optional.empty();
+        }
+    }
+
+    private ObjectWatch watch(String prefix, ObjectWatch.Listener listener) {
+        return new ObjectWatch(
+                context.budget().at(Priority.DECISION),
+                prefix,
+                WATCH,
+                listener,
+                new Random(context.random().nextLong()));
+    }
+
+    private static LeaseSettings leaseSettings(long leaseMs) {
+        return new LeaseSettings(
+                leaseMs, leaseMs / RENEWALS_PER_LEASE, leaseMs / MARGIN_PART, leaseMs / TAKEOVER_PART, RETRY_MS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -0,0 +1,312 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.magnoliabridge.addresses.AddressBook;
+import org.magnoliabridge.batch.BatchCore;
+import org.magnoliabridge.batch.BatchInput;
+import org.magnoliabridge.batch.EngineState;
+import org.magnoliabridge.batch.RunnerElection;
+import org.magnoliabridge.batch.StoredBatches;
+import org.magnoliabridge.calls.CallLimits;
+import org.magnoliabridge.calls.CallMetrics;
+import org.magnoliabridge.calls.CallTools;
+import org.magnoliabridge.calls.PlainCaller;
+import org.magnoliabridge.calls.RetryBudget;
+import org.magnoliabridge.core.CloseFailedException;
+import org.magnoliabridge.core.Closer;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.edge.DrainGate;
+import org.magnoliabridge.external.Backoff;
+import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.ObjectWatch;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRunner;
+import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.gateway.CurrentPolicy;
+import org.magnoliabridge.gateway.GatewayConfig;
+import org.magnoliabridge.gateway.GatewayRoute;
+import org.magnoliabridge.gateway.RouteKind;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.UndertowHttpCaller;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.ids.RouteId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.routing.AdmissionCore;
+import org.magnoliabridge.routing.Dispatcher;
+import org.magnoliabridge.routing.Endpoint;
+import org.magnoliabridge.routing.RoutingSettings;
+import org.magnoliabridge.settings.SocketAddresses;
+import org.magnoliabridge.telemetry.LogFields;
+import org.magnoliabridge.telemetry.TracerSpans;
+import org.magnoliabridge.telemetry.Tracing;
+
+/**
+ * One node of a deployment on a platform that keeps the configuration, the list of endpoints and all that must last.
+ *
+ * <pre>{@code
+ * GatewayNode node = GatewayNode.start(context, closer);
+ * ...
+ * node.drain();
+ * node.close();
+ * }</pre>
+ */
+public final class GatewayNode implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long TICK_MS = 100;
+    // Callers take up to this many addresses from an answer of the directory.
+    private static final int MAX_ADDRESSES = 64;
+    private static final long REFRESH_MS = 2_000;
+    // A connection that went silent shows when a poll does not end in time, and a change must be in force within 2 s of
+    // the store's word after that.
+    private static final ObjectWatch.Times CONFIG_WATCH = new ObjectWatch.Times(3_000, 50, 500);
+    // Endpoints that leave must get no work 2 s after the store's word; changes of weights come in bursts.
+    private static final ObjectWatch.Times FLEET_WATCH = new ObjectWatch.Times(3_000, 300, 500);
+    // What is left of the grace period when new requests are refused, and when the process must have ended.
+    private static final long REFUSE_BEFORE_END_MS = 2_500;
+    private static final long END_BEFORE_KILL_MS = 800;
+    // Far above what a node needs; bounds its part of the store's rates while the store is slow.
+    private static final int STORE_CALLS = 32;
+    // Fifty times the store's usual answer is 200 ms; a silent connection costs a call this long.
+    private static final long STORE_DEADLINE_MS = 1_000;
+
+    private final GatewayContext context;
+    private final Closer closer;
+    private final CurrentPolicy policy = new CurrentPolicy();
+    private final DrainGate gate = new DrainGate();
+    private final AdmissionCore admission;
+    private final FleetDriver fleet;
+    private final ConfigFollower config;
+    private final GatewayCluster cluster;
+    private final BatchScheduler scheduler;
+    private final BatchRole role;
+    private final KnownWeights weights = new KnownWeights();
+    private final GatewayDuties duties;
+    private final AtomicLong lastRequest = new AtomicLong();
+    private volatile boolean draining;
+    private volatile boolean ready;
+
+    private GatewayNode(GatewayContext context, Closer closer) throws IOException {
+        this.context = context;
+        this.closer = closer;
+        admission = new AdmissionCore(
+                new RoutingSettings(context.settings().dataCentre(), RoutingSettings.DEFAULT_MAX_QUEUED),
+                context.random());
+        Dispatcher dispatcher = closer.register(
+                new Dispatcher(admission, context.loop(), context.clock(), context.metrics(), endpoint -> {}));
+        fleet = new FleetDriver(context, dispatcher);
+        config = new ConfigFollower(context, policy);
+        cluster = new GatewayCluster(context, closer);
+        StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
+        BatchCore core = new BatchCore(context.processName(), context.wallClock());
+        scheduler = new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored);
+        role = new BatchRole(
+                context.settings().nodeId(),
+                cluster.membership(),
+                cluster.peers(),
+                new RunnerElection(context.settings().nodeId(), context.clock().nowMs()),
+                scheduler);
+        duties = closer.register(new GatewayDuties(context, cluster, weights));
+        serve(dispatcher, new BatchFront(context, cluster.peers(), role, scheduler, stored));
+        follow();
+    }
+
+    /**
+     * Starts a node; it waits for the object store, and serves once it knows the configuration and the endpoints.
+     *
+     * @param platforms creates the adapter with the HTTP client that it may use
+     * @throws IOException if a port cannot be opened
+     */
+    public static GatewayNode start(GatewaySettings settings, Function<HttpCaller, GatewayPlatform> platforms)
+            throws IOException, InterruptedException {
+        Closer closer = new Closer();
+        try {
+            GatewayNode node = new GatewayNode(context(settings, platforms, closer), closer);
+            LOG.atInfo().log("node started");
+            return node;
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            closeQuietly(closer, e);
+            throw e;
+        }
+    }
+
+    private static GatewayContext context(
+            GatewaySettings settings, Function<HttpCaller, GatewayPlatform> platforms, Closer closer)
+            throws InterruptedException {
+        MetricRegistry metrics = new MetricRegistry();
+        ControlLoop loop = closer.register(new ControlLoop("control"));
+        HttpCaller http = closer.register(new UndertowHttpCaller(1));
+        GatewayPlatform platform = platforms.apply(http);
+        BudgetedStore budget = new BudgetedStore(platform.objects(), STORE_CALLS, STORE_DEADLINE_MS, metrics);
+        Random random = new Random(new SecureRandom().nextLong());
+        Backoff backoff = GatewayContext.newBackoff(new Random(random.nextLong()));
+        NodeRegistry.Joined joined = new NodeRegistry(budget.at(Priority.DECISION), backoff)
+                .join(
+                        settings.nodeId(),
+                        SocketAddresses.format(settings.listen().peers()));
+        return new GatewayContext(
+                settings,
+                platform,
+                MonotonicClock.system(),
+                System::currentTimeMillis,
+                random,
+                metrics,
+                new TracerSpans(Tracing.none().tracer()),
+                loop,
+                budget,
+                new StoreRunner(budget, loop),
+                joined);
+    }
+
+    private static void closeQuietly(Closer closer, Exception cause) {
+        try {
+            closer.close();
+        } catch (CloseFailedException e) {
+            cause.addSuppressed(e);
+        }
+    }
+
+    /** Leaves the directory, lets others take over, and finishes all requests within the grace period. */
+    public void drain() throws InterruptedException {
+        GatewaySettings.Bounds bounds = context.settings().bounds();
+        long endMs = context.clock().nowMs() + bounds.graceMs() - END_BEFORE_KILL_MS;
+        LOG.atInfo().log("drain begins");
+        draining = true;
+        ready = false;
+        context.loop().post(() -> {
+            role.resign();
+            cluster.leave();
+        });
+        CompletableFuture<Void> handedOver = duties.handOver();
+        Thread.sleep(Math.max(0, bounds.graceMs() - REFUSE_BEFORE_END_MS));
+        gate.drain();
+        int open = gate.awaitIdle(Math.max(1, endMs - context.clock().nowMs()));
+        if (open > 0) {
+            LOG.atSevere().with(LogFields.COUNT, (long) open).log("grace period is over; requests are cut");
+        }
+        LOG.atInfo().log("drain ended, duties and counts handed over: %b", handedOver.isDone());
+    }
+
+    @Override
+    public void close() throws CloseFailedException {
+        closer.close();
+    }
+
+    private void serve(Dispatcher dispatcher, BatchService batches) {
+        CallTools tools = new CallTools(
+                dispatcher,
+                new RetryBudget(),
+                CallLimits.DEFAULT,
+                context.clock(),
+                this::nextRequestId,
+                task -> Thread.ofVirtual().name("background").start(task),
+                new CallMetrics(context.metrics()),
+                context.spans());
+        GatewayServices services = new GatewayServices(
+                policy,
+                new PlainCaller(context.platform().services(), tools),
+                batches,
+                team -> duties.usage().began(team, context.wallClock().getAsLong()),
+                gate,
+                () -> ready,
+                this::addresses,
+                context.settings().bounds().addressTtlMs(),
+                this::nextRequestId,
+                context.clock(),
+                context.metrics());
+        GatewayServers servers = closer.register(new GatewayServers(
+                context.settings().listen(),
+                context.platform().callers(services),
+                context.platform().readiness(services),
+                context.platform().directory(services),
+                new MetricsPage(context.metrics())));
+        config.onChange(news -> servers.apply(news.limits()));
+    }
+
+    private void follow() {
+        config.onChange(this::configured);
+        fleet.onChange(this::fleetChanged);
+        closer.register(new ObjectWatch(
+                context.budget().at(Priority.DECISION),
+                context.platform().configPrefix(),
+                CONFIG_WATCH,
+                config,
+                new Random(context.random().nextLong())));
+        closer.register(new ObjectWatch(
+                context.budget().at(Priority.STATUS),
+                context.platform().fleetPrefix(),
+                FLEET_WATCH,
+                fleet,
+                new Random(context.random().nextLong())));
+        context.loop().repeat(TICK_MS, this::tick);
+        context.loop().repeat(REFRESH_MS, scheduler::refresh);
+    }
+
+    private void tick() {
+        long nowMs = context.clock().nowMs();
+        fleet.tick();
+        cluster.tick();
+        if (!draining) {
+            role.tick(nowMs);
+        }
+        duties.tick(role.isSelf() && !draining, scheduler.open());
+        scheduler.handle(new BatchInput.Tick());
+        boolean known = policy.get().isPresent() && fleet.known();
+        if (known && !ready && !draining) {
+            ready = true;
+            LOG.atInfo().log("node is ready");
+        }
+        // The endpoint table changes its mind about endpoints with every observation.
+        fleetChanged(fleet.endpoints());
+    }
+
+    private void configured(GatewayConfig config) {
+        Map<RouteId, ServiceId> routes = new HashMap<>();
+        for (GatewayRoute route : config.routes()) {
+            if (route.kind() == RouteKind.BATCH) {
+                routes.put(route.id(), route.services().getFirst().service());
+            }
+        }
+        scheduler.handle(new BatchInput.Routes(routes));
+    }
+
+    private void fleetChanged(List<FleetEndpoint> endpoints) {
+        List<EngineState> engines = endpoints.stream()
+                .filter(e -> isChoosable(e.endpoint()))
+                .map(e -> new EngineState(e.endpoint(), e.slots(), weights.of(e)))
+                .toList();
+        scheduler.handle(new BatchInput.Engines(engines));
+        duties.fleetChanged(endpoints);
+    }
+
+    private boolean isChoosable(Endpoint endpoint) {
+        List<EndpointId> choosable = admission.choosable(endpoint.service()).stream()
+                .map(Endpoint::id)
+                .toList();
+        return choosable.contains(endpoint.id());
+    }
+
+    private List<String> addresses(String callerIp, Optional<DataCentre> near) {
+        return new AddressBook(cluster.membership().members())
+                .addresses(callerIp, near, MAX_ADDRESSES).stream()
+                        .map(AddressBook.Entry::address)
+                        .toList();
+    }
+
+    private RequestId nextRequestId() {
+        return new RequestId(context.processName() + "-" + lastRequest.incrementAndGet());
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseEffect;
 import org.magnoliabridge.lease.LeaseView;
-import org.magnoliabridge.platform.StoreRequest.Priority;
-import org.magnoliabridge.platform.StoreRunner;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs the lease core of one scope; used on the control thread only. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
@@ -25,13 +25,13 @@
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.IdempotentCalls;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ledger.LedgerCore;
 import org.magnoliabridge.ledger.LedgerEffect;
 import org.magnoliabridge.ledger.LedgerInput;
 import org.magnoliabridge.ledger.LedgerKey;
 import org.magnoliabridge.ledger.StoredAnswer;
-import org.magnoliabridge.platform.StoreRequest.Priority;
-import org.magnoliabridge.platform.StoreRunner;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs calls with an idempotency key: the ledger core on the control thread, the calls on traffic threads. */
@@ -119,6 +119,7 @@
                 headers,
                 body,
                 request.idempotent(),
+                request.maxAttempts(),
                 deadlineMs,
                 request.id(),
                 request.trace());
--- a/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
@@ -58,9 +58,11 @@
     interface Listener {
         void delivered(Item item);
 
-        void confirmed(List<Long> versions, long confirmedAtMs);
+        /** Hears up to when the configuration was confirmed by a peer. */
+        default void confirmed(List<Long> versions, long confirmedAtMs) {}
 
-        void majority(boolean reached);
+        /** Hears whether this node reaches most of the members. */
+        default void majority(boolean reached) {}
     }
 
     MembershipDriver(NodeId self, MembershipCore core, ControlLoop loop, MonotonicClock clock, MetricRegistry metrics) {
@@ -129,10 +131,15 @@
 
     /** Sends a frame of another slice to a member; a member that is not known is not sent to. */
     void send(NodeId to, FrameType type, byte[] body) {
+        send(to, type, 0, body);
+    }
+
+    /** Sends a frame that belongs to a call. */
+    void send(NodeId to, FrameType type, long requestId, byte[] body) {
         members.stream()
                 .filter(m -> m.id().equals(to))
                 .findFirst()
-                .ifPresent(m -> send(Optional.of(to), m.place().peerAddress(), new Frame(type, self, 0, body)));
+                .ifPresent(m -> send(Optional.of(to), m.place().peerAddress(), new Frame(type, self, requestId, body)));
     }
 
     /** Gives the core an input and carries out what it decides. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -15,6 +15,14 @@
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.OperatorServer;
+import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.HttpEndpointOrders;
+import org.magnoliabridge.external.HttpEngineOrders;
+import org.magnoliabridge.external.HttpObjectStore;
+import org.magnoliabridge.external.HttpUsageReports;
+import org.magnoliabridge.external.HttpWeightStore;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.http.UndertowHttpCaller;
@@ -26,16 +34,11 @@
 import org.magnoliabridge.orders.OrdersSettings;
 import org.magnoliabridge.orders.WeightsCore;
 import org.magnoliabridge.orders.WeightsSettings;
-import org.magnoliabridge.platform.BudgetedStore;
-import org.magnoliabridge.platform.HttpEndpointOrders;
-import org.magnoliabridge.platform.HttpEngineOrders;
-import org.magnoliabridge.platform.HttpObjectStore;
-import org.magnoliabridge.platform.HttpWeightStore;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.StoreRunner;
 import org.magnoliabridge.telemetry.LogFields;
 import org.magnoliabridge.telemetry.TracerSpans;
 import org.magnoliabridge.telemetry.Tracing;
+import org.magnoliabridge.usage.UsageCore;
+import org.magnoliabridge.usage.UsageTimes;
 
 /**
  * One node of the system.
@@ -56,6 +59,7 @@
     private static final long STATUS_PERIOD_MS = 1_000;
     // A roll-out over 600 engines in 16 s leaves no room for a slower look at the engines that swap.
     private static final long WEIGHTS_POLL_MS = 250;
+    private static final HttpLimits REPORT_LIMITS = HttpLimits.total(2_000);
     private static final long HAND_OVER_LIMIT_MS = 3_000;
     // A store of the stated size serves 600 samplers within 16 s; the store itself refuses what is over its rate.
     private static final WeightsSettings WEIGHTS = WeightsSettings.forRate(60, 20);
@@ -71,7 +75,7 @@
         Tracing tracing = closer.register(tracing(settings));
         context = context(settings, closer);
         control = new ControlPlane(context, closer);
-        usage = new UsageDriver(context, control.membership(), control.addScope("usage"));
+        usage = usage(settings);
         data = new DataPlane(context, control, new TracerSpans(tracing.tracer()), usage, closer);
         StatusPages pages = new StatusPages(context, control, data);
         closer.register(new OperatorServer(
@@ -148,6 +152,21 @@
         }
     }
 
+    private UsageDriver usage(NodeSettings settings) {
+        UsageTimes times = UsageTimes.ofWindow(settings.limits().usageWindowMs());
+        return new UsageDriver(
+                settings.nodeId(),
+                new UsageCore(settings.nodeId(), context.incarnation(), times),
+                new HttpUsageReports(context.http(), settings.platform().usage(), REPORT_LIMITS),
+                control.membership(),
+                control.addScope("usage"),
+                context.store(),
+                context.loop(),
+                context.clock(),
+                context.wallClock(),
+                context.metrics());
+    }
+
     private void startOrders(NodeSettings settings) {
         String scope = "orders-" + settings.region();
         HttpEndpointOrders orders = new HttpEndpointOrders(
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NodeContext.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NodeContext.java
@@ -5,10 +5,10 @@
 import java.util.random.RandomGenerator;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.ids.Incarnation;
-import org.magnoliabridge.platform.BudgetedStore;
-import org.magnoliabridge.platform.StoreRunner;
 
 /**
  * What all parts of a node share.
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NodeSettings.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NodeSettings.java
@@ -165,7 +165,7 @@
         return root.address(name).orElse(UNSET);
     }
 
-    private static <T> Optional<T> id(SettingsObject root, String name, IdParser<T> parser) {
+    static <T> Optional<T> id(SettingsObject root, String name, IdParser<T> parser) {
         String text = root.text(name);
         if (text.isEmpty()) {
             return Optional.empty();
@@ -179,7 +179,7 @@
     }
 
     @FunctionalInterface
-    private interface IdParser<T> {
+    interface IdParser<T> {
         T parse(String text) throws InvalidIdException;
     }
 }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
@@ -7,17 +7,17 @@
 import java.util.function.Consumer;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.EndpointOrders;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.orders.EndpointOrderSender;
 import org.magnoliabridge.orders.OrderOutcome;
 import org.magnoliabridge.orders.OrdersCore;
 import org.magnoliabridge.orders.OrdersEffect;
 import org.magnoliabridge.orders.OrdersInput;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.EndpointOrders;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoreRequest.Priority;
-import org.magnoliabridge.platform.StoreRunner;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs the orders core under its lease: the core on the control thread, calls on virtual threads. */
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -0,0 +1,127 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.wire.Frame;
+import org.magnoliabridge.wire.FrameType;
+
+/** Calls between nodes that have an answer; the first byte of a call's body is its method. */
+final class PeerCalls {
+    private final MembershipDriver membership;
+    private final ControlLoop loop;
+    private final MetricRegistry metrics;
+    private final Map<Method, Handler> handlers = new EnumMap<>(Method.class);
+    // Used on the control thread only.
+    private final Map<Long, CompletableFuture<byte[]>> waiting = new HashMap<>();
+    private long lastCall;
+
+    /** What a node asks of another one. */
+    enum Method {
+        OFFER_BATCH(1),
+        END_BATCH(2),
+        READ_BATCH(3),
+        ANNOUNCE_RUNNER(4),
+        STORE_CALL(5);
+
+        private final int number;
+
+        Method(int number) {
+            this.number = number;
+        }
+
+        static Optional<Method> of(int number) {
+            return Arrays.stream(values()).filter(m -> m.number == number).findFirst();
+        }
+    }
+
+    /** Serves calls of a method. */
+    interface Handler {
+        /**
+         * Takes a call on the control thread.
+         *
+         * @param answer takes the answer once, now or later, on any thread
+         */
+        void call(NodeId from, byte[] body, Consumer<byte[]> answer);
+    }
+
+    PeerCalls(MembershipDriver membership, ControlLoop loop, MetricRegistry metrics) {
+        this.membership = membership;
+        this.loop = loop;
+        this.metrics = metrics;
+        membership.onFrame(FrameType.CALL, this::called);
+        membership.onFrame(FrameType.ANSWER, this::answered);
+    }
+
+    /** Sets the handler of a method; calls without one are dropped. */
+    void serve(Method method, Handler handler) {
+        handlers.put(method, handler);
+    }
+
+    /**
+     * Calls a node, from any thread.
+     *
+     * @return completes with the answer, or with a {@link PeerSilentException} after the time limit in milliseconds
+     */
+    CompletableFuture<byte[]> call(NodeId to, Method method, byte[] body, long timeoutMs) {
+        CompletableFuture<byte[]> answer = new CompletableFuture<>();
+        loop.post(() -> {
+            long id = ++lastCall;
+            waiting.put(id, answer);
+            membership.send(to, FrameType.CALL, id, framed(method, body));
+            loop.later(timeoutMs, () -> expire(id, to, method));
+        });
+        return answer;
+    }
+
+    /** Sends a call that has no answer; control thread only. */
+    void tell(NodeId to, Method method, byte[] body) {
+        membership.send(to, FrameType.CALL, 0, framed(method, body));
+    }
+
+    private void expire(long id, NodeId to, Method method) {
+        CompletableFuture<byte[]> answer = waiting.remove(id);
+        if (answer != null) {
+            metrics.counter("peers.calls.silent." + method).inc();
+            answer.completeExceptionally(new PeerSilentException(to, method.name()));
+        }
+    }
+
+    private void called(NodeId from, Frame frame) {
+        Optional<Handler> handler = Optional.of(frame.body())
+                .filter(b -> b.length > 0)
+                .flatMap(b -> Method.of(b[0]))
+                .map(handlers::get);
+        if (handler.isEmpty()) {
+            metrics.counter("peers.calls.unknown").inc();
+            return;
+        }
+        byte[] body = Arrays.copyOfRange(frame.body(), 1, frame.body().length);
+        handler.get()
+                .call(
+                        from,
+                        body,
+                        answer -> loop.post(() -> membership.send(from, FrameType.ANSWER, frame.requestId(), answer)));
+    }
+
+    private void answered(NodeId from, Frame frame) {
+        CompletableFuture<byte[]> answer = waiting.remove(frame.requestId());
+        if (answer != null) {
+            answer.complete(frame.body());
+        }
+    }
+
+    private static byte[] framed(Method method, byte[] body) {
+        byte[] framed = new byte[body.length + 1];
+        framed[0] = (byte) method.number;
+        System.arraycopy(body, 0, framed, 1, body.length);
+        return framed;
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
@@ -1,22 +1,27 @@
 package org.magnoliabridge.daemon;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.UsageSink;
-import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRunner;
+import org.magnoliabridge.external.UsageReports;
 import org.magnoliabridge.ids.InvalidIdException;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.lease.LeaseView;
 import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MembershipInput;
-import org.magnoliabridge.platform.HttpUsageReports;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoreRequest.Priority;
-import org.magnoliabridge.platform.UsageReports;
 import org.magnoliabridge.telemetry.LogFields;
 import org.magnoliabridge.usage.Count;
 import org.magnoliabridge.usage.UsageCore;
@@ -31,9 +36,14 @@
     private static final String LEADER_ITEM = "leader.usage";
     private static final long TICK_MS = 100;
     private static final int CONFLICT = 409;
-    private static final HttpLimits REPORT_LIMITS = HttpLimits.total(2_000);
-
-    private final NodeContext context;
+    private static final Count ONE_REQUEST = new Count(1, 0, 0);
+
+    private final NodeId self;
+    private final LongSupplier wallClock;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
+    private final ControlLoop loop;
+    private final StoreRunner store;
     private final MembershipDriver membership;
     private final LeaseDriver lease;
     private final UsageCore core;
@@ -44,14 +54,27 @@
     private Optional<NodeId> leader = Optional.empty();
     private long leaderFencing;
 
-    UsageDriver(NodeContext context, MembershipDriver membership, LeaseDriver lease) {
-        this.context = context;
+    UsageDriver(
+            NodeId self,
+            UsageCore core,
+            UsageReports reports,
+            MembershipDriver membership,
+            LeaseDriver lease,
+            StoreRunner store,
+            ControlLoop loop,
+            MonotonicClock clock,
+            LongSupplier wallClock,
+            MetricRegistry metrics) {
+        this.self = self;
+        this.core = core;
+        this.reports = reports;
         this.membership = membership;
         this.lease = lease;
-        NodeSettings settings = context.settings();
-        core = new UsageCore(
-                settings.nodeId(), context.incarnation(), settings.limits().usageWindowMs());
-        reports = new HttpUsageReports(context.http(), settings.platform().usage(), REPORT_LIMITS);
+        this.store = store;
+        this.loop = loop;
+        this.clock = clock;
+        this.wallClock = wallClock;
+        this.metrics = metrics;
     }
 
     /** Starts the periodic work. */
@@ -59,18 +82,24 @@
         membership.addListener(new LeaderFromPeers());
         membership.onFrame(FrameType.USAGE_COUNTS, (from, frame) -> handle(new UsageInput.Counts(from, frame.body())));
         membership.onFrame(FrameType.USAGE_ACK, (from, frame) -> handle(new UsageInput.Ack(from, frame.body())));
-        context.loop().repeat(TICK_MS, this::tick);
+        loop.repeat(TICK_MS, this::tick);
     }
 
     @Override
     public void delivered(Delivery delivery) {
         Count count = new Count(delivery.requests(), delivery.promptTokens(), delivery.completionTokens());
-        context.loop().post(() -> handle(new UsageInput.Delivered(delivery.team(), count)));
+        loop.post(() -> handle(new UsageInput.Delivered(delivery.team(), count)));
+    }
+
+    /** Counts a request of a team that began at a wall-clock time, in milliseconds; any thread may call. */
+    void began(TeamId team, long atMs) {
+        UsageInput began = new UsageInput.Delivered(team, ONE_REQUEST, OptionalLong.of(atMs));
+        loop.post(() -> handle(began));
     }
 
     /** Hands all counts over; the result completes when the peers have them. */
     CompletableFuture<Void> handOver() {
-        context.loop().post(() -> handle(new UsageInput.Drain()));
+        loop.post(() -> handle(new UsageInput.Drain()));
         return handedOver;
     }
 
@@ -82,13 +111,13 @@
 
     private void followLease() {
         LeaseView view = lease.view();
-        long nowMs = context.clock().nowMs();
+        long nowMs = clock.nowMs();
         if (view.maySend(nowMs)) {
             if (!holding) {
                 announceLeader(view);
             }
             holding = true;
-            long sendUntilMs = context.wallClock().getAsLong() + view.sendUntilMs() - nowMs;
+            long sendUntilMs = wallClock.getAsLong() + view.sendUntilMs() - nowMs;
             handle(new UsageInput.LeaseHeld(sendUntilMs, view.fencing()));
         } else if (holding) {
             holding = false;
@@ -97,7 +126,6 @@
     }
 
     private void announceLeader(LeaseView view) {
-        NodeId self = context.settings().nodeId();
         leader = Optional.of(self);
         leaderFencing = view.fencing().value();
         Item item = new Item(LEADER_ITEM, leaderFencing, self.value().getBytes(StandardCharsets.UTF_8));
@@ -106,7 +134,6 @@
 
     // The core takes the first two that are not the leader.
     private List<UsageInput.Peer> copies() {
-        NodeId self = context.settings().nodeId();
         return membership.ranked("usage-copies/" + self).stream()
                 .filter(n -> !n.equals(self))
                 .flatMap(n -> peer(n).stream())
@@ -125,7 +152,7 @@
     }
 
     private void handle(UsageInput input) {
-        for (UsageEffect effect : core.handle(input, context.wallClock().getAsLong())) {
+        for (UsageEffect effect : core.handle(input, wallClock.getAsLong())) {
             carryOut(effect);
         }
     }
@@ -135,21 +162,20 @@
             case UsageEffect.SendCounts send -> membership.send(send.to(), FrameType.USAGE_COUNTS, send.body());
             case UsageEffect.SendAck send -> membership.send(send.to(), FrameType.USAGE_ACK, send.body());
             case UsageEffect.Store request ->
-                context.store()
-                        .run(
-                                request.request(),
-                                Priority.STATUS,
-                                reply -> handle(new UsageInput.Reply(request.tag(), reply)));
+                store.run(
+                        request.request(),
+                        Priority.STATUS,
+                        reply -> handle(new UsageInput.Reply(request.tag(), reply)));
             case UsageEffect.Report report ->
                 Thread.ofVirtual().name("usage-report").start(() -> report(report));
             case UsageEffect.HandedOver done -> handedOver.complete(null);
             case UsageEffect.OtherFigures other -> {
-                context.metrics().counter("usage.other_figures").inc();
+                metrics.counter("usage.other_figures").inc();
                 LOG.atSevere().log(
                         "the platform has other figures for window %s than the sealed record", other.window());
             }
             case UsageEffect.Difference difference -> {
-                context.metrics().counter("usage.differences").inc();
+                metrics.counter("usage.differences").inc();
                 LOG.atWarning().log(
                         "window %s: counted %s, engines counted %s",
                         difference.window(), difference.ours(), difference.engines());
@@ -159,14 +185,15 @@
 
     private void report(UsageEffect.Report report) {
         ReportResult result =
-                context.wallClock().getAsLong() >= report.sendBeforeMs() ? ReportResult.NOT_CONFIRMED : send(report);
-        context.metrics().counter("usage.reports." + result).inc();
-        context.loop().post(() -> handle(new UsageInput.Reported(report.tag(), result)));
+                wallClock.getAsLong() >= report.sendBeforeMs() ? ReportResult.NOT_CONFIRMED : send(report);
+        metrics.counter("usage.reports." + result).inc();
+        loop.post(() -> handle(new UsageInput.Reported(report.tag(), result)));
     }
 
     private ReportResult send(UsageEffect.Report report) {
         try {
-            reports.report(report.window(), report.body());
+            reports.report(
+                    new UsageReports.Report(report.window(), report.body(), report.requests(), report.fencing()));
             return ReportResult.ACCEPTED;
         } catch (PlatformException.Rejected e) {
             return e.status() == CONFLICT ? ReportResult.OTHER_FIGURES : ReportResult.NOT_CONFIRMED;
@@ -190,11 +217,5 @@
                 }
             }
         }
-
-        @Override
-        public void confirmed(List<Long> versions, long confirmedAtMs) {}
-
-        @Override
-        public void majority(boolean reached) {}
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
@@ -0,0 +1,235 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.magnoliabridge.external.EngineReports;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.ObjectWatch;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.orders.EngineLoadSender;
+import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.WeightsCore;
+import org.magnoliabridge.orders.WeightsEffect;
+import org.magnoliabridge.orders.WeightsInput;
+import org.magnoliabridge.routing.Endpoint;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Brings engines to new weights while this node holds the duties; the core on the control thread. */
+final class WeightRollout implements ObjectWatch.Listener {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // A load takes about a second, and an item that waits for the engine starts with the first report of its end.
+    private static final long ASK_MS = 200;
+
+    private final GatewayContext context;
+    private final WeightsCore core;
+    private final LeaseDriver lease;
+    private final EngineLoadSender sender;
+    private final EngineReports reports;
+    private final KnownWeights known;
+    // Used on the control thread only.
+    private final Map<EndpointId, Endpoint> endpoints = new HashMap<>();
+    private final Map<ModelId, WeightVersion> newest = new HashMap<>();
+    private final Map<EndpointId, Long> askedAtMs = new HashMap<>();
+    private final Set<EndpointId> loading = new HashSet<>();
+
+    WeightRollout(
+            GatewayContext context,
+            WeightsCore core,
+            LeaseDriver lease,
+            EngineLoadSender sender,
+            EngineReports reports,
+            KnownWeights known) {
+        this.context = context;
+        this.core = core;
+        this.lease = lease;
+        this.sender = sender;
+        this.reports = reports;
+        this.known = known;
+    }
+
+    /** Takes the endpoints that may be ordered; control thread only. */
+    void fleetChanged(List<FleetEndpoint> fleet) {
+        List<WeightsInput.Engine> engines = new ArrayList<>();
+        endpoints.clear();
+        for (FleetEndpoint e : fleet) {
+            if (!e.draining()) {
+                endpoints.put(e.endpoint().id(), e.endpoint());
+                e.weights()
+                        .keySet()
+                        .forEach(model -> engines.add(new WeightsInput.Engine(
+                                e.endpoint().id(), e.endpoint().service(), model, true)));
+            }
+        }
+        loading.retainAll(endpoints.keySet());
+        handle(new WeightsInput.Engines(engines));
+        for (FleetEndpoint e : fleet) {
+            known.of(e)
+                    .forEach((model, version) ->
+                            handle(new WeightsInput.Reported(e.endpoint().id(), model, version)));
+        }
+    }
+
+    /** Takes how far behind the newest weights a model's batches may run; control thread only. */
+    void lag(ModelId model, WeightVersion oldestAllowed) {
+        WeightVersion target = newest.get(model);
+        if (target != null) {
+            handle(new WeightsInput.Lag(model, (int) Math.max(0, target.value() - oldestAllowed.value())));
+        }
+    }
+
+    /** Takes the time; control thread only. */
+    void tick() {
+        handle(new WeightsInput.Tick());
+        long nowMs = context.clock().nowMs();
+        for (EndpointId engine : List.copyOf(loading)) {
+            if (nowMs - askedAtMs.getOrDefault(engine, 0L) >= ASK_MS) {
+                askedAtMs.put(engine, nowMs);
+                ask(endpoints.get(engine));
+            }
+        }
+    }
+
+    @Override
+    public void listed(ObjectStore.Listing all) {
+        changed(all);
+    }
+
+    @Override
+    public void changed(ObjectStore.Listing changes) {
+        Map<ModelId, WeightVersion> named = context.platform().weights(changes);
+        context.loop().post(() -> named.forEach(this::named));
+    }
+
+    @Override
+    public void failed(PlatformException cause) {
+        LOG.atInfo().withCause(cause).log("newest weights cannot be followed");
+    }
+
+    private void named(ModelId model, WeightVersion version) {
+        WeightVersion before = newest.put(model, version);
+        if (!version.equals(before)) {
+            LOG.atInfo()
+                    .with(LogFields.MODEL, model.value())
+                    .with(LogFields.VERSION, version.value())
+                    .log("weights named");
+        }
+        handle(new WeightsInput.Newest(model, version));
+    }
+
+    private void ask(Endpoint engine) {
+        Thread.ofVirtual().name("engine-report").start(() -> {
+            try {
+                EngineReports.Report report = reports.report(engine.id(), engine.socketAddress());
+                context.loop().post(() -> reported(engine, report));
+            } catch (PlatformException e) {
+                LOG.atFine()
+                        .withCause(e)
+                        .with(LogFields.ENDPOINT, engine.id().value())
+                        .log("no report");
+            }
+        });
+    }
+
+    private void reported(Endpoint engine, EngineReports.Report report) {
+        if (!report.busy()) {
+            boolean behind = report.weights().entrySet().stream()
+                    .anyMatch(e -> newest.containsKey(e.getKey())
+                            && newest.get(e.getKey()).isAfter(e.getValue()));
+            if (!behind) {
+                loading.remove(engine.id());
+            }
+        }
+        known.reported(engine, report.weights());
+        report.weights().forEach((model, version) -> handle(new WeightsInput.Reported(engine.id(), model, version)));
+    }
+
+    private void handle(WeightsInput input) {
+        for (WeightsEffect effect : core.on(context.clock().nowMs(), lease.view(), input)) {
+            carryOut(effect);
+        }
+    }
+
+    private void carryOut(WeightsEffect effect) {
+        switch (effect) {
+            case WeightsEffect.Load load -> load(load);
+            case WeightsEffect.TakePermit take -> throw new IllegalStateException("loads need no permit here");
+            case WeightsEffect.TakeOut out ->
+                LOG.atWarning()
+                        .with(LogFields.ENDPOINT, out.engine().value())
+                        .with(LogFields.VERSION, out.version().value())
+                        .log("engine cannot load the version");
+            case WeightsEffect.PutBack back ->
+                LOG.atInfo()
+                        .with(LogFields.ENDPOINT, back.engine().value())
+                        .log("engine takes part in roll-outs again");
+            case WeightsEffect.Halted halted ->
+                LOG.atSevere()
+                        .with(LogFields.MODEL, halted.model().value())
+                        .with(LogFields.VERSION, halted.version().value())
+                        .log("roll-out halted");
+            case WeightsEffect.Completed done -> {
+                context.metrics().histogram("weights.rollout_ms").update(done.tookMs());
+                LOG.atInfo()
+                        .with(LogFields.MODEL, done.model().value())
+                        .with(LogFields.VERSION, done.version().value())
+                        .log("all engines hold the version after %d ms", done.tookMs());
+            }
+        }
+    }
+
+    private void load(WeightsEffect.Load load) {
+        Endpoint engine = endpoints.get(load.engine());
+        if (engine == null) {
+            sent(load, OrderOutcome.NOT_SENT);
+            return;
+        }
+        loading.add(load.engine());
+        Thread.ofVirtual().name("weight-order").start(() -> {
+            OrderOutcome outcome = order(engine, load);
+            context.loop().post(() -> sent(load, outcome));
+        });
+    }
+
+    private void sent(WeightsEffect.Load load, OrderOutcome outcome) {
+        LOG.atInfo()
+                .with(LogFields.ENDPOINT, load.engine().value())
+                .with(LogFields.MODEL, load.model().value())
+                .with(LogFields.VERSION, load.version().value())
+                .with(LogFields.FENCING, load.fencing().value())
+                .log("order to load weights: %s", outcome);
+        context.metrics().counter("weights.orders." + outcome).inc();
+        handle(new WeightsInput.Sent(load.orderId(), load.engine(), load.model(), outcome));
+    }
+
+    // The number of accepted orders in the order keeps one that is delayed from undoing a later one.
+    private OrderOutcome order(Endpoint engine, WeightsEffect.Load load) {
+        try {
+            EngineReports.Report report = reports.report(engine.id(), engine.socketAddress());
+            context.loop().post(() -> reported(engine, report));
+            Optional<WeightVersion> held = Optional.ofNullable(report.weights().get(load.model()));
+            if (held.isPresent() && !load.version().isAfter(held.get())) {
+                return OrderOutcome.ACCEPTED;
+            }
+            return report.busy()
+                    ? OrderOutcome.REFUSED
+                    : sender.send(engine.socketAddress(), load, OptionalLong.of(report.ordersAccepted()));
+        } catch (PlatformException e) {
+            LOG.atInfo()
+                    .withCause(e)
+                    .with(LogFields.ENDPOINT, engine.id().value())
+                    .log("no report before an order");
+            return OrderOutcome.NOT_SENT;
+        }
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
@@ -15,7 +15,10 @@
 import org.magnoliabridge.calls.LoadReport;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.WeightStore;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.orders.EngineLoadSender;
@@ -24,8 +27,6 @@
 import org.magnoliabridge.orders.WeightsEffect;
 import org.magnoliabridge.orders.WeightsInput;
 import org.magnoliabridge.orders.WeightsInput.PermitOutcome;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.WeightStore;
 import org.magnoliabridge.routing.AdmissionInput;
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
@@ -95,7 +96,7 @@
                 Thread.ofVirtual().start(() -> findNewest(service.id()));
             }
             for (Endpoint endpoint : endpoints) {
-                all.add(new WeightsInput.Engine(endpoint.id(), service.id(), sampler));
+                all.add(new WeightsInput.Engine(endpoint.id(), service.id(), model(service.id()), sampler));
                 SocketAddresses.parse(endpoint.address()).ifPresent(a -> addresses.put(endpoint.id(), a));
             }
         });
@@ -104,7 +105,7 @@
         all.stream()
                 .filter(e -> full || isBehind(e))
                 .filter(e -> polling.add(e.id()))
-                .forEach(e -> startAsking(e.id(), addresses.get(e.id())));
+                .forEach(e -> startAsking(e, addresses.get(e.id())));
     }
 
     private boolean isBehind(WeightsInput.Engine engine) {
@@ -113,33 +114,38 @@
         return known == null || (target != null && target.isAfter(known));
     }
 
+    // In this node's interface a model service serves one model, which has its name.
+    private static ModelId model(ServiceId service) {
+        return new ModelId(service.value());
+    }
+
     private void findNewest(ServiceId service) {
         try {
             WeightVersion version = weights.newest(service);
             loop.post(() -> {
                 newest.put(service, version);
-                handle(new WeightsInput.Newest(service, version));
+                handle(new WeightsInput.Newest(model(service), version));
             });
         } catch (PlatformException e) {
             metrics.counter("weights.store_failures").inc();
         }
     }
 
-    private void startAsking(EndpointId engine, InetSocketAddress address) {
+    private void startAsking(WeightsInput.Engine engine, InetSocketAddress address) {
         Thread.ofVirtual().start(() -> ask(engine, address));
     }
 
-    private void ask(EndpointId engine, InetSocketAddress address) {
+    private void ask(WeightsInput.Engine engine, InetSocketAddress address) {
         try {
             LoadReport report = engines.load(address);
-            dispatcher.post(new AdmissionInput.Reported(engine, report));
+            dispatcher.post(new AdmissionInput.Reported(engine.id(), report));
             loop.post(() -> {
-                polling.remove(engine);
-                reported.put(engine, report.version());
-                handle(new WeightsInput.Reported(engine, report.version()));
+                polling.remove(engine.id());
+                reported.put(engine.id(), report.version());
+                handle(new WeightsInput.Reported(engine.id(), engine.model(), report.version()));
             });
         } catch (EngineFailure e) {
-            loop.post(() -> polling.remove(engine));
+            loop.post(() -> polling.remove(engine.id()));
         }
     }
 
@@ -167,14 +173,14 @@
             case WeightsEffect.Halted halted -> {
                 metrics.counter("weights.halted").inc();
                 LOG.atSevere()
-                        .with(LogFields.SERVICE, halted.service().value())
+                        .with(LogFields.SERVICE, halted.model().value())
                         .with(LogFields.VERSION, halted.version().value())
                         .log("roll-out halted: too many engines cannot load the version");
             }
             case WeightsEffect.Completed done -> {
                 metrics.histogram("weights.rollout_ms").update(done.tookMs());
                 LOG.atInfo()
-                        .with(LogFields.SERVICE, done.service().value())
+                        .with(LogFields.SERVICE, done.model().value())
                         .with(LogFields.VERSION, done.version().value())
                         .log("all engines report the version after %d ms", done.tookMs());
             }
@@ -192,7 +198,8 @@
         } catch (PlatformException e) {
             outcome = PermitOutcome.FAILED;
         }
-        WeightsInput input = new WeightsInput.Permit(take.engine(), take.version(), outcome, retryAfterMs);
+        WeightsInput input =
+                new WeightsInput.Permit(take.engine(), take.model(), take.version(), outcome, retryAfterMs);
         loop.post(() -> handle(input));
     }
 
@@ -200,7 +207,7 @@
         InetSocketAddress address = addresses.get(load.engine());
         Thread.ofVirtual().start(() -> {
             OrderOutcome outcome = address == null ? OrderOutcome.NOT_SENT : sender.send(address, load);
-            loop.post(() -> handle(new WeightsInput.Sent(load.orderId(), load.engine(), outcome)));
+            loop.post(() -> handle(new WeightsInput.Sent(load.orderId(), load.engine(), load.model(), outcome)));
         });
     }
 }
--- a/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
@@ -32,6 +32,12 @@
 import org.magnoliabridge.calls.RunClaim;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreRunner;
+import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.http.HttpAnswer;
 import org.magnoliabridge.http.HttpCall;
 import org.magnoliabridge.http.HttpCaller;
@@ -43,12 +49,6 @@
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ledger.LedgerCore;
-import org.magnoliabridge.platform.BudgetedStore;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoreRunner;
-import org.magnoliabridge.platform.StoredObject;
 import org.magnoliabridge.telemetry.TracerSpans;
 import org.magnoliabridge.telemetry.Tracing;
 
@@ -118,6 +118,7 @@
                 Map.of("idempotency-key", key),
                 body.getBytes(StandardCharsets.UTF_8),
                 false,
+                PlainRequest.DEFAULT_ATTEMPTS,
                 clock.nowMs() + DEADLINE_MS,
                 new RequestId("r1"),
                 Optional.empty());
--- a/library/src/main/java/org/magnoliabridge/addresses/AddressBook.java
+++ b/library/src/main/java/org/magnoliabridge/addresses/AddressBook.java
@@ -43,6 +43,15 @@
      * @param dataCentre where the caller is, if it says so
      */
     public List<Entry> addresses(String caller, Optional<DataCentre> dataCentre) {
+        return addresses(caller, dataCentre, MAX_ADDRESSES);
+    }
+
+    /**
+     * Returns addresses; the first is the one to try first.
+     *
+     * @param max most addresses in the answer
+     */
+    public List<Entry> addresses(String caller, Optional<DataCentre> dataCentre, int max) {
         Map<NodeId, Integer> rank = rank(caller);
         Optional<Region> region = dataCentre.flatMap(this::region);
         List<Member> sorted = new ArrayList<>(members);
@@ -52,7 +61,7 @@
             int order = Integer.compare(rank.get(a.id()), rank.get(b.id()));
             return near != 0 ? near : load != 0 ? load : order;
         });
-        return sorted.stream().limit(MAX_ADDRESSES).map(AddressBook::entry).toList();
+        return sorted.stream().limit(max).map(AddressBook::entry).toList();
     }
 
     private Map<NodeId, Integer> rank(String caller) {
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
@@ -0,0 +1,186 @@
+package org.magnoliabridge.batch;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.gateway.BatchTerms;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.GroupId;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.RouteId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WeightVersion;
+
+/** Turns the stored records of batches into JSON and back. */
+public final class BatchCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private BatchCodec() {}
+
+    /** Reads a record; the methods that throw are those of the JSON library and of the ids. */
+    @FunctionalInterface
+    private interface Reader<T> {
+        T read(JsonNode node) throws MalformedBatchException;
+    }
+
+    /** Returns a head as JSON. */
+    public static byte[] head(BatchHead head) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("id", head.id().value());
+        node.put("team", head.team().value());
+        node.put("route", head.route().value());
+        node.put("host", head.host());
+        head.model().ifPresent(m -> node.put("model", m.value()));
+        head.minVersion().ifPresent(v -> node.put("min_version", v.value()));
+        node.put("wanted_groups", head.wantedGroups());
+        node.put("due_ms", head.terms().dueMs());
+        node.put("give_up_ms", head.terms().giveUpMs());
+        node.put("single_version", head.terms().singleVersion());
+        node.put("max_attempts", head.maxAttempts());
+        node.put("submitted_ms", head.submittedAtMs());
+        node.put("items", head.items());
+        node.put("parts", head.parts());
+        node.put("ended", head.ended());
+        return bytes(node);
+    }
+
+    /** Reads a head. */
+    public static BatchHead head(byte[] value) throws MalformedBatchException {
+        return read(
+                value,
+                node -> new BatchHead(
+                        new BatchId(text(node, "id")),
+                        new TeamId(text(node, "team")),
+                        new RouteId(text(node, "route")),
+                        text(node, "host"),
+                        optional(node, "model").map(m -> new ModelId(m.asText())),
+                        optional(node, "min_version").map(v -> new WeightVersion(v.asLong())),
+                        node.path("wanted_groups").asInt(),
+                        new BatchTerms(
+                                node.path("due_ms").asLong(),
+                                node.path("give_up_ms").asLong(),
+                                node.path("single_version").asBoolean()),
+                        node.path("max_attempts").asInt(),
+                        node.path("submitted_ms").asLong(),
+                        node.path("items").asInt(),
+                        node.path("parts").asInt(),
+                        node.path("ended").asBoolean()));
+    }
+
+    /** Returns items as JSON. */
+    public static byte[] items(List<BatchItem> items) {
+        ArrayNode array = JSON.createArrayNode();
+        for (BatchItem item : items) {
+            ObjectNode node = array.addObject();
+            node.put("id", item.id().value());
+            node.put("group", item.group().value());
+            node.put("path", item.path());
+            ObjectNode headers = node.putObject("headers");
+            item.headers().forEach(headers::put);
+            node.put("body", item.body());
+            node.put("tokens", item.tokens());
+            node.put("expected_tokens", item.expectedTokens());
+        }
+        return bytes(array);
+    }
+
+    /** Reads items. */
+    public static List<BatchItem> items(byte[] value) throws MalformedBatchException {
+        return read(value, array -> {
+            List<BatchItem> items = new ArrayList<>();
+            for (JsonNode node : array) {
+                items.add(item(node));
+            }
+            return items;
+        });
+    }
+
+    /** Returns a segment of the result log as JSON; the writer tells whose append it was. */
+    public static byte[] segment(ResultSegment segment) {
+        ObjectNode root = JSON.createObjectNode();
+        root.put("writer", segment.writer());
+        ArrayNode array = root.putArray("results");
+        for (ItemResult result : segment.results()) {
+            ObjectNode node = array.addObject();
+            node.put("item", result.item().value());
+            node.put("completed", result.completed());
+            node.put("text", result.text());
+            ArrayNode versions = node.putArray("versions");
+            result.versions().forEach(v -> versions.add(v.value()));
+        }
+        return bytes(root);
+    }
+
+    /** Reads a segment of the result log. */
+    public static ResultSegment segment(byte[] value) throws MalformedBatchException {
+        return read(value, root -> {
+            List<ItemResult> results = new ArrayList<>();
+            for (JsonNode node : root.path("results")) {
+                List<WeightVersion> versions = new ArrayList<>();
+                node.path("versions").forEach(v -> versions.add(new WeightVersion(v.asLong())));
+                results.add(new ItemResult(
+                        new ItemId(text(node, "item")),
+                        node.path("completed").asBoolean(),
+                        text(node, "text"),
+                        versions));
+            }
+            return new ResultSegment(text(root, "writer"), results);
+        });
+    }
+
+    private static BatchItem item(JsonNode node) throws MalformedBatchException {
+        Map<String, String> headers = new LinkedHashMap<>();
+        node.path("headers")
+                .properties()
+                .forEach(h -> headers.put(h.getKey(), h.getValue().asText()));
+        try {
+            return new BatchItem(
+                    new ItemId(text(node, "id")),
+                    new GroupId(text(node, "group")),
+                    text(node, "path"),
+                    headers,
+                    node.path("body").binaryValue(),
+                    node.path("tokens").asLong(),
+                    node.path("expected_tokens").asLong());
+        } catch (IOException e) {
+            throw new MalformedBatchException("the body of an item is not base64", e);
+        }
+    }
+
+    private static <T> T read(byte[] value, Reader<T> reader) throws MalformedBatchException {
+        try {
+            return reader.read(JSON.readTree(value));
+        } catch (IOException | IllegalArgumentException | NullPointerException e) {
+            throw new MalformedBatchException("record of a batch cannot be read", e);
+        }
+    }
+
+    private static String text(JsonNode node, String field) throws MalformedBatchException {
+        JsonNode value = node.path(field);
+        if (!value.isTextual()) {
+            throw new MalformedBatchException("field " + field + " is not a string");
+        }
+        return value.textValue();
+    }
+
+    private static Optional<JsonNode> optional(JsonNode node, String field) {
+        return node.hasNonNull(field) ? Optional.of(node.get(field)) : Optional.empty();
+    }
+
+    private static byte[] bytes(JsonNode node) {
+        try {
+            return JSON.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of plain nodes can be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -0,0 +1,358 @@
+package org.magnoliabridge.batch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.RouteId;
+import org.magnoliabridge.ids.ServiceId;
+
+/**
+ * Runs the batches of a deployment: decides which item goes to which engine and when, appends results to the logs and
+ * answers readers.
+ *
+ * <p>Safety does not depend on there being one runner: {@link ResultLog} lets two of them agree on every position. All
+ * times are of the node's monotonic clock, but for the age of a batch, which is known by the wall clock.
+ *
+ * <pre>{@code
+ * for (BatchEffect effect : core.on(clock.nowMs(), new BatchInput.Tick())) { ... }
+ * }</pre>
+ */
+public final class BatchCore {
+    // An engine that refused or broke an item gets another one soon, but not the same one at once.
+    private static final long RETRY_MS = 50;
+    // Retries of an item back off to this while no engine takes it.
+    private static final long MAX_RETRY_MS = 1_000;
+    // Readers of a batch that has just ended are answered from memory for this long.
+    private static final long ENDED_KEPT_MS = 30_000;
+
+    private final String runner;
+    private final LongSupplier wallClock;
+    private final TranscriptBank bank = new TranscriptBank();
+    private final Placement placement = new Placement();
+    private final BatchReads reads = new BatchReads();
+    private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
+    private final Map<ItemRunId, Run> runs = new HashMap<>();
+    private final Map<Long, RunningBatch> requests = new HashMap<>();
+    private final List<BatchEffect> effects = new ArrayList<>();
+    private Map<RouteId, ServiceId> routes = Map.of();
+    private long lastRun;
+    private long lastRequest;
+
+    private record Run(ItemRunId id, RunningBatch batch, RunningItem item, EndpointId engine, long startedMs) {}
+
+    /**
+     * Creates a core without batches.
+     *
+     * @param runner unique over all processes; part of each append to a log
+     * @param wallClock milliseconds since the epoch
+     */
+    public BatchCore(String runner, LongSupplier wallClock) {
+        this.runner = Objects.requireNonNull(runner);
+        this.wallClock = Objects.requireNonNull(wallClock);
+    }
+
+    /** Takes an input and returns what is to be done, in order. */
+    public List<BatchEffect> on(long nowMs, BatchInput input) {
+        switch (input) {
+            case BatchInput.Open open -> open(nowMs, open);
+            case BatchInput.End end -> end(nowMs, end.batch());
+            case BatchInput.Dismissed dismissed -> dismiss();
+            case BatchInput.Routes now -> routes = now.services();
+            case BatchInput.Engines now -> placement.replaceEngines(now.engines());
+            case BatchInput.RunEnded ended -> runEnded(nowMs, ended);
+            case BatchInput.StoreReplied reply -> storeReplied(nowMs, reply);
+            case BatchInput.Read read -> read(nowMs, read);
+            case BatchInput.ReadBody body -> readBody(body);
+            case BatchInput.Tick tick -> {
+                giveUp(nowMs);
+                forget(nowMs);
+            }
+        }
+        place(nowMs);
+        append(nowMs);
+        reads.proceed(nowMs, effects);
+        List<BatchEffect> taken = List.copyOf(effects);
+        effects.clear();
+        return taken;
+    }
+
+    /** Returns whether this node runs a batch. */
+    public boolean knows(BatchId batch) {
+        return batches.containsKey(batch);
+    }
+
+    /** Returns the batches that are open here. */
+    public List<BatchHead> open() {
+        return batches.values().stream()
+                .map(RunningBatch::head)
+                .filter(h -> !h.ended())
+                .toList();
+    }
+
+    /** Returns the number of items at engines. */
+    public int running() {
+        return runs.size();
+    }
+
+    /** Returns the number of items that wait for an engine. */
+    public long waiting(long nowMs) {
+        return batches.values().stream()
+                .filter(b -> !b.head().ended())
+                .flatMap(b -> b.items().stream())
+                .filter(i -> i.waits(nowMs))
+                .count();
+    }
+
+    private void open(long nowMs, BatchInput.Open open) {
+        BatchHead head = open.head();
+        if (batches.containsKey(head.id())) {
+            return;
+        }
+        ResultLog log = new ResultLog(head.id(), runner, !open.fresh());
+        RunningBatch batch = new RunningBatch(head, open.items(), bank, log);
+        batches.put(head.id(), batch);
+        long started = batch.items().stream()
+                .filter(i -> !i.transcript.events().isEmpty())
+                .count();
+        log(new BatchEvent.Opened(head.id(), head.items(), (int) started, open.fresh()));
+        batch.items().stream()
+                .filter(i -> i.transcript.complete())
+                .forEach(i -> batch.finish(nowMs, i, i.transcript.result(i.item.id())));
+    }
+
+    private void end(long nowMs, BatchId id) {
+        RunningBatch batch = batches.get(id);
+        if (batch == null || batch.head().ended()) {
+            return;
+        }
+        batch.end(nowMs);
+        stopRuns(batch);
+        batch.items().forEach(i -> bank.keep(nowMs, i.item, i.transcript));
+        log(new BatchEvent.Closed(id, batch.log().listed().size(), batch.head().items(), "ended"));
+    }
+
+    private void dismiss() {
+        for (RunningBatch batch : batches.values()) {
+            stopRuns(batch);
+            log(new BatchEvent.Closed(
+                    batch.head().id(), batch.log().listed().size(), batch.head().items(), "dismissed"));
+        }
+        batches.clear();
+        requests.clear();
+        reads.dismiss(effects);
+    }
+
+    private void stopRuns(RunningBatch batch) {
+        runs.values().stream()
+                .filter(r -> r.batch() == batch)
+                .forEach(r -> effects.add(new BatchEffect.StopRun(r.id())));
+    }
+
+    private void runEnded(long nowMs, BatchInput.RunEnded ended) {
+        Run run = runs.remove(ended.run());
+        if (run == null) {
+            return;
+        }
+        placement.ended(run.engine());
+        RunningItem item = run.item();
+        item.run = Optional.empty();
+        boolean completed = ended.outcome() instanceof RunOutcome.Completed;
+        item.transcript = item.transcript.extended(ended.events(), completed);
+        log(new BatchEvent.RunEnded(
+                run.batch().head().id(),
+                item.item.id(),
+                run.engine(),
+                ended.outcome().toString(),
+                item.transcript.lastEvent(),
+                nowMs - run.startedMs()));
+        settle(nowMs, run, ended.outcome());
+        bank.keep(nowMs, item.item, item.transcript);
+    }
+
+    private void settle(long nowMs, Run run, RunOutcome outcome) {
+        RunningBatch batch = run.batch();
+        RunningItem item = run.item();
+        switch (outcome) {
+            case RunOutcome.Completed completed -> complete(nowMs, batch, item);
+            case RunOutcome.Impossible impossible -> giveUp(nowMs, batch, item, "the engine cannot run it");
+            case RunOutcome.Failed failed -> {
+                item.failures++;
+                if (item.failures >= batch.head().maxAttempts()) {
+                    giveUp(nowMs, batch, item, "all attempts failed");
+                }
+                retry(nowMs, item, run.engine());
+            }
+            case RunOutcome.Refused refused -> retry(nowMs, item, run.engine());
+            case RunOutcome.Unreachable unreachable -> retry(nowMs, item, run.engine());
+            case RunOutcome.Stale stale -> retry(nowMs, item, run.engine());
+            case RunOutcome.Broken broken -> item.avoided.add(run.engine());
+            case RunOutcome.Stopped stopped -> {}
+        }
+    }
+
+    private void complete(long nowMs, RunningBatch batch, RunningItem item) {
+        if (item.transcript.fits(batch.head())) {
+            batch.finish(nowMs, item, item.transcript.result(item.item.id()));
+        } else {
+            // Weights changed in the middle of a text that must come from one version.
+            item.transcript = Transcript.EMPTY;
+        }
+    }
+
+    private static void retry(long nowMs, RunningItem item, EndpointId engine) {
+        item.avoided.add(engine);
+        long waitMs = Math.min(MAX_RETRY_MS, RETRY_MS * item.avoided.size());
+        item.notBeforeMs = nowMs + waitMs;
+    }
+
+    private void giveUp(long nowMs) {
+        long wallMs = wallClock.getAsLong();
+        for (RunningBatch batch : batches.values()) {
+            boolean late = wallMs >= batch.head().giveUpAtMs();
+            boolean dropped =
+                    !routes.isEmpty() && !routes.containsKey(batch.head().route());
+            if ((late || dropped) && !batch.head().ended()) {
+                String reason = late ? "its time is up" : "its route is gone";
+                batch.items().stream().filter(i -> !i.finished).forEach(i -> giveUp(nowMs, batch, i, reason));
+            }
+        }
+    }
+
+    private void giveUp(long nowMs, RunningBatch batch, RunningItem item, String reason) {
+        if (!item.finished) {
+            item.run.ifPresent(run -> effects.add(new BatchEffect.StopRun(run)));
+            batch.finish(nowMs, item, ItemResult.givenUp(item.item.id()));
+            log(new BatchEvent.GivenUp(batch.head().id(), item.item.id(), reason));
+        }
+    }
+
+    // Reads of a batch that has ended are rare, and the store answers them too.
+    private void forget(long nowMs) {
+        batches.values()
+                .removeIf(b -> b.endedBefore(nowMs - ENDED_KEPT_MS) && b.log().waiting() == 0);
+    }
+
+    private void place(long nowMs) {
+        for (RunningBatch batch : batches.values()) {
+            ServiceId service = routes.get(batch.head().route());
+            if (service == null || batch.head().ended() || batch.log().loading() || !placement.hasRoom(service)) {
+                continue;
+            }
+            List<RunningItem> waiting = batch.items().stream()
+                    .filter(i -> i.waits(nowMs))
+                    .sorted(order())
+                    .toList();
+            int left = waiting.size();
+            for (RunningItem item : waiting) {
+                left--;
+                Optional<EngineState> engine = placement.choose(service, batch.head(), item);
+                if (engine.isPresent()) {
+                    start(nowMs, batch, item, engine.get(), left);
+                }
+            }
+        }
+    }
+
+    // The items with the longest rest go first, because the last item decides when its group is complete.
+    private static Comparator<RunningItem> order() {
+        return Comparator.comparingLong((RunningItem i) -> -i.item.expectedTokens())
+                .thenComparingInt(i -> i.position);
+    }
+
+    private void start(long nowMs, RunningBatch batch, RunningItem item, EngineState engine, int waiting) {
+        if (!item.transcript.fits(batch.head())) {
+            item.transcript = Transcript.EMPTY;
+        }
+        ItemRunId id = new ItemRunId(++lastRun);
+        BatchHead head = batch.head();
+        item.run = Optional.of(id);
+        EndpointId endpoint = engine.endpoint().id();
+        runs.put(id, new Run(id, batch, item, endpoint, nowMs));
+        placement.began(endpoint);
+        long limitMs = Math.max(1, head.giveUpAtMs() - wallClock.getAsLong());
+        long lastEvent = item.transcript.lastEvent();
+        effects.add(new BatchEffect.StartRun(new ItemRun(id, head, item.item, engine.endpoint(), lastEvent, limitMs)));
+        log(new BatchEvent.Placed(head.id(), item.item.id(), endpoint, lastEvent, waiting));
+    }
+
+    private void append(long nowMs) {
+        for (RunningBatch batch : batches.values()) {
+            batch.log().next(nowMs, batch.flushDue(nowMs)).ifPresent(request -> {
+                long tag = ++lastRequest;
+                requests.put(tag, batch);
+                effects.add(new BatchEffect.Store(tag, request));
+            });
+        }
+    }
+
+    private void storeReplied(long nowMs, BatchInput.StoreReplied replied) {
+        RunningBatch batch = requests.remove(replied.tag());
+        if (batch == null) {
+            return;
+        }
+        try {
+            StoreReply reply = replied.reply();
+            if (batch.log().reply(nowMs, reply)) {
+                batch.followLog();
+                stopListed(batch);
+                log(new BatchEvent.Listed(
+                        batch.head().id(),
+                        batch.log().listed().size(),
+                        batch.head().items()));
+            }
+        } catch (MalformedBatchException e) {
+            // No position after an unreadable segment can be known, so the batch is left to its end.
+            log(new BatchEvent.Closed(
+                    batch.head().id(), batch.log().listed().size(), batch.head().items(), e.getMessage()));
+            stopRuns(batch);
+            batches.remove(batch.head().id());
+        }
+    }
+
+    // Another runner has listed an item that also runs here.
+    private void stopListed(RunningBatch batch) {
+        runs.values().stream()
+                .filter(r -> r.batch() == batch && r.item().finished)
+                .filter(r -> batch.log().isListed(r.item().item.id()))
+                .forEach(r -> effects.add(new BatchEffect.StopRun(r.id())));
+    }
+
+    private void read(long nowMs, BatchInput.Read read) {
+        RunningBatch batch = batches.get(read.batch());
+        if (batch == null) {
+            effects.add(new BatchEffect.Answer(read.ticket(), new ReadAnswer.Unsure()));
+        } else if (!batch.head().team().equals(read.team())) {
+            effects.add(new BatchEffect.Answer(read.ticket(), new ReadAnswer.Missing()));
+        } else {
+            reads.add(nowMs, read, batch, effects);
+        }
+    }
+
+    private void readBody(BatchInput.ReadBody read) {
+        RunningBatch batch = batches.get(read.batch());
+        ReadAnswer answer;
+        if (batch == null || batch.log().loading()) {
+            answer = new ReadAnswer.Unsure();
+        } else if (!batch.head().team().equals(read.team())) {
+            answer = new ReadAnswer.Missing();
+        } else {
+            answer = batch.item(read.item())
+                    .<ReadAnswer>map(i -> new ReadAnswer.Body(i.item.body()))
+                    .orElseGet(ReadAnswer.Missing::new);
+        }
+        effects.add(new BatchEffect.Answer(read.ticket(), answer));
+    }
+
+    private void log(BatchEvent event) {
+        effects.add(new BatchEffect.Decided(event));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
@@ -0,0 +1,30 @@
+package org.magnoliabridge.batch;
+
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ItemId;
+
+/** A decision about a batch or an item, for the log. */
+public sealed interface BatchEvent {
+    /** The batch of the decision. */
+    BatchId batch();
+
+    /** A batch was opened at this node; {@code started} counts the items with a text from an earlier batch. */
+    record Opened(BatchId batch, int items, int started, boolean fresh) implements BatchEvent {}
+
+    /** A batch has ended here; {@code listed} of its items have a result. */
+    record Closed(BatchId batch, int listed, int items, String reason) implements BatchEvent {}
+
+    /** An item was sent to an engine. */
+    record Placed(BatchId batch, ItemId item, EndpointId endpoint, long lastEvent, int waiting) implements BatchEvent {}
+
+    /** A run of an item ended. */
+    record RunEnded(BatchId batch, ItemId item, EndpointId endpoint, String outcome, long lastEvent, long tookMs)
+            implements BatchEvent {}
+
+    /** An item was given up. */
+    record GivenUp(BatchId batch, ItemId item, String reason) implements BatchEvent {}
+
+    /** Results got their positions. */
+    record Listed(BatchId batch, int listed, int items) implements BatchEvent {}
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
@@ -0,0 +1,45 @@
+package org.magnoliabridge.batch;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Objects;
+import org.magnoliabridge.ids.GroupId;
+import org.magnoliabridge.ids.ItemId;
+
+/**
+ * One generation of a batch.
+ *
+ * @param group items of a group share their prompt
+ * @param path where the item is posted at an engine, with a leading slash
+ * @param headers sent along as they are
+ * @param body the content; not copied
+ * @param tokens prompt tokens plus the largest number of output tokens
+ * @param expectedTokens the trainer's estimate of the output tokens, which is often far off; 0 if it gives none
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record BatchItem(
+        ItemId id,
+        GroupId group,
+        String path,
+        Map<String, String> headers,
+        byte[] body,
+        long tokens,
+        long expectedTokens) {
+    public BatchItem {
+        Objects.requireNonNull(id);
+        Objects.requireNonNull(group);
+        Objects.requireNonNull(body);
+        headers = Map.copyOf(headers);
+        if (!path.startsWith("/")) {
+            throw new IllegalArgumentException("path must start with a slash: " + path);
+        }
+    }
+
+    /** Returns whether the other item asks for the same generation. */
+    public boolean sameRequest(BatchItem other) {
+        return id.equals(other.id)
+                && path.equals(other.path)
+                && headers.equals(other.headers)
+                && Arrays.equals(body, other.body);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchKeys.java
@@ -0,0 +1,30 @@
+package org.magnoliabridge.batch;
+
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.ids.BatchId;
+
+/** The names of a batch's objects. */
+public final class BatchKeys {
+    /** Prefix of all heads. */
+    public static final String HEADS = "batches";
+
+    private static final String ITEMS = "batch-items";
+    private static final String RESULTS = "batch-results";
+
+    private BatchKeys() {}
+
+    /** Returns the key of a head. */
+    public static ObjectKey head(BatchId batch) {
+        return new ObjectKey(HEADS + "/" + batch);
+    }
+
+    /** Returns the key of a part of the items, counted from 0. */
+    public static ObjectKey items(BatchId batch, int part) {
+        return new ObjectKey(ITEMS + "/" + batch + "." + part);
+    }
+
+    /** Returns the key of a segment of the results, counted from 0. */
+    public static ObjectKey results(BatchId batch, int segment) {
+        return new ObjectKey(RESULTS + "/" + batch + "." + segment);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -0,0 +1,198 @@
+package org.magnoliabridge.batch;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.InvalidIdException;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** The messages between nodes about batches, in MessagePack. */
+public final class BatchMessages {
+    private static final int RESULTS = 0;
+    private static final int BODY = 1;
+    private static final int MISSING = 2;
+    private static final int UNSURE = 3;
+
+    private BatchMessages() {}
+
+    /** A batch for the runner; without items it reads them from the store. */
+    public record Offer(BatchHead head, boolean fresh, Optional<List<BatchItem>> items) {
+        public Offer {
+            Objects.requireNonNull(head);
+            Objects.requireNonNull(items);
+        }
+    }
+
+    /** A request for results or, with an item, for a body. */
+    public record ReadRequest(BatchId batch, TeamId team, int after, long waitMs, Optional<ItemId> item) {}
+
+    /** The announcement of a runner. */
+    public record Announcement(NodeId runner, long term) {}
+
+    private interface Packing {
+        void pack(MessageBufferPacker packer) throws IOException;
+    }
+
+    private interface Unpacking<T> {
+        T unpack(MessageUnpacker unpacker) throws IOException, InvalidIdException, MalformedBatchException;
+    }
+
+    /** Packs an offer. */
+    public static byte[] pack(Offer offer) {
+        return packed(packer -> {
+            binary(packer, BatchCodec.head(offer.head()));
+            packer.packBoolean(offer.fresh());
+            packer.packBoolean(offer.items().isPresent());
+            if (offer.items().isPresent()) {
+                binary(packer, BatchCodec.items(offer.items().get()));
+            }
+        });
+    }
+
+    /** Unpacks an offer. */
+    public static Offer offer(byte[] body) throws MalformedBatchException {
+        return unpacked(body, unpacker -> {
+            BatchHead head = BatchCodec.head(binary(unpacker));
+            boolean fresh = unpacker.unpackBoolean();
+            Optional<List<BatchItem>> items =
+                    unpacker.unpackBoolean() ? Optional.of(BatchCodec.items(binary(unpacker))) : Optional.empty();
+            return new Offer(head, fresh, items);
+        });
+    }
+
+    /** Packs a batch's id. */
+    public static byte[] pack(BatchId batch) {
+        return packed(packer -> packer.packString(batch.value()));
+    }
+
+    /** Unpacks a batch's id. */
+    public static BatchId batch(byte[] body) throws MalformedBatchException {
+        return unpacked(body, unpacker -> BatchId.parse(unpacker.unpackString()));
+    }
+
+    /** Packs an announcement. */
+    public static byte[] pack(Announcement announcement) {
+        return packed(packer -> packer.packString(announcement.runner().value()).packLong(announcement.term()));
+    }
+
+    /** Unpacks an announcement. */
+    public static Announcement announcement(byte[] body) throws MalformedBatchException {
+        return unpacked(
+                body, unpacker -> new Announcement(NodeId.parse(unpacker.unpackString()), unpacker.unpackLong()));
+    }
+
+    /** Packs a read request. */
+    public static byte[] pack(ReadRequest read) {
+        return packed(packer -> packer.packString(read.batch().value())
+                .packString(read.team().value())
+                .packInt(read.after())
+                .packLong(read.waitMs())
+                .packString(read.item().map(ItemId::value).orElse("")));
+    }
+
+    /** Unpacks a read request. */
+    public static ReadRequest read(byte[] body) throws MalformedBatchException {
+        return unpacked(body, unpacker -> {
+            BatchId batch = BatchId.parse(unpacker.unpackString());
+            TeamId team = TeamId.parse(unpacker.unpackString());
+            int after = unpacker.unpackInt();
+            long waitMs = unpacker.unpackLong();
+            String item = unpacker.unpackString();
+            return new ReadRequest(
+                    batch, team, after, waitMs, item.isEmpty() ? Optional.empty() : Optional.of(ItemId.parse(item)));
+        });
+    }
+
+    /** Packs an answer. */
+    public static byte[] pack(ReadAnswer answer) {
+        return packed(packer -> {
+            switch (answer) {
+                case ReadAnswer.Results results -> {
+                    packer.packInt(RESULTS).packInt(results.total());
+                    packer.packArrayHeader(results.results().size());
+                    for (ItemResult result : results.results()) {
+                        pack(packer, result);
+                    }
+                }
+                case ReadAnswer.Body found -> {
+                    packer.packInt(BODY);
+                    binary(packer, found.body());
+                }
+                case ReadAnswer.Missing missing -> packer.packInt(MISSING);
+                case ReadAnswer.Unsure unsure -> packer.packInt(UNSURE);
+            }
+        });
+    }
+
+    /** Unpacks an answer. */
+    public static ReadAnswer answer(byte[] body) throws MalformedBatchException {
+        return unpacked(body, unpacker -> switch (unpacker.unpackInt()) {
+            case RESULTS -> {
+                int total = unpacker.unpackInt();
+                List<ItemResult> results = new ArrayList<>();
+                for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+                    results.add(result(unpacker));
+                }
+                yield new ReadAnswer.Results(total, results);
+            }
+            case BODY -> new ReadAnswer.Body(binary(unpacker));
+            case MISSING -> new ReadAnswer.Missing();
+            default -> new ReadAnswer.Unsure();
+        });
+    }
+
+    private static void pack(MessageBufferPacker packer, ItemResult result) throws IOException {
+        packer.packString(result.item().value()).packBoolean(result.completed()).packString(result.text());
+        packer.packArrayHeader(result.versions().size());
+        for (WeightVersion version : result.versions()) {
+            packer.packLong(version.value());
+        }
+    }
+
+    private static ItemResult result(MessageUnpacker unpacker) throws IOException, InvalidIdException {
+        ItemId item = ItemId.parse(unpacker.unpackString());
+        boolean completed = unpacker.unpackBoolean();
+        String text = unpacker.unpackString();
+        List<WeightVersion> versions = new ArrayList<>();
+        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+            versions.add(new WeightVersion(unpacker.unpackLong()));
+        }
+        return new ItemResult(item, completed, text, versions);
+    }
+
+    private static void binary(MessageBufferPacker packer, byte[] bytes) throws IOException {
+        packer.packBinaryHeader(bytes.length);
+        packer.writePayload(bytes);
+    }
+
+    private static byte[] binary(MessageUnpacker unpacker) throws IOException {
+        return unpacker.readPayload(unpacker.unpackBinaryHeader());
+    }
+
+    private static byte[] packed(Packing packing) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packing.pack(packer);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("packing into memory does no I/O", e);
+        }
+    }
+
+    private static <T> T unpacked(byte[] body, Unpacking<T> unpacking) throws MalformedBatchException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            return unpacking.unpack(unpacker);
+        } catch (IOException | InvalidIdException | MessagePackException | IllegalArgumentException e) {
+            throw new MalformedBatchException("message of a node about batches cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchReads.java
@@ -0,0 +1,57 @@
+package org.magnoliabridge.batch;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Readers that wait for results. */
+final class BatchReads {
+    private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
+
+    private record Waiting(BatchInput.Read read, RunningBatch batch, long untilMs) {}
+
+    /** Answers a read at once if there is a result, else when there is one or the wait is over. */
+    void add(long nowMs, BatchInput.Read read, RunningBatch batch, List<BatchEffect> effects) {
+        Waiting reader = new Waiting(read, batch, nowMs + read.waitMs());
+        if (!answer(nowMs, reader, effects)) {
+            waiting.put(read.ticket(), reader);
+        }
+    }
+
+    /** Answers the readers whose results have come or whose wait is over. */
+    void proceed(long nowMs, List<BatchEffect> effects) {
+        Iterator<Waiting> readers = waiting.values().iterator();
+        while (readers.hasNext()) {
+            if (answer(nowMs, readers.next(), effects)) {
+                readers.remove();
+            }
+        }
+    }
+
+    /** Tells all readers to ask elsewhere. */
+    void dismiss(List<BatchEffect> effects) {
+        waiting.keySet().forEach(ticket -> effects.add(new BatchEffect.Answer(ticket, new ReadAnswer.Unsure())));
+        waiting.clear();
+    }
+
+    private boolean answer(long nowMs, Waiting reader, List<BatchEffect> effects) {
+        RunningBatch batch = reader.batch();
+        boolean late = nowMs >= reader.untilMs();
+        if (batch.log().loading()) {
+            if (late) {
+                effects.add(new BatchEffect.Answer(reader.read().ticket(), new ReadAnswer.Unsure()));
+            }
+            return late;
+        }
+        List<ItemResult> listed = batch.log().listed();
+        boolean complete = batch.isListed() || batch.head().ended();
+        if (listed.size() <= reader.read().after() && !late && !complete) {
+            return false;
+        }
+        ReadAnswer page = ReadAnswer.Results.page(
+                batch.head().items(), listed, reader.read().after());
+        effects.add(new BatchEffect.Answer(reader.read().ticket(), page));
+        return true;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/EngineState.java
@@ -0,0 +1,29 @@
+package org.magnoliabridge.batch;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.routing.Endpoint;
+
+/**
+ * An engine that may get items.
+ *
+ * @param slots items that it runs at the same time
+ * @param weights the version of each model that it holds
+ */
+public record EngineState(Endpoint endpoint, int slots, Map<ModelId, WeightVersion> weights) {
+    public EngineState {
+        Objects.requireNonNull(endpoint);
+        weights = Map.copyOf(weights);
+    }
+
+    /** Returns whether its weights are known to be too old for a batch. */
+    boolean tooOldFor(BatchHead batch) {
+        return batch.model()
+                .flatMap(m -> Optional.ofNullable(weights.get(m)))
+                .map(v -> !batch.accepts(v))
+                .orElse(false);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/ItemRun.java
@@ -0,0 +1,19 @@
+package org.magnoliabridge.batch;
+
+import java.util.Objects;
+import org.magnoliabridge.routing.Endpoint;
+
+/**
+ * One run of an item.
+ *
+ * @param lastEvent the event after which the engine goes on; 0 for a run from the start
+ * @param limitMs longest duration of the run
+ */
+public record ItemRun(ItemRunId id, BatchHead batch, BatchItem item, Endpoint endpoint, long lastEvent, long limitMs) {
+    public ItemRun {
+        Objects.requireNonNull(id);
+        Objects.requireNonNull(batch);
+        Objects.requireNonNull(item);
+        Objects.requireNonNull(endpoint);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -0,0 +1,167 @@
+package org.magnoliabridge.batch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ItemId;
+
+/**
+ * The append-only log of a batch's results in the object store.
+ *
+ * <p>Segment n is created only by a runner that knows all segments before it, and only if it is absent. Two runners
+ * therefore never list an item twice, and a position never changes. An append whose answer was lost is read back; the
+ * same bytes are sent again while the segment is absent, because the lost append may still arrive.
+ */
+final class ResultLog {
+    // An object takes at most 1 MiB, and JSON escapes make a text longer.
+    private static final int MAX_SEGMENT_CHARS = 400_000;
+    private static final long RETRY_MS = 100;
+
+    private final BatchId batch;
+    private final String writerPrefix;
+    private final List<ItemResult> listed = new ArrayList<>();
+    private final Set<ItemId> listedItems = new HashSet<>();
+    private final Map<ItemId, ItemResult> waiting = new LinkedHashMap<>();
+    private int nextSegment;
+    private boolean loading;
+    private boolean readBack;
+    private boolean inFlight;
+    private Optional<ResultSegment> append = Optional.empty();
+    private long notBeforeMs = Long.MIN_VALUE;
+
+    /**
+     * Creates a log.
+     *
+     * @param writerPrefix unique over all runners
+     * @param loading whether earlier segments are read before anything is appended
+     */
+    ResultLog(BatchId batch, String writerPrefix, boolean loading) {
+        this.batch = Objects.requireNonNull(batch);
+        this.writerPrefix = Objects.requireNonNull(writerPrefix);
+        this.loading = loading;
+    }
+
+    /** Returns the results whose positions are fixed, in order. */
+    List<ItemResult> listed() {
+        return listed;
+    }
+
+    boolean isListed(ItemId item) {
+        return listedItems.contains(item);
+    }
+
+    /** Returns whether the earlier segments are still being read. */
+    boolean loading() {
+        return loading;
+    }
+
+    /** Returns the number of results that have no position yet. */
+    int waiting() {
+        return waiting.size() + append.map(a -> a.results().size()).orElse(0);
+    }
+
+    /** Adds a result to be appended; the first one of an item counts. */
+    void add(ItemResult result) {
+        boolean appending = append.stream()
+                .flatMap(a -> a.results().stream())
+                .anyMatch(r -> r.item().equals(result.item()));
+        if (!appending && !isListed(result.item())) {
+            waiting.putIfAbsent(result.item(), result);
+        }
+    }
+
+    /**
+     * Returns the request to make now, if any.
+     *
+     * @param flush whether results that wait for company are appended now
+     */
+    Optional<StoreRequest> next(long nowMs, boolean flush) {
+        if (inFlight || nowMs < notBeforeMs) {
+            return Optional.empty();
+        }
+        if (loading || readBack) {
+            inFlight = true;
+            return Optional.of(new StoreRequest.Read(BatchKeys.results(batch, nextSegment)));
+        }
+        if (append.isEmpty() && flush && !waiting.isEmpty()) {
+            append = Optional.of(takeSegment());
+        }
+        return append.map(segment -> {
+            inFlight = true;
+            return new StoreRequest.Write(
+                    BatchKeys.results(batch, nextSegment), ObjectStore.ABSENT, BatchCodec.segment(segment));
+        });
+    }
+
+    /** Takes the reply to the last request; returns whether positions were added. */
+    boolean reply(long nowMs, StoreReply reply) throws MalformedBatchException {
+        inFlight = false;
+        return switch (reply) {
+            case StoreReply.Written written -> {
+                list(append.orElseThrow().results());
+                yield true;
+            }
+            case StoreReply.Found found -> {
+                list(BatchCodec.segment(found.object().value()).results());
+                yield true;
+            }
+            case StoreReply.NotFound absent -> {
+                // Nothing is listed beyond here, or the lost append has not taken effect so far.
+                loading = false;
+                readBack = false;
+                yield false;
+            }
+            case StoreReply.Conflict conflict -> {
+                readBack = true;
+                yield false;
+            }
+            case StoreReply.Unknown unknown -> {
+                readBack = true;
+                notBeforeMs = nowMs + RETRY_MS;
+                yield false;
+            }
+            case StoreReply.Unavailable unavailable -> {
+                notBeforeMs = nowMs + RETRY_MS;
+                yield false;
+            }
+            case StoreReply.Listed list -> throw new IllegalStateException("no list was asked for");
+        };
+    }
+
+    private ResultSegment takeSegment() {
+        List<ItemResult> results = new ArrayList<>();
+        int chars = 0;
+        for (ItemResult result : List.copyOf(waiting.values())) {
+            chars += result.text().length();
+            if (!results.isEmpty() && chars > MAX_SEGMENT_CHARS) {
+                break;
+            }
+            results.add(result);
+            waiting.remove(result.item());
+        }
+        return new ResultSegment(writerPrefix + "-" + nextSegment, results);
+    }
+
+    // Results of an append that lost against another runner's segment go back and are filtered by what was listed.
+    private void list(List<ItemResult> results) {
+        readBack = false;
+        nextSegment++;
+        for (ItemResult result : results) {
+            if (listedItems.add(result.item())) {
+                listed.add(result);
+            }
+        }
+        append.ifPresent(lost -> lost.results().forEach(r -> waiting.putIfAbsent(r.item(), r)));
+        append = Optional.empty();
+        waiting.keySet().removeIf(this::isListed);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
@@ -0,0 +1,109 @@
+package org.magnoliabridge.batch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.ids.GroupId;
+import org.magnoliabridge.ids.ItemId;
+
+/** A batch that this node runs: its items and its result log. */
+final class RunningBatch {
+    // A lone result waits this long for others before it is appended, since every append is a priced call.
+    private static final long MAX_APPEND_DELAY_MS = 250;
+
+    private final Map<ItemId, RunningItem> items = new LinkedHashMap<>();
+    private final Map<GroupId, Integer> unfinished = new HashMap<>();
+    private final ResultLog log;
+    private BatchHead head;
+    private boolean groupCompleted;
+    private long endedAtMs = Long.MAX_VALUE;
+    private long firstWaitingAtMs = Long.MAX_VALUE;
+
+    RunningBatch(BatchHead head, List<BatchItem> batchItems, TranscriptBank bank, ResultLog log) {
+        this.head = head;
+        this.log = log;
+        for (BatchItem item : batchItems) {
+            items.put(item.id(), new RunningItem(item, items.size(), bank.find(head, item)));
+            unfinished.merge(item.group(), 1, Integer::sum);
+        }
+    }
+
+    BatchHead head() {
+        return head;
+    }
+
+    ResultLog log() {
+        return log;
+    }
+
+    Collection<RunningItem> items() {
+        return items.values();
+    }
+
+    Optional<RunningItem> item(ItemId id) {
+        return Optional.ofNullable(items.get(id));
+    }
+
+    void end(long nowMs) {
+        head = head.end();
+        endedAtMs = nowMs;
+    }
+
+    boolean endedBefore(long timeMs) {
+        return endedAtMs < timeMs;
+    }
+
+    /** Returns the number of items of a group without a result. */
+    int unfinished(GroupId group) {
+        return unfinished.getOrDefault(group, 0);
+    }
+
+    /** Returns the number of groups of which all items have a result. */
+    long completeGroups() {
+        return unfinished.values().stream().filter(n -> n == 0).count();
+    }
+
+    /** Takes the result of an item, to be appended to the log. */
+    void finish(long nowMs, RunningItem item, ItemResult result) {
+        if (markFinished(item)) {
+            log.add(result);
+            firstWaitingAtMs = Math.min(firstWaitingAtMs, nowMs);
+        }
+    }
+
+    /** Marks the items as finished that the log lists, also those of another runner. */
+    void followLog() {
+        log.listed().forEach(r -> item(r.item()).ifPresent(this::markFinished));
+        if (log.waiting() == 0) {
+            firstWaitingAtMs = Long.MAX_VALUE;
+            groupCompleted = false;
+        }
+    }
+
+    /** Returns whether results that wait are appended now: a group is complete, or they have waited long enough. */
+    boolean flushDue(long nowMs) {
+        return groupCompleted || unfinishedItems() == 0 || nowMs - firstWaitingAtMs >= MAX_APPEND_DELAY_MS;
+    }
+
+    /** Returns whether every item has a position in the log. */
+    boolean isListed() {
+        return log.listed().size() >= items.size();
+    }
+
+    private int unfinishedItems() {
+        return unfinished.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    private boolean markFinished(RunningItem item) {
+        if (item.finished) {
+            return false;
+        }
+        item.finished = true;
+        int left = unfinished.merge(item.item.group(), -1, Integer::sum);
+        groupCompleted |= left == 0;
+        return true;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -0,0 +1,110 @@
+package org.magnoliabridge.batch;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoreRunner;
+import org.magnoliabridge.external.StoredObject;
+import org.magnoliabridge.ids.BatchId;
+
+/** Reads and ends batches in the object store; calls block. */
+public final class StoredBatches {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final ObjectStore store;
+    private final MonotonicClock clock;
+
+    public StoredBatches(ObjectStore store, MonotonicClock clock) {
+        this.store = Objects.requireNonNull(store);
+        this.clock = Objects.requireNonNull(clock);
+    }
+
+    /** Returns the heads of all batches. */
+    public List<BatchHead> heads() throws PlatformException, MalformedBatchException {
+        List<BatchHead> heads = new ArrayList<>();
+        for (ObjectStore.Entry entry : store.list(BatchKeys.HEADS).entries()) {
+            Optional<StoredObject> object = entry.object().isPresent() ? entry.object() : store.read(entry.key());
+            if (object.isPresent()) {
+                heads.add(BatchCodec.head(object.get().value()));
+            }
+        }
+        return heads;
+    }
+
+    /** Returns the head of a batch, or empty if no such batch was accepted. */
+    public Optional<BatchHead> head(BatchId batch) throws PlatformException, MalformedBatchException {
+        Optional<StoredObject> object = store.read(BatchKeys.head(batch));
+        return object.isEmpty()
+                ? Optional.empty()
+                : Optional.of(BatchCodec.head(object.get().value()));
+    }
+
+    /** Returns the items of a batch in the order of its submission. */
+    public List<BatchItem> items(BatchHead head) throws PlatformException, MalformedBatchException {
+        List<BatchItem> items = new ArrayList<>();
+        for (int part = 0; part < head.parts(); part++) {
+            StoredObject object = store.read(BatchKeys.items(head.id(), part))
+                    .orElseThrow(() -> new MalformedBatchException("batch " + head.id() + " lacks items"));
+            items.addAll(BatchCodec.items(object.value()));
+        }
+        return items;
+    }
+
+    /** Returns all results that have a position, in order. */
+    public List<ItemResult> results(BatchId batch) throws PlatformException, MalformedBatchException {
+        ResultLog log = new ResultLog(batch, "", true);
+        while (log.loading()) {
+            StoreRequest.Read next =
+                    (StoreRequest.Read) log.next(clock.nowMs(), false).orElseThrow();
+            Optional<StoredObject> found = store.read(next.key());
+            StoreReply reply = found.<StoreReply>map(StoreReply.Found::new).orElseGet(StoreReply.NotFound::new);
+            log.reply(clock.nowMs(), reply);
+        }
+        return log.listed();
+    }
+
+    /**
+     * Makes one step of an acceptance.
+     *
+     * @return false if a pause is due first
+     */
+    public boolean advance(Acceptance acceptance) throws MalformedBatchException {
+        Optional<StoreRequest> request = acceptance.next(clock.nowMs());
+        if (request.isEmpty()) {
+            return false;
+        }
+        acceptance.reply(clock.nowMs(), StoreRunner.perform(store, request.get()));
+        return true;
+    }
+
+    /**
+     * Ends a batch; a repeat changes nothing.
+     *
+     * @return the head after the end, or empty if no such batch was accepted
+     */
+    public Optional<BatchHead> end(BatchId batch) throws PlatformException, MalformedBatchException {
+        while (true) {
+            Optional<StoredObject> object = store.read(BatchKeys.head(batch));
+            if (object.isEmpty()) {
+                return Optional.empty();
+            }
+            BatchHead head = BatchCodec.head(object.get().value());
+            if (head.ended()) {
+                return Optional.of(head);
+            }
+            try {
+                store.write(BatchKeys.head(batch), object.get().version(), BatchCodec.head(head.end()));
+                return Optional.of(head.end());
+            } catch (PlatformException.VersionConflict e) {
+                LOG.atFine().log("head of batch %s was changed by another node; reading it again", batch);
+            }
+        }
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/bundle/BundleCore.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleCore.java
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import org.magnoliabridge.bundle.BundleEffect.Source;
 import org.magnoliabridge.bundle.UnacceptableBundleException.Reason;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.BundleVersion;
 import org.magnoliabridge.keys.KeyTable;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * Decides which bundle and which withdrawals are in force on this node, and whether they are fresh enough for keyed
--- a/library/src/main/java/org/magnoliabridge/bundle/BundleEffect.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleEffect.java
@@ -1,6 +1,6 @@
 package org.magnoliabridge.bundle;
 
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.StoreRequest;
 
 /** What {@link BundleCore} wants done. */
 public sealed interface BundleEffect {
--- a/library/src/main/java/org/magnoliabridge/bundle/BundleHead.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleHead.java
@@ -8,8 +8,8 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Objects;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.BundleVersion;
-import org.magnoliabridge.platform.ObjectKey;
 import org.magnoliabridge.settings.SettingsException;
 import org.magnoliabridge.settings.SettingsObject;
 
--- a/library/src/main/java/org/magnoliabridge/bundle/BundleInput.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleInput.java
@@ -1,7 +1,7 @@
 package org.magnoliabridge.bundle;
 
 import java.util.Objects;
-import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.external.StoreReply;
 
 /** What can happen to {@link BundleCore}. */
 public sealed interface BundleInput {
--- a/library/src/main/java/org/magnoliabridge/bundle/BundleStore.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/BundleStore.java
@@ -8,15 +8,15 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BundleVersion;
 import org.magnoliabridge.ids.KeyId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.keys.KeyEntry;
 import org.magnoliabridge.keys.TeamKey;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoredObject;
 import org.magnoliabridge.settings.SettingsException.Kind;
 
 /**
--- a/library/src/main/java/org/magnoliabridge/bundle/Withdrawals.java
+++ b/library/src/main/java/org/magnoliabridge/bundle/Withdrawals.java
@@ -7,9 +7,9 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.InvalidIdException;
 import org.magnoliabridge.ids.KeyId;
-import org.magnoliabridge.platform.ObjectKey;
 import org.magnoliabridge.settings.SettingsException;
 import org.magnoliabridge.settings.SettingsObject;
 
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -10,15 +10,20 @@
 /**
  * Calls plain services; repeats a request only if the route is idempotent or the request certainly did not run.
  *
- * <p>Calls block, so they are made from traffic threads.
+ * <p>Calls block, so they are made from traffic threads. A repeatable request whose endpoint takes more than half of
+ * the time that is left is tried at another one, so that one silent endpoint does not use up the deadline.
  */
 public final class PlainCaller {
-    private static final int MAX_RETRIES = 1;
+    // An endpoint that refuses work has used no attempt, but a service that is full everywhere must not be asked on.
+    private static final int MAX_REFUSALS = 3;
+    private static final int FIRST_SERVER_ERROR = 500;
+    // An attempt takes at most this part of the time left while another one is possible.
+    private static final int ATTEMPT_PART = 2;
 
-    private final PlainServiceAdapter services;
+    private final PlainServices services;
     private final CallTools tools;
 
-    public PlainCaller(PlainServiceAdapter services, CallTools tools) {
+    public PlainCaller(PlainServices services, CallTools tools) {
         this.services = services;
         this.tools = tools;
     }
@@ -29,117 +34,192 @@
      * @throws CallException if there is no whole answer; {@link CallException#run} says whether the request ran
      */
     public PlainAnswer call(PlainRequest request, Cancellation cancellation) throws CallException {
-        tools.budget().onCall();
-        CallProgress progress = new CallProgress();
-        Set<EndpointId> excluded = new HashSet<>();
-        Attempt attempt = attempt(request, cancellation, progress, excluded);
-        int retries = 0;
-        while (attempt.answer().isEmpty() && attempt.repeatable() && retries < MAX_RETRIES) {
-            if (!tools.budget().tryRetry()) {
+        Thread caller = Thread.currentThread();
+        Cancellation.Registration registration = cancellation.onCancel(caller::interrupt);
+        try {
+            return new Call(request, cancellation).run();
+        } finally {
+            registration.close();
+            // The interrupt has ended a wait of this call and must not end one of its thread's next work.
+            Thread.interrupted();
+        }
+    }
+
+    /** What came of one attempt. */
+    private sealed interface Attempt {
+        /** The endpoint answered; a server error may be tried again elsewhere. */
+        record Answered(PlainAnswer answer) implements Attempt {}
+
+        /** The request did not run. */
+        record NotRun(Failure failure) implements Attempt {}
+
+        /** The request may have run. */
+        record Lost(Failure failure) implements Attempt {}
+
+        /** The time is up. */
+        record Late(Failure failure) implements Attempt {}
+    }
+
+    /** One call with its attempts. */
+    private final class Call {
+        private final PlainRequest request;
+        private final Cancellation cancellation;
+        private final CallProgress progress = new CallProgress();
+        private final Set<EndpointId> excluded = new HashSet<>();
+        private Optional<PlainAnswer> serverError = Optional.empty();
+        private int attempts;
+        private int refusals;
+
+        Call(PlainRequest request, Cancellation cancellation) {
+            this.request = request;
+            this.cancellation = cancellation;
+        }
+
+        PlainAnswer run() throws CallException {
+            tools.budget().onCall();
+            while (true) {
+                Attempt attempt;
+                try {
+                    attempt = attempt();
+                } catch (CallException e) {
+                    if (serverError.isPresent()) {
+                        return serverError.get();
+                    }
+                    throw e;
+                }
+                switch (attempt) {
+                    case Attempt.Answered answered -> {
+                        boolean failed = answered.answer().status() >= FIRST_SERVER_ERROR;
+                        if (!failed || !request.idempotent() || !mayRepeat()) {
+                            return answered.answer();
+                        }
+                        serverError = Optional.of(answered.answer());
+                    }
+                    case Attempt.NotRun refused -> {
+                        refusals++;
+                        if (refusals > MAX_REFUSALS || !mayRepeat()) {
+                            return orServerError(refused.failure());
+                        }
+                    }
+                    case Attempt.Lost lost -> {
+                        if (!request.idempotent() || !mayRepeat()) {
+                            return orServerError(lost.failure());
+                        }
+                    }
+                    case Attempt.Late late -> {
+                        return orServerError(late.failure());
+                    }
+                }
+                tools.metrics().retries.inc();
+            }
+        }
+
+        // The answer of an earlier attempt, although it is an error, tells the caller more than a failure of this hop.
+        private PlainAnswer orServerError(Failure failure) throws CallException {
+            if (serverError.isPresent()) {
+                return serverError.get();
+            }
+            throw new CallException(failure, progress.claim());
+        }
+
+        private boolean mayRepeat() {
+            if (attempts >= request.maxAttempts() || cancellation.reason().isPresent() || remainingMs() <= 0) {
+                return false;
+            }
+            boolean granted = tools.budget().tryRetry();
+            if (!granted) {
                 tools.metrics().retriesRefused.inc();
-                break;
             }
-            retries++;
-            tools.metrics().retries.inc();
-            attempt = attempt(request, cancellation, progress, excluded);
+            return granted;
         }
-        if (attempt.answer().isPresent()) {
-            return attempt.answer().get();
+
+        private long remainingMs() {
+            return request.deadlineMs() - tools.clock().nowMs();
         }
-        throw new CallException(attempt.failure(), progress.claim());
-    }
 
-    private record Attempt(Optional<PlainAnswer> answer, Failure failure, boolean repeatable) {
-        static Attempt failed(Failure failure, boolean repeatable) {
-            return new Attempt(Optional.empty(), failure, repeatable);
+        private Attempt attempt() throws CallException {
+            try (EndpointSource.Slot slot = acquire()) {
+                excluded.add(slot.endpoint());
+                if (remainingMs() <= 0) {
+                    return new Attempt.Late(new Failure.DeadlineExceeded());
+                }
+                Spans.Span span = tools.spans()
+                        .start("plain", request.trace())
+                        .set("endpoint", slot.endpoint().value());
+                Attempt attempt = send(slot, span.context());
+                span.end(attempt instanceof Attempt.Answered ? "ok" : "failed");
+                return attempt;
+            }
         }
-    }
 
-    private Attempt attempt(
-            PlainRequest request, Cancellation cancellation, CallProgress progress, Set<EndpointId> excluded)
-            throws CallException {
-        try (EndpointSource.Slot slot = acquire(request, cancellation, progress, excluded)) {
-            excluded.add(slot.endpoint());
-            long remainingMs = request.deadlineMs() - tools.clock().nowMs();
-            if (remainingMs <= 0) {
-                return Attempt.failed(new Failure.DeadlineExceeded(), false);
+        private EndpointSource.Slot acquire() throws CallException {
+            EndpointSource.Need need = new EndpointSource.Need(
+                    request.service(),
+                    request.team(),
+                    EndpointSource.Priority.INTERACTIVE,
+                    1,
+                    0,
+                    "",
+                    request.deadlineMs(),
+                    Optional.empty(),
+                    excluded);
+            try {
+                return tools.endpoints().acquire(need, cancellation);
+            } catch (CallException e) {
+                throw new CallException(e.failure(), progress.claim(), e);
             }
-            Spans.Span span = tools.spans()
-                    .start("plain", request.trace())
-                    .set("endpoint", slot.endpoint().value());
-            Attempt attempt = send(request, slot, span.context(), remainingMs, progress);
-            span.end(attempt.answer().isPresent() ? "ok" : "failed");
-            return attempt;
         }
-    }
 
-    private EndpointSource.Slot acquire(
-            PlainRequest request, Cancellation cancellation, CallProgress progress, Set<EndpointId> excluded)
-            throws CallException {
-        EndpointSource.Need need = new EndpointSource.Need(
-                request.service(),
-                request.team(),
-                EndpointSource.Priority.INTERACTIVE,
-                1,
-                0,
-                "",
-                request.deadlineMs(),
-                Optional.empty(),
-                excluded);
-        try {
-            return tools.endpoints().acquire(need, cancellation);
-        } catch (CallException e) {
-            throw new CallException(e.failure(), progress.claim(), e);
+        private Attempt send(EndpointSource.Slot slot, TraceContext trace) {
+            progress.sending();
+            attempts++;
+            boolean last = !request.idempotent() || attempts >= request.maxAttempts();
+            long limitMs = last ? remainingMs() : Math.max(1, remainingMs() / ATTEMPT_PART);
+            try {
+                HttpAnswer answer = services.send(request, slot, tools.limits().within(limitMs), trace);
+                progress.answered();
+                return answered(slot, answer);
+            } catch (HttpFailure.NotSent e) {
+                notRun();
+                slot.observed(EndpointSource.Observation.UNREACHABLE);
+                return new Attempt.NotRun(new Failure.BackEndFailed("the service could not be reached"));
+            } catch (HttpFailure.TooLarge e) {
+                progress.answered();
+                return new Attempt.Late(new Failure.IncompleteAnswer("the answer is over the size limit"));
+            } catch (HttpFailure e) {
+                return lost(slot, e);
+            }
         }
-    }
 
-    private Attempt send(
-            PlainRequest request,
-            EndpointSource.Slot slot,
-            TraceContext trace,
-            long remainingMs,
-            CallProgress progress) {
-        progress.sending();
-        try {
-            HttpAnswer answer =
-                    services.send(request, slot.address(), tools.limits().within(remainingMs), trace);
-            progress.answered();
-            return answered(slot, answer, progress);
-        } catch (HttpFailure.NotSent e) {
-            progress.notRun();
-            slot.observed(EndpointSource.Observation.UNREACHABLE);
-            return Attempt.failed(new Failure.BackEndFailed("the service could not be reached"), true);
-        } catch (HttpFailure.TooLarge e) {
-            progress.answered();
-            return Attempt.failed(new Failure.IncompleteAnswer("the answer is over the size limit"), false);
-        } catch (HttpFailure e) {
-            boolean late = request.deadlineMs() <= tools.clock().nowMs();
-            return lost(request, late);
+        private Attempt answered(EndpointSource.Slot slot, HttpAnswer answer) {
+            BackEndRefusal refusal = services.refusal(answer);
+            if (refusal.notRun()) {
+                notRun();
+                slot.observed(
+                        refusal.draining()
+                                ? EndpointSource.Observation.DRAINING
+                                : EndpointSource.Observation.FAULTY_ANSWER);
+                return new Attempt.NotRun(new Failure.BackEndFailed("the service did not run the request"));
+            }
+            slot.observed(EndpointSource.Observation.ANSWERED);
+            return new Attempt.Answered(services.answer(answer));
         }
-    }
 
-    private Attempt answered(EndpointSource.Slot slot, HttpAnswer answer, CallProgress progress) {
-        BackEndRefusal refusal = BackEndRefusal.of(answer);
-        if (refusal.notRun()) {
+        private void notRun() {
             progress.notRun();
-            slot.observed(
-                    refusal.draining()
-                            ? EndpointSource.Observation.DRAINING
-                            : EndpointSource.Observation.FAULTY_ANSWER);
-            return Attempt.failed(new Failure.BackEndFailed("the service did not run the request"), true);
+            attempts--;
         }
-        slot.observed(EndpointSource.Observation.ANSWERED);
-        PlainAnswer plain = new PlainAnswer(answer.status(), PlainHeaders.ofAnswer(answer.headers()), answer.body());
-        return new Attempt(Optional.of(plain), null, false);
-    }
 
-    private Attempt lost(PlainRequest request, boolean late) {
-        tools.metrics().brokenAnswers.inc();
-        if (!request.idempotent()) {
-            return Attempt.failed(new Failure.OutcomeUnknown(), false);
+        private Attempt lost(EndpointSource.Slot slot, HttpFailure cause) {
+            tools.metrics().brokenAnswers.inc();
+            if (!request.idempotent()) {
+                return new Attempt.Lost(new Failure.OutcomeUnknown());
+            }
+            slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
+            return remainingMs() <= 0
+                    ? new Attempt.Late(new Failure.DeadlineExceeded())
+                    : new Attempt.Lost(new Failure.IncompleteAnswer(
+                            "the service's answer did not come whole: " + cause.getMessage()));
         }
-        return late
-                ? Attempt.failed(new Failure.DeadlineExceeded(), false)
-                : Attempt.failed(new Failure.IncompleteAnswer("the service's answer did not come whole"), true);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/calls/PlainRequest.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainRequest.java
@@ -13,6 +13,7 @@
  * @param headers the caller's headers with names in lower case; only those on the allow list are sent
  * @param body the content; the key is removed; not copied
  * @param idempotent whether the bundle declares the route as repeatable
+ * @param maxAttempts largest number of endpoints at which the request may run
  * @param deadlineMs on the node's monotonic clock
  * @param id the caller's request id
  * @param trace the caller's span
@@ -26,10 +27,17 @@
         Map<String, String> headers,
         byte[] body,
         boolean idempotent,
+        int maxAttempts,
         long deadlineMs,
         RequestId id,
         Optional<TraceContext> trace) {
+    /** Attempts of a request whose route sets no number: the first one and one retry. */
+    public static final int DEFAULT_ATTEMPTS = 2;
+
     public PlainRequest {
+        if (maxAttempts < 1) {
+            throw new IllegalArgumentException("maxAttempts must be at least 1: " + maxAttempts);
+        }
         headers = Map.copyOf(headers);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
@@ -1,6 +1,5 @@
 package org.magnoliabridge.calls;
 
-import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +15,7 @@
  * <p>The outgoing request is built anew from the allow list. Requests that must not be repeated use a fresh connection,
  * because a pooled one may be closing at the other side while the request is written.
  */
-public final class PlainServiceAdapter {
+public final class PlainServiceAdapter implements PlainServices {
     private static final int MAX_ANSWER_BYTES = 8 << 20;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
@@ -27,27 +26,19 @@
         this.http = http;
     }
 
-    /**
-     * Sends the request once.
-     *
-     * @throws HttpFailure if there is no whole answer
-     */
-    public HttpAnswer send(PlainRequest request, InetSocketAddress endpoint, HttpLimits limits, TraceContext trace)
+    @Override
+    public HttpAnswer send(PlainRequest request, EndpointSource.Slot slot, HttpLimits limits, TraceContext trace)
             throws HttpFailure {
         Map<String, String> headers = new LinkedHashMap<>(PlainHeaders.ofRequest(request.headers()));
         headers.put("traceparent", trace.traceparent());
         headers.put("x-request-id", request.id().value());
         headers.put("x-deadline-ms", Long.toString(limits.totalMs()));
-        HttpCall call = new HttpCall(
-                request.method(),
-                endpoint,
-                request.path(),
-                headers,
-                request.body(),
-                limits,
-                MAX_ANSWER_BYTES,
-                !request.idempotent());
-        HttpAnswer answer = http.call(call);
+        HttpCall call = HttpCall.of(request.method(), slot.address(), request.path())
+                .withHeaders(headers)
+                .withBody(request.body())
+                .withLimits(limits)
+                .withMaxAnswerBytes(MAX_ANSWER_BYTES);
+        HttpAnswer answer = http.call(request.idempotent() ? call : call.onFreshConnection());
         Optional<String> fault = incompleteness(request.method(), answer);
         if (fault.isPresent()) {
             throw new HttpFailure.Lost(fault.get(), null);
@@ -55,6 +46,16 @@
         return answer;
     }
 
+    @Override
+    public BackEndRefusal refusal(HttpAnswer answer) {
+        return BackEndRefusal.of(answer);
+    }
+
+    @Override
+    public PlainAnswer answer(HttpAnswer answer) {
+        return new PlainAnswer(answer.status(), PlainHeaders.ofAnswer(answer.headers()), answer.body());
+    }
+
     // The client library reports a broken chunk end itself; a short body under Content-Length is checked here as well.
     private static Optional<String> incompleteness(String method, HttpAnswer answer) {
         boolean bodyless = method.equals("HEAD") || answer.status() == NO_CONTENT || answer.status() == NOT_MODIFIED;
--- a/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
+++ b/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
@@ -53,6 +53,11 @@
         return executor.schedule(() -> runLogged(task), delayMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs a task once after a delay in milliseconds, like {@link #after}, unless the loop is closed before. */
+    public void later(long delayMs, Runnable task) {
+        ScheduledFuture<?> unused = after(delayMs, task);
+    }
+
     /** Runs a task periodically, with the period in milliseconds between the end of a run and the next start. */
     public ScheduledFuture<?> every(long periodMs, Runnable task) {
         return executor.scheduleWithFixedDelay(() -> runLogged(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -1,7 +1,6 @@
 package org.magnoliabridge.edge;
 
 import com.codahale.metrics.Timer;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -29,7 +28,6 @@
 import org.magnoliabridge.keys.CallerRequest;
 import org.magnoliabridge.keys.MalformedRequestException;
 import org.xnio.IoUtils;
-import org.xnio.XnioExecutor;
 
 /** Reads a caller's request on the I/O thread, serves it on a virtual thread and answers failures in one form. */
 final class CallerHandler implements HttpHandler {
@@ -108,12 +106,6 @@
                 .map(Bundle::bounds)
                 .map(b -> b.maxBodyBytes())
                 .orElse(FIRST_MAX_BODY_BYTES);
-        if (exchange.getRequestContentLength() > maxBytes) {
-            // The rest of the body is not read, so the connection can't be used again.
-            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-            refuse(exchange, start, new Failure.TooLarge(maxBytes));
-            return;
-        }
         Optional<Long> limitMs;
         try {
             limitMs = deadline(exchange);
@@ -121,37 +113,13 @@
             refuse(exchange, start, e.failure());
             return;
         }
-        closeWhenLate(exchange, limitMs.orElse(DEFAULT_LIMIT_MS) + WRITE_MARGIN_MS);
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(maxBytes);
-        receiver.receiveFullBytes(
-                (ex, body) -> {
-                    Cancellation cancellation = new Cancellation();
-                    CloseWatch.start(ex, () -> cancellation.cancel(Cancellation.Reason.CALLER_GONE));
-                    ex.dispatch(
-                            task -> Thread.ofVirtual().name("caller").start(task),
-                            later -> serve(later, new Received(start, body, limitMs), cancellation));
-                },
-                (ex, e) -> {
-                    ex.getResponseHeaders().put(Headers.CONNECTION, "close");
-                    boolean large = e instanceof Receiver.RequestToLargeException;
-                    refuse(
-                            ex,
-                            start,
-                            large
-                                    ? new Failure.TooLarge(maxBytes)
-                                    : new Failure.MalformedRequest("the body ended early"));
-                });
-    }
-
-    // Bounds slow bodies and callers that stop reading; neither may hold up a drain for ever.
-    private static void closeWhenLate(HttpServerExchange exchange, long limitMs) {
-        XnioExecutor.Key key = exchange.getIoThread()
-                .executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), limitMs, TimeUnit.MILLISECONDS);
-        exchange.addExchangeCompleteListener((ended, next) -> {
-            key.remove();
-            next.proceed();
-        });
+        // Bounds slow bodies and callers that stop reading; neither may hold up a drain for ever.
+        BodyReader.closeWhenLate(exchange, limitMs.orElse(DEFAULT_LIMIT_MS) + WRITE_MARGIN_MS);
+        BodyReader.read(
+                exchange,
+                maxBytes,
+                (ex, body, cancellation) -> serve(ex, new Received(start, body, limitMs), cancellation),
+                (ex, failure) -> refuse(ex, start, failure));
     }
 
     private void serve(HttpServerExchange exchange, Received received, Cancellation cancellation) {
--- a/library/src/main/java/org/magnoliabridge/edge/PlainRoute.java
+++ b/library/src/main/java/org/magnoliabridge/edge/PlainRoute.java
@@ -43,6 +43,7 @@
                 request.headers(),
                 request.body(),
                 route.idempotent(),
+                PlainRequest.DEFAULT_ATTEMPTS,
                 request.deadlineMs().orElse(nowMs + DEFAULT_DEADLINE_MS),
                 request.id(),
                 Optional.of(request.trace()));
--- a/library/src/main/java/org/magnoliabridge/platform/BudgetedStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRequest.Priority;
 
 /**
  * An object store that limits what one process asks of the object API.
--- a/library/src/main/java/org/magnoliabridge/platform/CallBudget.java
+++ b/library/src/main/java/org/magnoliabridge/external/CallBudget.java
@@ -1,9 +1,9 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.concurrent.CompletableFuture;
-import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRequest.Priority;
 
 /** A bounded number of permits that go to the waiter of the highest priority first, then in order of arrival. */
 final class CallBudget {
--- a/library/src/main/java/org/magnoliabridge/platform/EndpointOrder.java
+++ b/library/src/main/java/org/magnoliabridge/external/EndpointOrder.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.Objects;
 import org.magnoliabridge.ids.DataCentre;
--- a/library/src/main/java/org/magnoliabridge/platform/EndpointOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/EndpointOrders.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.List;
 import org.magnoliabridge.ids.FencingToken;
@@ -9,7 +9,7 @@
      * Orders a desired state.
      *
      * @param orderId names the order in the platform's records
-     * @throws PlatformException.Rejected with status 409 if a higher fencing token has been seen
+     * @throws PlatformException.Superseded if a higher fencing token has been seen
      */
     void order(EndpointOrder order, String orderId, FencingToken fencing) throws PlatformException;
 
--- a/library/src/main/java/org/magnoliabridge/platform/HttpEndpointOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpEndpointOrders.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
@@ -38,8 +38,8 @@
         body.put("desired", order.running() ? RUNNING : STOPPED);
         HttpAnswer answer =
                 http.change(http.send("PUT", "/endpoints/" + order.endpoint().value(), PlatformHttp.bytes(body)));
-        if (answer.status() < 200 || answer.status() > 299) {
-            throw PlatformHttp.rejected(answer);
+        if (answer.status() != 201) {
+            PlatformHttp.requireAccepted(answer);
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/platform/HttpEngineOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpEngineOrders.java
@@ -1,14 +1,11 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
-import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import org.magnoliabridge.http.HttpAnswer;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.HttpLimits;
-import org.magnoliabridge.ids.FencingToken;
-import org.magnoliabridge.ids.WeightVersion;
 
 /** {@link EngineOrders} over HTTP. */
 public final class HttpEngineOrders implements EngineOrders {
@@ -22,17 +19,14 @@
     }
 
     @Override
-    public void loadVersion(InetSocketAddress engine, String orderId, FencingToken fencing, WeightVersion version)
-            throws PlatformException {
+    public void loadVersion(Load load) throws PlatformException {
         Map<String, Object> body = new LinkedHashMap<>();
-        body.put("order_id", orderId);
-        body.put("fencing", fencing.value());
+        body.put("order_id", load.orderId());
+        body.put("fencing", load.fencing().value());
         body.put("action", "load_version");
-        body.put("version", version.value());
-        PlatformHttp http = new PlatformHttp(caller, engine, limits);
+        body.put("version", load.version().value());
+        PlatformHttp http = new PlatformHttp(caller, load.address(), limits);
         HttpAnswer answer = http.change(http.send("POST", "/v1/orders", PlatformHttp.bytes(body)));
-        if (answer.status() != 200) {
-            throw PlatformHttp.rejected(answer);
-        }
+        PlatformHttp.requireAccepted(answer);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/platform/HttpScoringService.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpScoringService.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
--- a/library/src/main/java/org/magnoliabridge/platform/HttpUsageReports.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpUsageReports.java
@@ -1,10 +1,9 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.net.InetSocketAddress;
 import org.magnoliabridge.http.HttpAnswer;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.HttpLimits;
-import org.magnoliabridge.ids.WindowId;
 
 /** {@link UsageReports} over HTTP. */
 public final class HttpUsageReports implements UsageReports {
@@ -15,8 +14,8 @@
     }
 
     @Override
-    public void report(WindowId window, byte[] figures) throws PlatformException {
-        HttpAnswer answer = http.change(http.send("PUT", "/usage/" + window, figures));
+    public void report(Report report) throws PlatformException {
+        HttpAnswer answer = http.change(http.send("PUT", "/usage/" + report.window(), report.record()));
         if (answer.status() != 200) {
             throw PlatformHttp.rejected(answer);
         }
--- a/library/src/main/java/org/magnoliabridge/platform/HttpWeightStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpWeightStore.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.net.InetSocketAddress;
 import org.magnoliabridge.http.HttpAnswer;
--- a/library/src/main/java/org/magnoliabridge/platform/ObjectStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/ObjectStore.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.List;
 import java.util.Optional;
@@ -42,8 +42,23 @@
      */
     Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException;
 
-    /** A key with its version; version 0 stands for a deleted object. */
-    record Entry(ObjectKey key, long version) {}
+    /**
+     * An object of a listing.
+     *
+     * @param version 0 stands for a deleted object
+     * @param object the object, from a store that sends the values along
+     */
+    record Entry(ObjectKey key, long version, Optional<StoredObject> object) {
+        /** An entry of a store that does not send values along. */
+        public Entry(ObjectKey key, long version) {
+            this(key, version, Optional.empty());
+        }
+
+        /** An entry with its value. */
+        public static Entry of(StoredObject object) {
+            return new Entry(object.key(), object.version(), Optional.of(object));
+        }
+    }
 
     /** Entries and the store's revision they were taken at. */
     record Listing(long revision, List<Entry> entries) {
