--- a/library/src/main/java/org/magnoliabridge/platform/ObjectWatch.java
+++ b/library/src/main/java/org/magnoliabridge/external/ObjectWatch.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.Objects;
 import java.util.logging.Level;
@@ -19,25 +19,38 @@
 
     private final ObjectStore store;
     private final String prefix;
-    private final long waitMs;
+    private final Times times;
     private final Listener listener;
     private final Backoff backoff;
     private final Thread thread;
     private volatile boolean closed;
 
+    /**
+     * Times of a watch, in milliseconds.
+     *
+     * @param waitMs longest wait of one poll; also the period at which the listener hears that nothing changed
+     * @param pauseMs pause after a poll that found changes; changes in it come with the next poll, so that many of them
+     *     cost one call
+     * @param maxBackoffMs longest pause after a failed poll
+     */
+    public record Times(long waitMs, long pauseMs, long maxBackoffMs) {}
+
+    /** Starts a watch that does not pause after changes. */
+    public ObjectWatch(ObjectStore store, String prefix, long waitMs, Listener listener, RandomGenerator random) {
+        this(store, prefix, new Times(waitMs, 0, MAX_BACKOFF_MS), listener, random);
+    }
+
     /**
      * Starts a watch.
      *
      * @param store must end every call by a deadline, as {@link BudgetedStore} does, so that a silent watch is noticed
-     * @param waitMs longest wait of one poll in milliseconds; also the period at which the listener hears that nothing
-     *     changed
      */
-    public ObjectWatch(ObjectStore store, String prefix, long waitMs, Listener listener, RandomGenerator random) {
+    public ObjectWatch(ObjectStore store, String prefix, Times times, Listener listener, RandomGenerator random) {
         this.store = Objects.requireNonNull(store);
         this.prefix = Objects.requireNonNull(prefix);
-        this.waitMs = waitMs;
+        this.times = Objects.requireNonNull(times);
         this.listener = Objects.requireNonNull(listener);
-        this.backoff = new Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, random);
+        this.backoff = new Backoff(Math.min(FIRST_BACKOFF_MS, times.maxBackoffMs()), times.maxBackoffMs(), random);
         this.thread = Thread.ofVirtual().name("watch-" + prefix).start(this::run);
     }
 
@@ -60,11 +73,11 @@
                 // The listener may have missed this poll's changes, so everything is listed again.
                 LOG.log(Level.SEVERE, "listener of the watch on " + prefix + " failed", e);
                 revision = NO_REVISION;
-                pause();
+                pause(backoff.nextDelayMs());
             } catch (PlatformException e) {
                 if (!closed) {
                     listener.failed(e);
-                    pause();
+                    pause(backoff.nextDelayMs());
                 }
             }
         }
@@ -76,18 +89,24 @@
             listener.listed(all);
             return all.revision();
         }
-        ObjectStore.Listing changes = store.watch(prefix, revision, waitMs);
+        ObjectStore.Listing changes = store.watch(prefix, revision, times.waitMs());
         // A revision that goes backwards shows a store that lost history, so its changes cannot be trusted.
         if (changes.revision() < revision) {
             return NO_REVISION;
         }
         listener.changed(changes);
+        if (!changes.entries().isEmpty()) {
+            pause(times.pauseMs());
+        }
         return changes.revision();
     }
 
-    private void pause() {
+    private void pause(long ms) {
+        if (ms <= 0) {
+            return;
+        }
         try {
-            Thread.sleep(backoff.nextDelayMs());
+            Thread.sleep(ms);
         } catch (InterruptedException e) {
             if (!closed) {
                 Thread.currentThread().interrupt();
--- a/library/src/main/java/org/magnoliabridge/platform/PlatformException.java
+++ b/library/src/main/java/org/magnoliabridge/external/PlatformException.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 /** Thrown when a call to the platform did not do what was asked; callers switch on the kind. */
 public abstract sealed class PlatformException extends Exception {
@@ -64,6 +64,13 @@
         }
     }
 
+    /** Another process holds the lease: a higher fencing token has been seen. The call took no effect. */
+    public static final class Superseded extends PlatformException {
+        public Superseded(String message) {
+            super(message, null);
+        }
+    }
+
     /** The answer could not be understood. */
     public static final class Malformed extends PlatformException {
         public Malformed(String message, Throwable cause) {
--- a/library/src/main/java/org/magnoliabridge/platform/PlatformHttp.java
+++ b/library/src/main/java/org/magnoliabridge/external/PlatformHttp.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -8,6 +8,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.function.IntPredicate;
 import org.magnoliabridge.http.HttpAnswer;
 import org.magnoliabridge.http.HttpCall;
 import org.magnoliabridge.http.HttpCaller;
@@ -15,7 +16,7 @@
 import org.magnoliabridge.http.HttpLimits;
 
 /** Makes calls to one platform interface and turns transport failures and statuses into {@link PlatformException}. */
-final class PlatformHttp {
+public final class PlatformHttp {
     static final ObjectMapper JSON = new ObjectMapper();
     private static final long MS_PER_SECOND = 1_000;
     private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -24,28 +25,42 @@
     private final HttpCaller caller;
     private final InetSocketAddress target;
     private final HttpLimits limits;
+    private final IntPredicate refusals;
 
-    PlatformHttp(HttpCaller caller, InetSocketAddress target, HttpLimits limits) {
+    /** Creates a client of an interface whose server errors leave open whether a change took effect. */
+    public PlatformHttp(HttpCaller caller, InetSocketAddress target, HttpLimits limits) {
+        this(caller, target, limits, status -> false);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param refusals the server errors that promise that nothing was done
+     */
+    public PlatformHttp(HttpCaller caller, InetSocketAddress target, HttpLimits limits, IntPredicate refusals) {
         this.caller = Objects.requireNonNull(caller);
         this.target = Objects.requireNonNull(target);
         this.limits = Objects.requireNonNull(limits);
+        this.refusals = Objects.requireNonNull(refusals);
     }
 
-    HttpCall get(String path) {
+    /** Returns a GET call with the limits of this interface. */
+    public HttpCall get(String path) {
         return HttpCall.get(target, path).withLimits(limits);
     }
 
-    HttpCall send(String method, String path, byte[] body) {
+    /** Returns a call with a JSON body and the limits of this interface. */
+    public HttpCall send(String method, String path, byte[] body) {
         return HttpCall.json(method, target, path, body).withLimits(limits);
     }
 
     /** Makes a call that changes nothing, so a lost answer is the same as no call. */
-    HttpAnswer read(HttpCall call) throws PlatformException {
+    public HttpAnswer read(HttpCall call) throws PlatformException {
         return run(call, false);
     }
 
     /** Makes a call that may change something. */
-    HttpAnswer change(HttpCall call) throws PlatformException {
+    public HttpAnswer change(HttpCall call) throws PlatformException {
         return run(call, true);
     }
 
@@ -68,12 +83,12 @@
     }
 
     // A server error does not prove that a write took no effect, so a write's outcome is unknown then.
-    private static HttpAnswer checked(HttpAnswer answer, boolean change) throws PlatformException {
+    private HttpAnswer checked(HttpAnswer answer, boolean change) throws PlatformException {
         int status = answer.status();
         if (status == 429) {
             throw new PlatformException.RateLimited(retryAfterMs(answer));
         }
-        if (status >= 500 && change) {
+        if (status >= 500 && change && !refusals.test(status)) {
             throw new PlatformException.OutcomeUnknown("status " + status, null);
         }
         if (status >= 500) {
@@ -95,13 +110,23 @@
     }
 
     /** Returns the refusal for a status that the caller does not expect. */
-    static PlatformException rejected(HttpAnswer answer) {
+    public static PlatformException rejected(HttpAnswer answer) {
         String text = answer.text();
         String quoted = text.length() > MAX_QUOTED_CHARS ? text.substring(0, MAX_QUOTED_CHARS) : text;
         return new PlatformException.Rejected(answer.status(), quoted.replaceAll("\\p{Cntrl}", " "));
     }
 
-    static JsonNode json(HttpAnswer answer) throws PlatformException {
+    /** Checks the answer to an order, which is 200, or 409 if a higher fencing token has been seen. */
+    static void requireAccepted(HttpAnswer answer) throws PlatformException {
+        switch (answer.status()) {
+            case 200 -> {}
+            case 409 -> throw new PlatformException.Superseded("a higher fencing token has been seen");
+            default -> throw rejected(answer);
+        }
+    }
+
+    /** Returns the JSON of an answer with status 200. */
+    public static JsonNode json(HttpAnswer answer) throws PlatformException {
         if (answer.status() != 200) {
             throw rejected(answer);
         }
@@ -112,7 +137,8 @@
         }
     }
 
-    static String text(JsonNode node, String field) throws PlatformException {
+    /** Returns a required string field. */
+    public static String text(JsonNode node, String field) throws PlatformException {
         JsonNode value = node.get(field);
         if (value == null || !value.isTextual()) {
             throw new PlatformException.Malformed("field " + field + " is missing or not a string", null);
@@ -120,7 +146,8 @@
         return value.textValue();
     }
 
-    static long number(JsonNode node, String field) throws PlatformException {
+    /** Returns a required integer field. */
+    public static long number(JsonNode node, String field) throws PlatformException {
         JsonNode value = node.get(field);
         if (value == null || !value.canConvertToLong()) {
             throw new PlatformException.Malformed("field " + field + " is missing or not an integer", null);
@@ -128,7 +155,8 @@
         return value.longValue();
     }
 
-    static byte[] bytes(Object value) {
+    /** Returns a value as JSON. */
+    public static byte[] bytes(Object value) {
         try {
             return JSON.writeValueAsBytes(value);
         } catch (JsonProcessingException e) {
@@ -136,7 +164,8 @@
         }
     }
 
-    static String query(String value) {
+    /** Returns a text encoded for a query. */
+    public static String query(String value) {
         return URLEncoder.encode(value, StandardCharsets.UTF_8);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/platform/ReadCoalescer.java
+++ b/library/src/main/java/org/magnoliabridge/external/ReadCoalescer.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import com.codahale.metrics.Counter;
 import java.util.HashMap;
--- a/library/src/main/java/org/magnoliabridge/platform/ScoringService.java
+++ b/library/src/main/java/org/magnoliabridge/external/ScoringService.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 /** Scores a sample for a trainer; calls block. */
 public interface ScoringService {
--- a/library/src/main/java/org/magnoliabridge/platform/StoreReply.java
+++ b/library/src/main/java/org/magnoliabridge/external/StoreReply.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 /** The answer to a {@link StoreRequest}. */
 public sealed interface StoreReply {
--- a/library/src/main/java/org/magnoliabridge/platform/StoreRequest.java
+++ b/library/src/main/java/org/magnoliabridge/external/StoreRequest.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 /** A call to the object API as an effect of a decision core; the answer comes back as a {@link StoreReply}. */
 public sealed interface StoreRequest {
--- a/library/src/main/java/org/magnoliabridge/platform/StoreRunner.java
+++ b/library/src/main/java/org/magnoliabridge/external/StoreRunner.java
@@ -1,10 +1,10 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.magnoliabridge.core.ControlLoop;
-import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRequest.Priority;
 
 /** Runs the store requests of decision cores on virtual threads and posts the replies to the control loop. */
 public final class StoreRunner {
--- a/library/src/main/java/org/magnoliabridge/platform/WeightStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/WeightStore.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
--- a/library/src/main/java/org/magnoliabridge/platform/package-info.java
+++ b/library/src/main/java/org/magnoliabridge/external/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's object API and its other interfaces, and the budgeted client that calls them. */
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/fleet/FleetEndpoint.java
@@ -0,0 +1,42 @@
+package org.magnoliabridge.fleet;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.routing.Endpoint;
+
+/**
+ * An endpoint as it describes itself.
+ *
+ * @param slots requests that it processes at the same time
+ * @param draining whether it leaves and must get no new work
+ * @param weights the version of each model that it holds
+ * @param warmUpMs how much longer it is slow after its start
+ * @param reclaimable whether the platform may take it back
+ * @param leavesInMs time until it goes, if it says so
+ */
+public record FleetEndpoint(
+        Endpoint endpoint,
+        int slots,
+        boolean draining,
+        Map<ModelId, WeightVersion> weights,
+        long warmUpMs,
+        boolean reclaimable,
+        OptionalLong leavesInMs) {
+    public FleetEndpoint {
+        Objects.requireNonNull(endpoint);
+        Objects.requireNonNull(leavesInMs);
+        weights = Map.copyOf(weights);
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots must be at least 1: " + slots);
+        }
+    }
+
+    /** Returns the weight version of a model, if the endpoint holds the model. */
+    public Optional<WeightVersion> version(ModelId model) {
+        return Optional.ofNullable(weights.get(model));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/gateway/RouteTable.java
@@ -0,0 +1,45 @@
+package org.magnoliabridge.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request: among those of its host, the one with the longest prefix of its path. */
+public final class RouteTable {
+    private final Map<String, List<GatewayRoute>> byHost = new HashMap<>();
+
+    public RouteTable(List<GatewayRoute> routes) {
+        routes.forEach(
+                r -> byHost.computeIfAbsent(r.host(), host -> new ArrayList<>()).add(r));
+        Comparator<GatewayRoute> longestFirst =
+                Comparator.comparingInt((GatewayRoute r) -> r.prefix().length()).reversed();
+        byHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /**
+     * Returns the route of a request.
+     *
+     * @param host as the caller sent it, with or without a port
+     * @param path raw, without the query
+     */
+    public Optional<GatewayRoute> find(String host, String path) {
+        return byHost.getOrDefault(normal(host), List.of()).stream()
+                .filter(r -> path.startsWith(r.prefix()))
+                .findFirst();
+    }
+
+    /** Returns whether any route has this host. */
+    public boolean hasHost(String host) {
+        return byHost.containsKey(normal(host));
+    }
+
+    /** Returns a host in lower case and without its port. */
+    public static String normal(String host) {
+        int colon = host.indexOf(':');
+        return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
+++ b/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
@@ -10,6 +10,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -23,6 +24,8 @@
     // Servers commonly close connections that were idle for 5 s or more; a shorter limit here makes it rare that a
     // call is written to a connection that the other side is closing.
     private static final long MAX_IDLE_MS = 3_000;
+    // A server that names its limit is believed up to this margin, which covers the way there.
+    private static final long IDLE_MARGIN_MS = 500;
     private static final long CLOSE_WAIT_MS = 1_000;
     private static final int MAX_IDLE_PER_TARGET = 32;
     private static final int BUFFER_BYTES = 8 * 1024;
@@ -56,8 +59,14 @@
                 : connect(call, deadline.atMost(call.limits().connectMs()));
     }
 
-    void release(InetSocketAddress target, ClientConnection connection) {
-        if (!connection.isOpen() || !keep(target, connection)) {
+    /**
+     * Takes a connection back for reuse.
+     *
+     * @param idleLimitMs for how long the server keeps it idle, if it said so
+     */
+    void release(InetSocketAddress target, ClientConnection connection, OptionalLong idleLimitMs) {
+        long keptMs = idleLimitMs.isPresent() ? idleLimitMs.getAsLong() - IDLE_MARGIN_MS : MAX_IDLE_MS;
+        if (keptMs <= 0 || !connection.isOpen() || !keep(target, connection, keptMs)) {
             IoUtils.safeClose(connection);
         }
     }
@@ -83,12 +92,12 @@
         }
     }
 
-    private synchronized boolean keep(InetSocketAddress target, ClientConnection connection) {
+    private synchronized boolean keep(InetSocketAddress target, ClientConnection connection, long keptMs) {
         Deque<Idle> queue = idle.computeIfAbsent(target, t -> new ArrayDeque<>());
         if (closed || queue.size() >= MAX_IDLE_PER_TARGET) {
             return false;
         }
-        queue.push(new Idle(connection, System.nanoTime()));
+        queue.push(new Idle(connection, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(keptMs)));
         return true;
     }
 
@@ -98,9 +107,9 @@
         if (queue == null) {
             return null;
         }
-        long oldest = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MAX_IDLE_MS);
+        long now = System.nanoTime();
         Idle entry = queue.poll();
-        while (entry != null && (entry.sinceNanos - oldest < 0 || !entry.connection.isOpen())) {
+        while (entry != null && (entry.untilNanos - now < 0 || !entry.connection.isOpen())) {
             IoUtils.safeClose(entry.connection);
             entry = queue.poll();
         }
@@ -135,5 +144,5 @@
         }
     }
 
-    private record Idle(ClientConnection connection, long sinceNanos) {}
+    private record Idle(ClientConnection connection, long untilNanos) {}
 }
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -12,10 +12,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.OptionalLong;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.magnoliabridge.settings.SocketAddresses;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
@@ -23,6 +26,7 @@
 
 /** One request and its answer on a connection; passes events from the I/O thread to the calling thread. */
 final class Exchange {
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     private static final int READ_BYTES = 8 * 1024;
     private static final int MAX_QUEUED_PIECES = 64;
     private static final int RESUME_BELOW_PIECES = 16;
@@ -32,6 +36,7 @@
     private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final AtomicInteger queuedPieces = new AtomicInteger();
     private volatile StreamSourceChannel source;
+    private volatile boolean sent;
 
     Exchange(ClientConnection connection, HttpCall call) {
         this.connection = connection;
@@ -63,6 +68,11 @@
         };
     }
 
+    /** Returns whether the whole request was written; an answer may come before. */
+    boolean isSent() {
+        return sent;
+    }
+
     static String hostHeader(InetSocketAddress target) {
         return SocketAddresses.format(target);
     }
@@ -94,7 +104,9 @@
                 .setProtocol(Protocols.HTTP_1_1);
         HeaderMap headers = request.getRequestHeaders();
         call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
-        headers.put(Headers.HOST, hostHeader(call.target()));
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, hostHeader(call.target()));
+        }
         if (call.body().length > 0 || !"GET".equals(call.method())) {
             headers.put(Headers.CONTENT_LENGTH, call.body().length);
         }
@@ -118,9 +130,12 @@
                 }
             }
             sink.shutdownWrites();
-            if (!sink.flush()) {
+            if (sink.flush()) {
+                sent = true;
+            } else {
                 sink.getWriteSetter()
-                        .set(ChannelListeners.flushingChannelListener(null, (channel, e) -> events.add(new Failed(e))));
+                        .set(ChannelListeners.flushingChannelListener(
+                                channel -> sent = true, (channel, e) -> events.add(new Failed(e))));
                 sink.resumeWrites();
             }
         } catch (IOException e) {
@@ -131,7 +146,7 @@
     private void answerStarted(ClientExchange exchange) {
         ClientResponse response = exchange.getResponse();
         events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
-        if (!hasProvableEnd(response)) {
+        if (!call.unframedAnswer() && !hasProvableEnd(response)) {
             events.add(new Failed(new IOException("the answer has neither a length nor chunks")));
             return;
         }
@@ -198,6 +213,15 @@
         boolean keepAlive() {
             return !"close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
         }
+
+        /** Returns for how long the server keeps the idle connection, in milliseconds, if it says so. */
+        OptionalLong idleLimitMs() {
+            String value = headers.getFirst("Keep-Alive");
+            Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(value == null ? "" : value);
+            return timeout.find()
+                    ? OptionalLong.of(TimeUnit.SECONDS.toMillis(Long.parseLong(timeout.group(1))))
+                    : OptionalLong.empty();
+        }
     }
 
     @SuppressWarnings("ArrayRecordComponent")
--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -11,12 +11,13 @@
  * @param method for example {@code POST}
  * @param target IP address and port
  * @param path path and query, starting with a slash
- * @param headers header names and values, without Host and Content-Length
+ * @param headers header names and values, without Content-Length; Host only if it is not that of the target
  * @param body the content, empty for none; not copied, callers must not change it
  * @param limits time limits
  * @param maxAnswerBytes limit of a whole answer
  * @param freshConnection whether to open a new connection: an idle pooled one may be closing at the other side, so a
  *     call that must not be repeated never uses it
+ * @param unframedAnswer whether an answer with neither a length nor chunks is taken, which ends with its connection
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
@@ -27,7 +28,8 @@
         byte[] body,
         HttpLimits limits,
         int maxAnswerBytes,
-        boolean freshConnection) {
+        boolean freshConnection,
+        boolean unframedAnswer) {
     private static final long DEFAULT_TOTAL_MS = 5_000;
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
     private static final byte[] NO_BODY = {};
@@ -53,6 +55,7 @@
                 NO_BODY,
                 HttpLimits.total(DEFAULT_TOTAL_MS),
                 DEFAULT_MAX_ANSWER_BYTES,
+                false,
                 false);
     }
 
@@ -70,21 +73,38 @@
     public HttpCall withHeader(String name, String value) {
         Map<String, String> all = new LinkedHashMap<>(headers);
         all.put(name, value);
-        return new HttpCall(method, target, path, all, body, limits, maxAnswerBytes, freshConnection);
+        return new HttpCall(method, target, path, all, body, limits, maxAnswerBytes, freshConnection, unframedAnswer);
     }
 
     /** Returns a copy with another body. */
     public HttpCall withBody(byte[] content) {
-        return new HttpCall(method, target, path, headers, content, limits, maxAnswerBytes, freshConnection);
+        return new HttpCall(
+                method, target, path, headers, content, limits, maxAnswerBytes, freshConnection, unframedAnswer);
     }
 
     /** Returns a copy with other limits. */
     public HttpCall withLimits(HttpLimits other) {
-        return new HttpCall(method, target, path, headers, body, other, maxAnswerBytes, freshConnection);
+        return new HttpCall(
+                method, target, path, headers, body, other, maxAnswerBytes, freshConnection, unframedAnswer);
     }
 
     /** Returns a copy that opens a new connection. */
     public HttpCall onFreshConnection() {
-        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, true);
+        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, true, unframedAnswer);
+    }
+
+    /** Returns a copy that takes an answer which ends with its connection. */
+    public HttpCall withUnframedAnswer() {
+        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, freshConnection, true);
+    }
+
+    /** Returns a copy with another limit of the whole answer, in bytes. */
+    public HttpCall withMaxAnswerBytes(int max) {
+        return new HttpCall(method, target, path, headers, body, limits, max, freshConnection, unframedAnswer);
+    }
+
+    /** Returns a copy with these headers in place of all others. */
+    public HttpCall withHeaders(Map<String, String> all) {
+        return new HttpCall(method, target, path, all, body, limits, maxAnswerBytes, freshConnection, unframedAnswer);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
@@ -33,6 +33,11 @@
     /** Receives lines of a streamed answer. */
     @FunctionalInterface
     interface LineReceiver {
+        /** Takes the status and headers before the first line; returns false to stop and close the connection. */
+        default boolean head(HttpAnswer head) {
+            return true;
+        }
+
         /** Takes a line; returns false to stop and close the connection. */
         boolean line(String line);
     }
--- a/library/src/main/java/org/magnoliabridge/http/LineSplitter.java
+++ b/library/src/main/java/org/magnoliabridge/http/LineSplitter.java
@@ -14,6 +14,11 @@
         this.maxLineBytes = maxLineBytes;
     }
 
+    @Override
+    public boolean head(HttpAnswer head) {
+        return lines.head(head);
+    }
+
     @Override
     public boolean bytes(byte[] piece) throws HttpFailure {
         int start = 0;
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
@@ -46,18 +47,23 @@
         ClientConnection connection = pool.connection(call, deadline);
         Exchange exchange = new Exchange(connection, call);
         boolean reusable = false;
+        OptionalLong idleLimitMs = OptionalLong.empty();
         try {
             exchange.start();
             Exchange.Head head =
                     exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
             boolean toReceiver = head.status() == 200 || !(content instanceof LineSplitter);
             ContentReceiver receiver = toReceiver ? content : collector(collected, call.maxAnswerBytes());
-            reusable = receive(exchange, receiver, call, deadline) && head.keepAlive();
-            byte[] body = collected.size() == 0 ? NO_BODY : collected.toByteArray();
-            return new HttpAnswer(head.status(), headers(head.headers()), body);
+            HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), NO_BODY);
+            boolean whole = receiver.head(begun) && receive(exchange, receiver, call, deadline);
+            reusable = whole && head.keepAlive() && exchange.isSent();
+            idleLimitMs = head.idleLimitMs();
+            return collected.size() == 0
+                    ? begun
+                    : new HttpAnswer(begun.status(), begun.headers(), collected.toByteArray());
         } finally {
             if (reusable) {
-                pool.release(call.target(), connection);
+                pool.release(call.target(), connection, idleLimitMs);
             } else {
                 IoUtils.safeClose(connection);
             }
@@ -97,6 +103,11 @@
 
     /** Takes the content of an answer piece by piece. */
     interface ContentReceiver {
+        /** Takes the status and headers; returns false to stop. */
+        default boolean head(HttpAnswer head) {
+            return true;
+        }
+
         /** Takes a piece; returns false to stop. */
         boolean bytes(byte[] piece) throws HttpFailure;
 
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -6,13 +6,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * Decides when this process takes, renews and hands back the lease of one scope.
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseEffect.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseEffect.java
@@ -1,7 +1,7 @@
 package org.magnoliabridge.lease;
 
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.FencingToken;
-import org.magnoliabridge.platform.StoreRequest;
 
 /** What {@link LeaseCore} asks its surroundings to do. */
 public sealed interface LeaseEffect {
--- a/library/src/main/java/org/magnoliabridge/ledger/LedgerCore.java
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerCore.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
-import org.magnoliabridge.platform.ObjectKey;
 
 /**
  * Decides whether a call with an idempotency key is sent, answered from its record, or refused.
--- a/library/src/main/java/org/magnoliabridge/ledger/LedgerEffect.java
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerEffect.java
@@ -1,6 +1,6 @@
 package org.magnoliabridge.ledger;
 
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.StoreRequest;
 
 /** What {@link LedgerCore} orders. */
 public sealed interface LedgerEffect {
--- a/library/src/main/java/org/magnoliabridge/ledger/LedgerInput.java
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerInput.java
@@ -1,6 +1,6 @@
 package org.magnoliabridge.ledger;
 
-import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.external.StoreReply;
 
 /** What {@link LedgerCore} is told. */
 public sealed interface LedgerInput {
--- a/library/src/main/java/org/magnoliabridge/ledger/LedgerShard.java
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerShard.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.ToLongFunction;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ledger.LedgerEffect.Reason;
 import org.magnoliabridge.ledger.LedgerRecord.State;
 import org.magnoliabridge.ledger.ShardImage.MalformedShardException;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * One shard of the ledger: its last known content, and the calls and results that wait for its next write.
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -20,8 +20,8 @@
 /**
  * Decides who is a member, in the manner of SWIM, and spreads versioned items.
  *
- * <p>Each second a node pings one member. Without an answer within 500 ms it asks 3 others to ping that member; without
- * one within the second the member is suspect, and dead 3 s later unless it contradicts.
+ * <p>Each period a node pings some members. Without an answer in time it asks 3 others to ping that member; without one
+ * within the period the member is suspect, and dead some time later unless it contradicts.
  *
  * <pre>{@code
  * MembershipCore core = new MembershipCore(self, place, incarnation, seeds, random);
@@ -29,13 +29,7 @@
  * }</pre>
  */
 public final class MembershipCore {
-    private static final long PERIOD_MS = 1_000;
-    private static final long HELP_AFTER_MS = 500;
-    private static final long SUSPICION_MS = 3_000;
     private static final int HELPERS = 3;
-    // With one ping a second, the smaller side of a partition of 340 nodes took 23 s to know that it is the smaller
-    // one.
-    private static final int PINGS_IN_TROUBLE = 4;
     private static final int MAX_AWAIT_PINGS = 32;
     // A lost member or unreached seed is tried every fifth second, so that a healed partition joins again.
     private static final long REJOIN_PERIOD_MS = 5_000;
@@ -45,6 +39,7 @@
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
     private static final String MEMBERS = "members";
 
+    private final MembershipSettings settings;
     private final MemberTable table;
     private final Piggyback news = new Piggyback();
     private final Probes probes;
@@ -67,6 +62,12 @@
      * @param seeds peer addresses of other nodes from the settings
      */
     public MembershipCore(Member self, List<String> seeds, RandomGenerator random) {
+        this(self, seeds, random, MembershipSettings.DEFAULT);
+    }
+
+    /** Starts with a table of this node alone and other times than the default ones. */
+    public MembershipCore(Member self, List<String> seeds, RandomGenerator random, MembershipSettings settings) {
+        this.settings = settings;
         table = new MemberTable(self);
         probes = new Probes(random);
         spreader = new ItemSpreader(table, random);
@@ -114,21 +115,21 @@
     }
 
     private void tick(long nowMs, List<MembershipEffect> effects) {
-        for (Probe probe : probes.unanswered(nowMs, HELP_AFTER_MS)) {
+        for (Probe probe : probes.unanswered(nowMs, settings.helpAfterMs())) {
             table.get(probe.target().orElseThrow()).ifPresent(m -> askForHelp(m, probe, effects));
         }
-        for (Probe probe : probes.expired(nowMs, PERIOD_MS)) {
+        for (Probe probe : probes.expired(nowMs, settings.periodMs())) {
             table.get(probe.target().orElseThrow()).ifPresent(m -> suspect(m, nowMs));
         }
-        table.expireSuspects(nowMs, SUSPICION_MS).forEach(news::add);
-        if (nowMs - periodStartMs >= PERIOD_MS) {
+        table.expireSuspects(nowMs, settings.suspicionMs()).forEach(news::add);
+        if (nowMs - periodStartMs >= settings.periodMs()) {
             periodStartMs = nowMs;
             period(nowMs, effects);
         }
     }
 
     private void period(long nowMs, List<MembershipEffect> effects) {
-        int pings = probes.anyUnanswered(nowMs) ? PINGS_IN_TROUBLE : 1;
+        int pings = probes.anyUnanswered(nowMs) ? settings.pingsInTrouble() : settings.pings();
         for (int i = 0; i < pings; i++) {
             probes.next(table).ifPresent(m -> ping(m, true, nowMs, effects));
         }
@@ -319,7 +320,7 @@
         spreader.compare(peer, contact.versions(), nowMs, effects);
         int mine = table.others().size() + 1;
         long perMemberMs = contact.members() > mine ? SYNC_BEHIND_MS : SYNC_MS;
-        long waitMs = 2 * mine < contact.members() ? PERIOD_MS : Math.max(SYNC_MIN_MS, perMemberMs * mine);
+        long waitMs = 2 * mine < contact.members() ? settings.periodMs() : Math.max(SYNC_MIN_MS, perMemberMs * mine);
         if (contact.digest() != table.digest() && nowMs - syncAtMs >= waitMs) {
             syncAtMs = nowMs;
             effects.add(send(peer, FrameType.ITEM_REQUEST, 0, MembershipCodec.pack(new Wanted(MEMBERS, 0))));
--- a/library/src/main/java/org/magnoliabridge/membership/Rendezvous.java
+++ b/library/src/main/java/org/magnoliabridge/membership/Rendezvous.java
@@ -35,7 +35,7 @@
     }
 
     /** Returns a 64-bit hash that is the same in every process: FNV-1a with the finaliser of MurmurHash3. */
-    static long hash(String text) {
+    public static long hash(String text) {
         long h = FNV_OFFSET;
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             h = (h ^ (b & 0xff)) * FNV_PRIME;
--- a/library/src/main/java/org/magnoliabridge/orders/CapacityCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/CapacityCore.java
@@ -10,11 +10,11 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.EndpointOrder.Kind;
 
 /**
  * Decides how many endpoints of which kind run where.
--- a/library/src/main/java/org/magnoliabridge/orders/CapacityEffect.java
+++ b/library/src/main/java/org/magnoliabridge/orders/CapacityEffect.java
@@ -1,8 +1,8 @@
 package org.magnoliabridge.orders;
 
 import java.util.Map;
+import org.magnoliabridge.external.EndpointOrder;
 import org.magnoliabridge.ids.EndpointId;
-import org.magnoliabridge.platform.EndpointOrder;
 
 /** What {@link CapacityCore} asks its surroundings to do. */
 public sealed interface CapacityEffect {
--- a/library/src/main/java/org/magnoliabridge/orders/CapacityInput.java
+++ b/library/src/main/java/org/magnoliabridge/orders/CapacityInput.java
@@ -1,9 +1,9 @@
 package org.magnoliabridge.orders;
 
 import java.util.List;
+import org.magnoliabridge.external.EndpointOrder;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.EndpointOrder;
 
 /** What {@link CapacityCore} is told. */
 public sealed interface CapacityInput {
--- a/library/src/main/java/org/magnoliabridge/orders/EndpointOrderSender.java
+++ b/library/src/main/java/org/magnoliabridge/orders/EndpointOrderSender.java
@@ -2,13 +2,11 @@
 
 import java.util.Objects;
 import org.magnoliabridge.core.MonotonicClock;
-import org.magnoliabridge.platform.EndpointOrders;
-import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.external.EndpointOrders;
+import org.magnoliabridge.external.PlatformException;
 
 /** Carries out {@link OrdersEffect.Send} on a traffic thread, with the last check of the lease before the call. */
 public final class EndpointOrderSender {
-    private static final int CONFLICT = 409;
-
     private final EndpointOrders orders;
     private final MonotonicClock clock;
 
@@ -33,8 +31,8 @@
     /** Returns what a failure says about an order. */
     static OrderOutcome outcome(PlatformException failure) {
         return switch (failure) {
-            case PlatformException.Rejected e ->
-                e.status() == CONFLICT ? OrderOutcome.STALE_FENCING : OrderOutcome.REFUSED;
+            case PlatformException.Superseded e -> OrderOutcome.STALE_FENCING;
+            case PlatformException.Rejected e -> OrderOutcome.REFUSED;
             case PlatformException.Unavailable e -> OrderOutcome.NOT_SENT;
             case PlatformException.RateLimited e -> OrderOutcome.NOT_SENT;
             case PlatformException.OutcomeUnknown e -> OrderOutcome.UNKNOWN;
--- a/library/src/main/java/org/magnoliabridge/orders/EngineLoadSender.java
+++ b/library/src/main/java/org/magnoliabridge/orders/EngineLoadSender.java
@@ -2,9 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.magnoliabridge.core.MonotonicClock;
-import org.magnoliabridge.platform.EngineOrders;
-import org.magnoliabridge.platform.PlatformException;
+import org.magnoliabridge.external.EngineOrders;
+import org.magnoliabridge.external.PlatformException;
 
 /** Carries out {@link WeightsEffect.Load} on a traffic thread, with the last check of the lease before the call. */
 public final class EngineLoadSender {
@@ -18,11 +19,23 @@
 
     /** Sends an order to the engine at an address and returns its outcome; blocks for at most the send deadline. */
     public OrderOutcome send(InetSocketAddress engine, WeightsEffect.Load load) {
+        return send(engine, load, OptionalLong.empty());
+    }
+
+    /** Sends an order that the engine refuses if it has accepted another number of orders. */
+    public OrderOutcome send(InetSocketAddress engine, WeightsEffect.Load load, OptionalLong expectedOrders) {
         if (clock.nowMs() >= load.notAfterMs()) {
             return OrderOutcome.NOT_SENT;
         }
         try {
-            orders.loadVersion(engine, load.orderId(), load.fencing(), load.version());
+            orders.loadVersion(new EngineOrders.Load(
+                    load.engine(),
+                    engine,
+                    load.orderId(),
+                    load.model(),
+                    load.fencing(),
+                    load.version(),
+                    expectedOrders));
             return OrderOutcome.ACCEPTED;
         } catch (PlatformException e) {
             return EndpointOrderSender.outcome(e);
--- a/library/src/main/java/org/magnoliabridge/orders/FleetMix.java
+++ b/library/src/main/java/org/magnoliabridge/orders/FleetMix.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.ids.DataCentre;
-import org.magnoliabridge.platform.EndpointOrder.Kind;
 
 /** Chooses the cheapest mix of endpoints that carries a demand. */
 final class FleetMix {
--- a/library/src/main/java/org/magnoliabridge/orders/OrderBook.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrderBook.java
@@ -9,11 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.magnoliabridge.external.EndpointOrder;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.EndpointOrder;
 
 /**
  * The content of an intents object: the orders that its holder may have sent and has not settled.
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
@@ -9,14 +9,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.lease.LeaseView;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * Brings endpoints to their wanted state under a lease: records the intent, sends, settles.
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersEffect.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersEffect.java
@@ -1,9 +1,9 @@
 package org.magnoliabridge.orders;
 
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.StoreRequest;
 
 /** What {@link OrdersCore} asks its surroundings to do. */
 public sealed interface OrdersEffect {
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersInput.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersInput.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.EndpointId;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.StoreReply;
 
 /** What {@link OrdersCore} is told. */
 public sealed interface OrdersInput {
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
@@ -9,8 +9,10 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseView;
@@ -35,13 +37,19 @@
 
     private final WeightsSettings settings;
     private final LoadBudget budget;
-    private final Map<EndpointId, Swap> swaps = new TreeMap<>();
-    private final Map<ServiceId, Target> targets = new HashMap<>();
+    private final Map<Held, Swap> swaps =
+            new TreeMap<>(Comparator.comparing(Held::engine).thenComparing(Held::model));
+    private final Map<ModelId, Target> targets = new HashMap<>();
+    private final Map<ModelId, Integer> lags = new HashMap<>();
     private final List<WeightsEffect> effects = new ArrayList<>();
     private FencingToken epoch = LeaseView.NOT_HELD.fencing();
     private FencingToken supersededEpoch = LeaseView.NOT_HELD.fencing();
+    private long sendUntilMs;
     private long nextOrder = 1;
 
+    /** A model that an engine holds. */
+    private record Held(EndpointId engine, ModelId model) {}
+
     public WeightsCore(WeightsSettings settings, long nowMs) {
         this.settings = Objects.requireNonNull(settings);
         this.budget = new LoadBudget(settings.loadsPerSecond(), settings.burst(), nowMs);
@@ -54,6 +62,7 @@
             case WeightsInput.Tick tick -> swaps.values().forEach(s -> checkLimit(nowMs, s));
             case WeightsInput.Engines all -> replaceEngines(all);
             case WeightsInput.Newest newest -> onNewest(nowMs, newest);
+            case WeightsInput.Lag lag -> lags.put(lag.model(), lag.versions());
             case WeightsInput.Reported reported -> onReported(nowMs, reported);
             case WeightsInput.Permit permit -> onPermit(nowMs, lease, permit);
             case WeightsInput.Sent sent -> onSent(nowMs, sent);
@@ -71,6 +80,7 @@
     }
 
     private void followLease(LeaseView lease) {
+        sendUntilMs = lease.sendUntilMs();
         if (lease.held() && !lease.fencing().equals(epoch)) {
             epoch = lease.fencing();
             swaps.values().forEach(Swap::restart);
@@ -78,25 +88,26 @@
     }
 
     private void replaceEngines(WeightsInput.Engines all) {
-        Set<EndpointId> named = new HashSet<>();
+        Set<Held> named = new HashSet<>();
         for (WeightsInput.Engine engine : all.engines()) {
-            named.add(engine.id());
-            Swap known = swaps.get(engine.id());
+            Held held = new Held(engine.id(), engine.model());
+            named.add(held);
+            Swap known = swaps.get(held);
             if (known == null || !known.engine.equals(engine)) {
-                swaps.put(engine.id(), new Swap(engine));
+                swaps.put(held, new Swap(engine));
             }
         }
         swaps.keySet().retainAll(named);
     }
 
     private void onNewest(long nowMs, WeightsInput.Newest newest) {
-        Target target = targets.get(newest.service());
+        Target target = targets.get(newest.model());
         if (target != null && !newest.version().isAfter(target.version)) {
             return;
         }
-        targets.put(newest.service(), new Target(newest.version(), nowMs));
+        targets.put(newest.model(), new Target(newest.version(), nowMs));
         for (Swap swap : swaps.values()) {
-            if (swap.engine.service().equals(newest.service())) {
+            if (swap.engine.model().equals(newest.model())) {
                 swap.failures = 0;
                 putBack(swap);
             }
@@ -106,18 +117,18 @@
     private void putBack(Swap swap) {
         if (swap.out) {
             swap.out = false;
-            effects.add(new WeightsEffect.PutBack(swap.engine.id()));
+            effects.add(new WeightsEffect.PutBack(swap.engine.id(), swap.engine.model()));
         }
     }
 
     private void onReported(long nowMs, WeightsInput.Reported reported) {
-        Swap swap = swaps.get(reported.engine());
+        Swap swap = swaps.get(new Held(reported.engine(), reported.model()));
         if (swap == null) {
             return;
         }
         swap.reported = reported.version();
         swap.hasReported = true;
-        Target target = targets.get(swap.engine.service());
+        Target target = targets.get(swap.engine.model());
         // A version that was replaced during the swap ends the swap too; the next one starts from here.
         if (swap.isSwapping() && !swap.version.isAfter(reported.version())) {
             swap.step = Step.IDLE;
@@ -125,17 +136,17 @@
         if (target != null && !target.version.isAfter(reported.version())) {
             swap.failures = 0;
             putBack(swap);
-            complete(nowMs, swap.engine.service(), target);
+            complete(nowMs, swap.engine.model(), target);
         }
     }
 
-    private void complete(long nowMs, ServiceId service, Target target) {
+    private void complete(long nowMs, ModelId model, Target target) {
         boolean all = swaps.values().stream()
-                .filter(s -> s.engine.service().equals(service) && !s.out)
+                .filter(s -> s.engine.model().equals(model) && !s.out)
                 .allMatch(s -> s.hasReported && !target.version.isAfter(s.reported));
         if (all && !target.completed) {
             target.completed = true;
-            effects.add(new WeightsEffect.Completed(service, target.version, nowMs - target.sinceMs));
+            effects.add(new WeightsEffect.Completed(model, target.version, nowMs - target.sinceMs));
         }
     }
 
@@ -143,39 +154,87 @@
         List<Swap> waiting = swaps.values().stream()
                 .filter(s -> s.step == Step.IDLE && !s.out && s.hasReported && nowMs >= s.notBeforeMs)
                 .filter(this::isBehind)
-                .sorted(Comparator.comparing((Swap s) -> !s.engine.sampler()).thenComparingInt(s -> s.failures))
+                .sorted(Comparator.comparing((Swap s) -> !s.engine.sampler())
+                        .thenComparing(s -> s.reported)
+                        .thenComparingInt(s -> s.failures))
                 .toList();
         if (waiting.isEmpty()) {
             return;
         }
         Map<ServiceId, Integer> free = freePlaces();
+        Set<EndpointId> swapping = new HashSet<>(swappingEngines());
         for (Swap swap : waiting) {
             ServiceId service = swap.engine.service();
-            if (free.getOrDefault(service, 0) > 0) {
+            if (free.getOrDefault(service, 0) > 0 && !swapping.contains(swap.engine.id()) && isDue(swap)) {
                 if (!budget.take(nowMs)) {
                     return;
                 }
                 free.merge(service, -1, Integer::sum);
-                swap.begin(Step.PERMIT, targets.get(service).version, nowMs);
-                effects.add(new WeightsEffect.TakePermit(swap.engine.id(), service, swap.version));
+                swapping.add(swap.engine.id());
+                start(nowMs, swap);
             }
         }
     }
 
+    private void start(long nowMs, Swap swap) {
+        WeightVersion version = targets.get(swap.engine.model()).version;
+        if (settings.permits()) {
+            swap.begin(Step.PERMIT, version, nowMs);
+            effects.add(new WeightsEffect.TakePermit(
+                    swap.engine.id(), swap.engine.service(), swap.engine.model(), version));
+        } else {
+            swap.version = version;
+            load(nowMs, swap);
+        }
+    }
+
     private boolean isBehind(Swap swap) {
-        Target target = targets.get(swap.engine.service());
+        Target target = targets.get(swap.engine.model());
         return target != null && !target.halted && target.version.isAfter(swap.reported);
     }
 
+    // Where work may run on weights that are some versions old, an engine need not load every version: with a lag of n,
+    // one in n + 1 engines loads each version while the others serve, and no work waits for a load.
+    private boolean isDue(Swap swap) {
+        ModelId model = swap.engine.model();
+        int lag = lags.getOrDefault(model, 0);
+        Target target = targets.get(model);
+        if (target.version.value() - swap.reported.value() > lag) {
+            return true;
+        }
+        long all = 0;
+        long fresh = 0;
+        for (Swap other : swaps.values()) {
+            if (other.engine.model().equals(model) && !other.out) {
+                all++;
+                boolean loads = other.isSwapping() && other.version.equals(target.version);
+                fresh += loads || !target.version.isAfter(other.reported) ? 1 : 0;
+            }
+        }
+        return fresh * (lag + 1) < all;
+    }
+
+    private Set<EndpointId> swappingEngines() {
+        return swaps.values().stream()
+                .filter(Swap::isSwapping)
+                .map(s -> s.engine.id())
+                .collect(Collectors.toSet());
+    }
+
     private Map<ServiceId, Integer> freePlaces() {
-        Map<ServiceId, Integer> total = new HashMap<>();
-        Map<ServiceId, Integer> swapping = new HashMap<>();
+        Map<ServiceId, Set<EndpointId>> total = new HashMap<>();
+        Map<ServiceId, Set<EndpointId>> swapping = new HashMap<>();
         for (Swap swap : swaps.values()) {
-            total.merge(swap.engine.service(), 1, Integer::sum);
-            swapping.merge(swap.engine.service(), swap.isSwapping() ? 1 : 0, Integer::sum);
+            ServiceId service = swap.engine.service();
+            total.computeIfAbsent(service, s -> new HashSet<>()).add(swap.engine.id());
+            Set<EndpointId> busy = swapping.computeIfAbsent(service, s -> new HashSet<>());
+            if (swap.isSwapping()) {
+                busy.add(swap.engine.id());
+            }
         }
         Map<ServiceId, Integer> free = new HashMap<>();
-        total.forEach((service, count) -> free.put(service, atOnce(count) - swapping.get(service)));
+        total.forEach((service, engines) ->
+                free.put(service, atOnce(engines.size()) - swapping.get(service).size()));
         return free;
     }
 
@@ -185,12 +244,18 @@
     }
 
     private void onPermit(long nowMs, LeaseView lease, WeightsInput.Permit permit) {
-        Swap swap = swaps.get(permit.engine());
+        Swap swap = swaps.get(new Held(permit.engine(), permit.model()));
         if (swap == null || swap.step != Step.PERMIT || !swap.version.equals(permit.version())) {
             return;
         }
         switch (permit.outcome()) {
-            case GRANTED -> load(nowMs, lease, swap);
+            case GRANTED -> {
+                if (mayAct(nowMs, lease)) {
+                    load(nowMs, swap);
+                } else {
+                    swap.step = Step.IDLE;
+                }
+            }
             case RATE_LIMITED -> {
                 budget.closeUntil(nowMs + permit.retryAfterMs());
                 swap.step = Step.IDLE;
@@ -204,19 +269,15 @@
         }
     }
 
-    private void load(long nowMs, LeaseView lease, Swap swap) {
-        if (!mayAct(nowMs, lease)) {
-            swap.step = Step.IDLE;
-            return;
-        }
+    private void load(long nowMs, Swap swap) {
         swap.begin(Step.ORDERED, swap.version, nowMs);
         swap.orderId = epoch + "-w" + nextOrder++;
         effects.add(new WeightsEffect.Load(
-                swap.orderId, swap.engine.id(), lease.fencing(), swap.version, lease.sendUntilMs()));
+                swap.orderId, swap.engine.id(), swap.engine.model(), epoch, swap.version, sendUntilMs));
     }
 
     private void onSent(long nowMs, WeightsInput.Sent sent) {
-        Swap swap = swaps.get(sent.engine());
+        Swap swap = swaps.get(new Held(sent.engine(), sent.model()));
         if (swap == null || swap.step != Step.ORDERED || !swap.orderId.equals(sent.orderId())) {
             return;
         }
@@ -246,26 +307,26 @@
         swap.step = Step.IDLE;
         swap.notBeforeMs = nowMs + settings.retryMs();
         swap.failures++;
-        Target target = targets.get(swap.engine.service());
+        Target target = targets.get(swap.engine.model());
         if (swap.failures <= settings.retries() || target.halted) {
             return;
         }
         swap.out = true;
-        effects.add(new WeightsEffect.TakeOut(swap.engine.id(), target.version));
-        haltIfTooManyOut(swap.engine.service(), target);
-        complete(nowMs, swap.engine.service(), target);
+        effects.add(new WeightsEffect.TakeOut(swap.engine.id(), swap.engine.model(), target.version));
+        haltIfTooManyOut(swap.engine.model(), target);
+        complete(nowMs, swap.engine.model(), target);
     }
 
     // If a quarter of the engines cannot load a version, the version is at fault: the rest keeps serving the old one,
     // and the engines that were taken out for it come back.
-    private void haltIfTooManyOut(ServiceId service, Target target) {
+    private void haltIfTooManyOut(ModelId model, Target target) {
         List<Swap> engines = swaps.values().stream()
-                .filter(s -> s.engine.service().equals(service))
+                .filter(s -> s.engine.model().equals(model))
                 .toList();
         long out = engines.stream().filter(s -> s.out).count();
         if (out >= Math.max(MIN_OUT_TO_HALT, atOnce(engines.size()))) {
             target.halted = true;
-            effects.add(new WeightsEffect.Halted(service, target.version));
+            effects.add(new WeightsEffect.Halted(model, target.version));
             engines.forEach(this::putBack);
         }
     }
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryCore.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryCore.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * Serves trainers: opens steps, delivers decided groups and takes acknowledgements, all from the object API.
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryEffect.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryEffect.java
@@ -1,8 +1,8 @@
 package org.magnoliabridge.rollout;
 
 import java.util.List;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.StoreRequest;
 
 /** What {@link DeliveryCore} orders. */
 public sealed interface DeliveryEffect {
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryInput.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryInput.java
@@ -1,6 +1,6 @@
 package org.magnoliabridge.rollout;
 
-import org.magnoliabridge.platform.StoreReply;
+import org.magnoliabridge.external.StoreReply;
 
 /** What {@link DeliveryCore} is told; request ids are unique among the requests of this process. */
 public sealed interface DeliveryInput {
--- a/library/src/main/java/org/magnoliabridge/rollout/DeliveryRequest.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/DeliveryRequest.java
@@ -1,7 +1,7 @@
 package org.magnoliabridge.rollout;
 
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 
 /** One request of a trainer, with at most one store request on the step head in flight. */
 abstract class DeliveryRequest {
--- a/library/src/main/java/org/magnoliabridge/rollout/FetchRequest.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/FetchRequest.java
@@ -3,9 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 
 /** Replaces groups that are too old, then reads the bodies after the cursor and delivers them. */
 final class FetchRequest extends DeliveryRequest {
--- a/library/src/main/java/org/magnoliabridge/rollout/GroupRun.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/GroupRun.java
@@ -2,10 +2,10 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 
 /** One attempt at a group: from the look-up of a stored body, over generation, to the stored body. */
 final class GroupRun {
--- a/library/src/main/java/org/magnoliabridge/rollout/OpenRequest.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/OpenRequest.java
@@ -1,6 +1,6 @@
 package org.magnoliabridge.rollout;
 
-import org.magnoliabridge.platform.ObjectStore;
+import org.magnoliabridge.external.ObjectStore;
 
 /** Creates the step head, or compares it with the one that is there. */
 final class OpenRequest extends DeliveryRequest {
--- a/library/src/main/java/org/magnoliabridge/rollout/RunnerCore.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunnerCore.java
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * Runs steps: generates and scores samples, stores each whole group and appends it to the step head.
--- a/library/src/main/java/org/magnoliabridge/rollout/RunnerEffect.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunnerEffect.java
@@ -1,7 +1,7 @@
 package org.magnoliabridge.rollout;
 
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.StoreRequest;
 
 /** What {@link RunnerCore} orders. */
 public sealed interface RunnerEffect {
--- a/library/src/main/java/org/magnoliabridge/rollout/RunnerInput.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunnerInput.java
@@ -1,8 +1,8 @@
 package org.magnoliabridge.rollout;
 
 import java.util.List;
+import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.StoreReply;
 
 /** What {@link RunnerCore} is told. */
 public sealed interface RunnerInput {
--- a/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/RunningStep.java
@@ -4,9 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 
 /** The work of this node on one step. */
 final class RunningStep {
--- a/library/src/main/java/org/magnoliabridge/rollout/StepRef.java
+++ b/library/src/main/java/org/magnoliabridge/rollout/StepRef.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.util.Objects;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.RunId;
 import org.magnoliabridge.ids.TeamId;
-import org.magnoliabridge.platform.ObjectKey;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
--- a/library/src/main/java/org/magnoliabridge/routing/Endpoint.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Endpoint.java
@@ -4,17 +4,26 @@
 import java.util.Objects;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.settings.SocketAddresses;
 
 /**
  * One incarnation of an endpoint.
  *
- * @param address IP address and port; together with the id it tells incarnations apart, because the instance list has
- *     no incarnation number
+ * @param address IP address and port
+ * @param incarnation tells the starts of an endpoint under the same id and address apart; 0 from a list that does not
+ *     say it
  */
-public record Endpoint(EndpointId id, ServiceId service, DataCentre dataCentre, String address) {
+public record Endpoint(
+        EndpointId id, ServiceId service, DataCentre dataCentre, String address, Incarnation incarnation) {
+    /** An endpoint of a list that does not number incarnations. */
+    public Endpoint(EndpointId id, ServiceId service, DataCentre dataCentre, String address) {
+        this(id, service, dataCentre, address, new Incarnation(0));
+    }
+
     public Endpoint {
+        Objects.requireNonNull(incarnation);
         Objects.requireNonNull(id);
         Objects.requireNonNull(service);
         Objects.requireNonNull(dataCentre);
@@ -24,7 +33,7 @@
     }
 
     /** Returns the address to connect to. */
-    InetSocketAddress socketAddress() {
+    public InetSocketAddress socketAddress() {
         return SocketAddresses.parse(address).orElseThrow();
     }
 }
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointInput.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointInput.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.routing;
 
 import java.util.List;
+import java.util.OptionalInt;
 import org.magnoliabridge.calls.EndpointSource;
 import org.magnoliabridge.ids.EndpointId;
 
@@ -28,6 +29,15 @@
     /** Time has passed. */
     record Tick() implements EndpointInput {}
 
-    /** An entry of the instance list. */
-    record ListedEndpoint(Endpoint endpoint, boolean leaving) {}
+    /**
+     * An entry of the instance list.
+     *
+     * @param slots requests that the endpoint processes at the same time, if the list says it
+     */
+    record ListedEndpoint(Endpoint endpoint, boolean leaving, OptionalInt slots) {
+        /** An entry without a number of slots. */
+        public ListedEndpoint(Endpoint endpoint, boolean leaving) {
+            this(endpoint, leaving, OptionalInt.empty());
+        }
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -8,10 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import org.magnoliabridge.calls.EndpointSource;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.ServiceId;
 
 /**
@@ -28,13 +30,14 @@
     private static final int MAX_FAULTY_ANSWERS = 3;
 
     private final Map<EndpointId, Entry> entries = new TreeMap<>();
-    private final Map<Incarnation, Long> left = new HashMap<>();
+    private final Map<Identity, Long> left = new HashMap<>();
 
-    private record Incarnation(EndpointId id, String address) {}
+    private record Identity(EndpointId id, String address, Incarnation incarnation) {}
 
     private static final class Entry {
         private final Endpoint endpoint;
         private EndpointState state = EndpointState.ROUTABLE;
+        private OptionalInt slots = OptionalInt.empty();
         private int faultyAnswers;
         private long backOffMs = FIRST_BACK_OFF_MS;
         private long retryAtMs;
@@ -44,8 +47,8 @@
             this.endpoint = endpoint;
         }
 
-        Incarnation incarnation() {
-            return new Incarnation(endpoint.id(), endpoint.address());
+        Identity identity() {
+            return new Identity(endpoint.id(), endpoint.address(), endpoint.incarnation());
         }
     }
 
@@ -56,8 +59,10 @@
             case EndpointInput.StopOrdered stop -> leave(entries.get(stop.id()), nowMs);
             case EndpointInput.ReclaimNotice notice -> leave(entries.get(notice.id()), nowMs);
             case EndpointInput.LeavingItem item -> {
-                left.put(new Incarnation(item.id(), item.address()), nowMs);
-                matching(item.id(), item.address()).ifPresent(e -> e.state = EndpointState.LEAVING);
+                matching(item.id(), item.address())
+                        .ifPresentOrElse(
+                                e -> leave(e, nowMs),
+                                () -> left.put(new Identity(item.id(), item.address(), new Incarnation(0)), nowMs));
                 yield List.of();
             }
             case EndpointInput.Observed observed ->
@@ -97,7 +102,7 @@
         if (entry == null || !isChoosable(entry)) {
             return 0;
         }
-        return entry.state == EndpointState.PROBATION ? 1 : engineSlots;
+        return entry.state == EndpointState.PROBATION ? 1 : entry.slots.orElse(engineSlots);
     }
 
     /** Returns the number of endpoints in each state, for status pages. */
@@ -118,8 +123,9 @@
                 entry = new Entry(endpoint);
                 entries.put(endpoint.id(), entry);
             }
-            if (left.containsKey(entry.incarnation())) {
-                left.put(entry.incarnation(), nowMs);
+            entry.slots = item.slots();
+            if (left.containsKey(entry.identity())) {
+                left.put(entry.identity(), nowMs);
                 entry.state = EndpointState.LEAVING;
             } else if (item.leaving()) {
                 leaving.addAll(leave(entry, nowMs));
@@ -137,7 +143,7 @@
     }
 
     private List<Endpoint> leave(Entry entry, long nowMs) {
-        if (entry == null || left.put(entry.incarnation(), nowMs) != null) {
+        if (entry == null || left.put(entry.identity(), nowMs) != null) {
             return List.of();
         }
         entry.state = EndpointState.LEAVING;
@@ -179,7 +185,7 @@
             }
         }
         left.values().removeIf(seenMs -> nowMs - seenMs > FORGET_AFTER_MS);
-        entries.values().removeIf(e -> e.state == EndpointState.LEAVING && !left.containsKey(e.incarnation()));
+        entries.values().removeIf(e -> e.state == EndpointState.LEAVING && !left.containsKey(e.identity()));
         entries.values().removeIf(e -> e.state == EndpointState.UNLISTED && nowMs - e.unlistedAtMs > FORGET_AFTER_MS);
     }
 
--- a/library/src/main/java/org/magnoliabridge/telemetry/LogFields.java
+++ b/library/src/main/java/org/magnoliabridge/telemetry/LogFields.java
@@ -22,12 +22,21 @@
     /** The service. */
     public static final MetadataKey<String> SERVICE = MetadataKey.single("service", String.class);
 
+    /** The batch. */
+    public static final MetadataKey<String> BATCH = MetadataKey.single("batch", String.class);
+
+    /** The item of a batch. */
+    public static final MetadataKey<String> ITEM = MetadataKey.single("item", String.class);
+
     /** The endpoint. */
     public static final MetadataKey<String> ENDPOINT = MetadataKey.single("endpoint", String.class);
 
     /** The other node. */
     public static final MetadataKey<String> PEER = MetadataKey.single("peer", String.class);
 
+    /** The model whose weights have versions. */
+    public static final MetadataKey<String> MODEL = MetadataKey.single("model", String.class);
+
     /** A version of a bundle, of weights or of withdrawals. */
     public static final MetadataKey<Long> VERSION = MetadataKey.single("version", Long.class);
 
@@ -37,6 +46,9 @@
     /** The simple name of a failure type. */
     public static final MetadataKey<String> FAILURE = MetadataKey.single("failure", String.class);
 
+    /** The age of what a decision relied on, in milliseconds. */
+    public static final MetadataKey<Long> AGE_MS = MetadataKey.single("age_ms", Long.class);
+
     /** A number of things. */
     public static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
--- a/library/src/main/java/org/magnoliabridge/usage/SealedWindow.java
+++ b/library/src/main/java/org/magnoliabridge/usage/SealedWindow.java
@@ -31,6 +31,13 @@
         return figures;
     }
 
+    /** Returns each team's requests in the window itself, without what was carried into it. */
+    Map<TeamId, Long> requests() {
+        Map<TeamId, Long> requests = new TreeMap<>();
+        counts.forEach((id, count) -> requests.merge(id.team(), count.requests(), Long::sum));
+        return requests;
+    }
+
     byte[] encode() {
         ObjectNode node = MAPPER.createObjectNode().put("window", window.value());
         ArrayNode figures = node.putArray("figures");
--- a/library/src/main/java/org/magnoliabridge/usage/UsageCore.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageCore.java
@@ -16,7 +16,7 @@
  * reports windows.
  *
  * <p>Times are wall-clock milliseconds, because windows are the same on all nodes. A node whose clock is off by less
- * than the grace of {@link UsageSealer#GRACE_MS} counts a request at most into the neighbouring window.
+ * than the grace of {@link UsageTimes} counts a request at most into the neighbouring window.
  */
 public final class UsageCore {
     /** Interval of the copies; with the time between ticks, a node's death loses less than one second of counts. */
@@ -31,7 +31,7 @@
     private static final long DRAIN_COPY_MS = 250;
 
     private final NodeId self;
-    private final long windowMs;
+    private final UsageTimes times;
     private final Set<Mechanism> mechanisms;
     private final CounterTable table;
     private final UsageSealer sealer;
@@ -46,28 +46,24 @@
      * Creates a core without counts.
      *
      * @param incarnation differs from that of every earlier process of this node, because counters start at zero
-     * @param windowMs length of a window, the same on all nodes
      */
-    public UsageCore(NodeId self, Incarnation incarnation, long windowMs) {
-        this(self, incarnation, windowMs, EnumSet.allOf(Mechanism.class));
+    public UsageCore(NodeId self, Incarnation incarnation, UsageTimes times) {
+        this(self, incarnation, times, EnumSet.allOf(Mechanism.class));
     }
 
-    UsageCore(NodeId self, Incarnation incarnation, long windowMs, Set<Mechanism> mechanisms) {
-        if (windowMs < 1) {
-            throw new IllegalArgumentException("windowMs must be at least 1: " + windowMs);
-        }
+    UsageCore(NodeId self, Incarnation incarnation, UsageTimes times, Set<Mechanism> mechanisms) {
         this.self = self;
-        this.windowMs = windowMs;
+        this.times = times;
         this.mechanisms = mechanisms;
         this.table = new CounterTable(self, incarnation);
-        this.sealer = new UsageSealer(table, windowMs, mechanisms);
+        this.sealer = new UsageSealer(table, times, mechanisms);
     }
 
     /** Takes an input and returns what is to be done, in order. */
     public List<UsageEffect> handle(UsageInput input, long nowMs) {
         List<UsageEffect> effects = new ArrayList<>();
         switch (input) {
-            case UsageInput.Delivered d -> table.add(new WindowId(nowMs / windowMs), d.team(), d.count(), nowMs);
+            case UsageInput.Delivered d -> table.add(window(d.atMs().orElse(nowMs)), d.team(), d.count(), nowMs);
             case UsageInput.Counts counts -> receive(counts, nowMs, effects);
             case UsageInput.Ack ack -> confirm(ack);
             case UsageInput.Peers peers -> {
@@ -90,7 +86,7 @@
             case UsageInput.Reported r -> sealer.reported(r.tag(), r.result(), nowMs, effects);
             case UsageInput.EngineCounts e -> sealer.engineCounts(e, effects);
             case UsageInput.Tick tick -> {
-                table.dropBefore(nowMs / windowMs - KEPT_WINDOWS);
+                table.dropBefore(nowMs / times.windowMs() - KEPT_WINDOWS);
                 sealer.tick(nowMs, effects);
             }
         }
@@ -103,6 +99,10 @@
         return malformed;
     }
 
+    private WindowId window(long atMs) {
+        return new WindowId(atMs / times.windowMs());
+    }
+
     private void receive(UsageInput.Counts counts, long nowMs, List<UsageEffect> effects) {
         try {
             Map<CounterId, Count> received = CountsCodec.unpack(counts.body()).counts();
--- a/library/src/main/java/org/magnoliabridge/usage/UsageEffect.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageEffect.java
@@ -1,9 +1,11 @@
 package org.magnoliabridge.usage;
 
+import java.util.Map;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
-import org.magnoliabridge.platform.StoreRequest;
 
 /** What {@link UsageCore} orders. */
 public sealed interface UsageEffect {
@@ -21,10 +23,12 @@
     /**
      * Report a window to the platform, unless it is too late.
      *
+     * @param requests each team's requests in the window itself
      * @param sendBeforeMs if the first byte was not written by then, the result is not confirmed
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Report(long tag, WindowId window, byte[] body, FencingToken fencing, long sendBeforeMs)
+    record Report(
+            long tag, WindowId window, byte[] body, Map<TeamId, Long> requests, FencingToken fencing, long sendBeforeMs)
             implements UsageEffect {}
 
     /** All counts of this node are with its peers and the leader; it may stop. */
--- a/library/src/main/java/org/magnoliabridge/usage/UsageInput.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageInput.java
@@ -2,17 +2,27 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
-import org.magnoliabridge.platform.StoreReply;
 
 /** What {@link UsageCore} is told. */
 public sealed interface UsageInput {
-    /** This node has delivered a request. */
-    record Delivered(TeamId team, Count count) implements UsageInput {}
+    /**
+     * This node has delivered a request.
+     *
+     * @param atMs wall-clock time to which the request belongs, if it is not the present
+     */
+    record Delivered(TeamId team, Count count, OptionalLong atMs) implements UsageInput {
+        /** A request that belongs to the present. */
+        public Delivered(TeamId team, Count count) {
+            this(team, count, OptionalLong.empty());
+        }
+    }
 
     /** Another node's counts; the body is that of a usage counts frame. */
     @SuppressWarnings("ArrayRecordComponent")
--- a/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
@@ -9,12 +9,13 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
 
 /**
  * Seals windows one after the other and reports what is sealed, while this node holds the usage lease.
@@ -23,11 +24,6 @@
  * both believe they are in charge compute carried counts from the same past, and create-if-absent picks one record.
  */
 final class UsageSealer {
-    static final long GRACE_MS = 10_000;
-
-    /** Time in which the other nodes send a new holder their counts, before it seals anything. */
-    static final long SETTLE_MS = 8_000;
-
     /** For how many windows late counts are carried; older ones appear only in the reconciliation. */
     static final long CARRY_WINDOWS = 24;
 
@@ -41,7 +37,7 @@
     private record Head(long first, long reported) {}
 
     private final CounterTable table;
-    private final long windowMs;
+    private final UsageTimes times;
     private final Set<Mechanism> mechanisms;
     private final SortedMap<Long, byte[]> unreported = new TreeMap<>();
     private final SortedMap<CounterId, Count> included = new TreeMap<>();
@@ -67,9 +63,9 @@
     private long reportMs;
     private long reportNotBeforeMs = Long.MIN_VALUE;
 
-    UsageSealer(CounterTable table, long windowMs, Set<Mechanism> mechanisms) {
+    UsageSealer(CounterTable table, UsageTimes times, Set<Mechanism> mechanisms) {
         this.table = table;
-        this.windowMs = windowMs;
+        this.times = times;
         this.mechanisms = mechanisms;
     }
 
@@ -120,7 +116,8 @@
             store(new StoreRequest.Read(key(next)), nowMs, effects);
         } else if (writtenHead != null) {
             store(new StoreRequest.Write(HEAD, headVersion, encode(writtenHead)), nowMs, effects);
-        } else if (nowMs >= (next + 1) * windowMs + GRACE_MS && nowMs >= heldSinceMs + SETTLE_MS) {
+        } else if (nowMs >= (next + 1) * times.windowMs() + times.graceMs()
+                && nowMs >= heldSinceMs + times.settleMs()) {
             long expected = mechanisms.contains(Mechanism.CREATE_IF_ABSENT) ? ObjectStore.ABSENT : -1;
             store(new StoreRequest.Write(key(next), expected, build().encode()), nowMs, effects);
         }
@@ -173,7 +170,7 @@
             case StoreReply.NotFound none -> {
                 if (isHead) {
                     // The chain starts with the oldest window that this node knows counts of.
-                    long current = nowMs / windowMs;
+                    long current = nowMs / times.windowMs();
                     long first = table.counts().isEmpty()
                             ? current
                             : Math.min(
@@ -260,7 +257,16 @@
         byte[] body = mechanisms.contains(Mechanism.REPORT_FROM_SEALED_RECORD)
                 ? unreported.get(window)
                 : new SealedWindow(new WindowId(window), table.of(new WindowId(window)), new TreeMap<>()).encode();
-        effects.add(new UsageEffect.Report(reportTag, new WindowId(window), body, fencing, sendUntilMs));
+        effects.add(
+                new UsageEffect.Report(reportTag, new WindowId(window), body, requests(body), fencing, sendUntilMs));
+    }
+
+    private static Map<TeamId, Long> requests(byte[] record) {
+        try {
+            return SealedWindow.decode(record).requests();
+        } catch (MalformedUsageException e) {
+            throw new IllegalStateException("a record that was read before can be read again", e);
+        }
     }
 
     void reported(long replyTag, UsageInput.ReportResult result, long nowMs, List<UsageEffect> effects) {
--- a/library/src/main/java/org/magnoliabridge/wire/FrameType.java
+++ b/library/src/main/java/org/magnoliabridge/wire/FrameType.java
@@ -11,7 +11,9 @@
     USAGE_COUNTS(7),
     USAGE_ACK(8),
     STEP_NUDGE(9),
-    LEAVING(10);
+    LEAVING(10),
+    CALL(11),
+    ANSWER(12);
 
     private final int number;
 
--- a/library/src/test/java/org/magnoliabridge/bundle/BundleFleet.java
+++ b/library/src/test/java/org/magnoliabridge/bundle/BundleFleet.java
@@ -11,12 +11,12 @@
 import java.util.Queue;
 import java.util.Set;
 import org.magnoliabridge.bundle.BundleCore.Checks;
+import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.BundleVersion;
 import org.magnoliabridge.ids.KeyId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.keys.KeyTable;
 import org.magnoliabridge.keys.TeamKey;
-import org.magnoliabridge.platform.StoreReply;
 
 /** Cores of several nodes on a virtual clock, an operator, and a checker that knows only what the operator did. */
 final class BundleFleet {
--- a/library/src/test/java/org/magnoliabridge/bundle/FaultTable.java
+++ b/library/src/test/java/org/magnoliabridge/bundle/FaultTable.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.TreeMap;
+import org.magnoliabridge.sim.BuildFolder;
 
 /** Gathers the results of the fault tests in a file. */
 final class FaultTable {
@@ -16,6 +16,6 @@
         StringBuilder text = new StringBuilder("fault | checks | result\n");
         ROWS.forEach(
                 (key, value) -> text.append(key).append(" | ").append(value).append('\n'));
-        Files.writeString(Path.of("target", "fault-matrix-bundles.txt"), text);
+        Files.writeString(BuildFolder.file("fault-matrix-bundles.txt"), text);
     }
 }
--- a/library/src/test/java/org/magnoliabridge/bundle/MemoryStore.java
+++ b/library/src/test/java/org/magnoliabridge/bundle/MemoryStore.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
 
 /** An object API in memory; one write, chosen by its number, can go wrong. */
 final class MemoryStore implements ObjectStore {
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -114,6 +114,7 @@
                 Map.of("content-type", JSON, "authorization", "Bearer secret", "x-other", "secret"),
                 "{}".getBytes(StandardCharsets.UTF_8),
                 idempotent,
+                PlainRequest.DEFAULT_ATTEMPTS,
                 fixture.deadline(),
                 new RequestId("r1"),
                 CallFixture.noTrace());
--- a/library/src/test/java/org/magnoliabridge/platform/BudgetedStoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/external/BudgetedStoreTest.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -20,7 +20,7 @@
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.magnoliabridge.platform.StoreRequest.Priority;
+import org.magnoliabridge.external.StoreRequest.Priority;
 
 @Timeout(20)
 class BudgetedStoreTest {
--- a/library/src/test/java/org/magnoliabridge/platform/HttpObjectStoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/external/HttpObjectStoreTest.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
--- a/library/src/test/java/org/magnoliabridge/platform/MemoryStore.java
+++ b/library/src/test/java/org/magnoliabridge/external/MemoryStore.java
@@ -1,4 +1,4 @@
-package org.magnoliabridge.platform;
+package org.magnoliabridge.external;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
@@ -128,8 +128,7 @@
     void refusesAnAnswerOverTheLimit() {
         answer = OK + "Content-Length: 5\r\n\r\nhello";
         HttpCall call = HttpCall.get(target(), "/");
-        HttpCall limited =
-                new HttpCall(call.method(), call.target(), "/", call.headers(), call.body(), call.limits(), 4, false);
+        HttpCall limited = call.withMaxAnswerBytes(4);
         assertThrows(HttpFailure.TooLarge.class, () -> caller.call(limited));
     }
 
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -8,14 +8,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.external.MemoryStore;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
-import org.magnoliabridge.platform.MemoryStore;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.PlatformException;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRunner;
 
 class LeaseCoreTest {
     private static final ObjectKey KEY = new ObjectKey("leases/endpoints");
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCores.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCores.java
@@ -2,9 +2,9 @@
 
 import java.util.EnumSet;
 import java.util.Set;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
-import org.magnoliabridge.platform.ObjectKey;
 
 /** Creates lease cores with one mechanism switched off, for tests of other packages. */
 public final class LeaseCores {
--- a/library/src/test/java/org/magnoliabridge/ledger/LedgerCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/ledger/LedgerCoreTest.java
@@ -11,17 +11,17 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ledger.LedgerEffect.Reason;
 import org.magnoliabridge.ledger.ShardImage.MalformedShardException;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
-import org.magnoliabridge.platform.StoredObject;
 
 class LedgerCoreTest {
     private final LedgerCore core = new LedgerCore(new NodeId("n1"), new Incarnation(0), 1);
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipSimulationTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipSimulationTest.java
@@ -8,13 +8,13 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.TreeMap;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliabridge.sim.BuildFolder;
 
 /** Runs 9 to 340 cores on a virtual clock against the targets of section 1; prints what it measured. */
 class MembershipSimulationTest {
@@ -47,7 +47,7 @@
         StringBuilder text = new StringBuilder();
         REPORT.forEach(
                 (what, value) -> text.append(what).append(": ").append(value).append('\n'));
-        Files.writeString(Path.of("target", "membership-simulation.txt"), text);
+        Files.writeString(BuildFolder.file("membership-simulation.txt"), text);
         System.out.print(text);
     }
 
--- a/library/src/test/java/org/magnoliabridge/orders/CapacityCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/CapacityCoreTest.java
@@ -9,18 +9,18 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.EndpointOrder.Kind;
+import org.magnoliabridge.sim.BuildFolder;
 
 class CapacityCoreTest {
     private static final long[] SEEDS = {11, 12};
@@ -48,8 +48,7 @@
                 assertThat(name, core.service(), greaterThan(cheap.service()));
             }
         }
-        Files.createDirectories(Path.of("target"));
-        Files.writeString(Path.of("target", "capacity-comparison.txt"), table, StandardCharsets.UTF_8);
+        Files.writeString(BuildFolder.file("capacity-comparison.txt"), table, StandardCharsets.UTF_8);
         System.out.print(table);
     }
 
--- a/library/src/test/java/org/magnoliabridge/orders/CapacityTrace.java
+++ b/library/src/test/java/org/magnoliabridge/orders/CapacityTrace.java
@@ -4,9 +4,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.EndpointOrder.Kind;
 
 /** A day of demand with reclaim events, the same for every policy that is run over it. */
 final class CapacityTrace {
--- a/library/src/test/java/org/magnoliabridge/orders/EndpointOrderSenderTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/EndpointOrderSenderTest.java
@@ -6,15 +6,15 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.HttpEndpointOrders;
+import org.magnoliabridge.external.ScriptedCaller;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.ServiceId;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.HttpEndpointOrders;
-import org.magnoliabridge.platform.ScriptedCaller;
 
 class EndpointOrderSenderTest {
     private static final OrdersEffect.Send SEND = new OrdersEffect.Send(
--- a/library/src/test/java/org/magnoliabridge/orders/FaultMatrixTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/FaultMatrixTest.java
@@ -17,10 +17,11 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.sim.BuildFolder;
 
 /** Runs leases and orders through every fault at every effect, and shows that the checker can fail. */
 class FaultMatrixTest {
-    private static final Path TABLE = Path.of("target", "fault-matrix-orders.txt");
+    private static final Path TABLE = BuildFolder.file("fault-matrix-orders.txt");
     private static final String NONE = "none";
     private static final int PAIRS = 3_000;
     private static final long SEED = 20_261_204;
--- a/library/src/test/java/org/magnoliabridge/orders/Fleet.java
+++ b/library/src/test/java/org/magnoliabridge/orders/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
+import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseView;
@@ -52,13 +53,13 @@
     void add(String service, int count, boolean sampler) {
         for (int i = 0; i < count; i++) {
             EndpointId id = new EndpointId(service + (sampler ? "-s" : "-i") + i);
-            engines.put(id, new WeightsInput.Engine(id, new ServiceId(service), sampler));
+            engines.put(id, new WeightsInput.Engine(id, new ServiceId(service), new ModelId(service), sampler));
             versions.put(id, 1L);
         }
     }
 
     void publish(String service, long version) {
-        tell(new WeightsInput.Newest(new ServiceId(service), new WeightVersion(version)));
+        tell(new WeightsInput.Newest(new ModelId(service), new WeightVersion(version)));
     }
 
     void run(long untilMs) {
@@ -83,7 +84,8 @@
 
     private void report() {
         tell(new WeightsInput.Engines(List.copyOf(engines.values())));
-        versions.forEach((id, version) -> tell(new WeightsInput.Reported(id, new WeightVersion(version))));
+        versions.forEach((id, version) ->
+                tell(new WeightsInput.Reported(id, engines.get(id).model(), new WeightVersion(version))));
         at(nowMs + REPORT_MS, this::report);
     }
 
@@ -106,7 +108,9 @@
         refusedPermits += granted ? 0 : 1;
         WeightsInput.PermitOutcome outcome =
                 granted ? WeightsInput.PermitOutcome.GRANTED : WeightsInput.PermitOutcome.RATE_LIMITED;
-        at(nowMs + LATENCY_MS, () -> tell(new WeightsInput.Permit(take.engine(), take.version(), outcome, 1_000)));
+        at(
+                nowMs + LATENCY_MS,
+                () -> tell(new WeightsInput.Permit(take.engine(), take.model(), take.version(), outcome, 1_000)));
     }
 
     private void load(WeightsEffect.Load load) {
@@ -115,7 +119,9 @@
         loading.add(id);
         checkQuarter(engines.get(id).service());
         checkSamplersFirst(engines.get(id));
-        at(nowMs + LATENCY_MS, () -> tell(new WeightsInput.Sent(load.orderId(), id, OrderOutcome.ACCEPTED)));
+        at(
+                nowMs + LATENCY_MS,
+                () -> tell(new WeightsInput.Sent(load.orderId(), id, load.model(), OrderOutcome.ACCEPTED)));
         at(nowMs + LOAD_MS, () -> {
             loading.remove(id);
             if (!broken.contains(id)) {
--- a/library/src/test/java/org/magnoliabridge/orders/OrdersChecker.java
+++ b/library/src/test/java/org/magnoliabridge/orders/OrdersChecker.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.StoredObject;
 
 /** Checks the world from its records alone: the store's history, the orders that took effect, and the clock. */
 final class OrdersChecker {
--- a/library/src/test/java/org/magnoliabridge/orders/WeightsCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/WeightsCoreTest.java
@@ -12,11 +12,12 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
-import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseView;
 
 class WeightsCoreTest {
+    private static final ModelId MODEL = new ModelId("coachgen");
     private static final WeightsSettings SETTINGS = WeightsSettings.forRate(60, 20);
 
     /** Guards the target of 16 s at 600 samplers, here with a store of 60 loads/s and swaps of 2 s. */
@@ -51,12 +52,12 @@
         fleet.broken.add(broken);
         fleet.run(60_000);
         assertThat(fleet.ordersByEngine.get(broken), is(4));
-        assertThat(fleet.heard, hasItem(new WeightsEffect.TakeOut(broken, new WeightVersion(2))));
+        assertThat(fleet.heard, hasItem(new WeightsEffect.TakeOut(broken, MODEL, new WeightVersion(2))));
         assertThat(fleet.countAt(2), is(7L));
         fleet.broken.clear();
         fleet.publish("coachgen", 3);
         fleet.run(120_000);
-        assertThat(fleet.heard, hasItem(new WeightsEffect.PutBack(broken)));
+        assertThat(fleet.heard, hasItem(new WeightsEffect.PutBack(broken, MODEL)));
         assertThat(fleet.countAt(3), is(8L));
     }
 
@@ -68,7 +69,7 @@
             fleet.broken.add(new EndpointId("coachgen-s" + i));
         }
         fleet.run(200_000);
-        assertThat(fleet.heard, hasItem(new WeightsEffect.Halted(new ServiceId("coachgen"), new WeightVersion(2))));
+        assertThat(fleet.heard, hasItem(new WeightsEffect.Halted(MODEL, new WeightVersion(2))));
         long out = fleet.heard.stream()
                 .filter(WeightsEffect.TakeOut.class::isInstance)
                 .count();
--- a/library/src/test/java/org/magnoliabridge/orders/World.java
+++ b/library/src/test/java/org/magnoliabridge/orders/World.java
@@ -12,6 +12,12 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.magnoliabridge.external.EndpointOrder;
+import org.magnoliabridge.external.MemoryStore;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.FencingToken;
@@ -21,12 +27,6 @@
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseCores;
 import org.magnoliabridge.lease.LeaseEffect;
-import org.magnoliabridge.platform.EndpointOrder;
-import org.magnoliabridge.platform.MemoryStore;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
-import org.magnoliabridge.platform.StoreRunner;
 
 /** Three processes, an object store and an order interface on a virtual clock, with faults at numbered effects. */
 final class World {
--- a/library/src/test/java/org/magnoliabridge/rollout/RolloutChecker.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RolloutChecker.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.StoredObject;
 
 /** Judges a world by the lines that a trainer sees, the JSON of step heads and the engine's own record. */
 final class RolloutChecker {
--- a/library/src/test/java/org/magnoliabridge/rollout/RunnerCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/rollout/RunnerCoreTest.java
@@ -8,15 +8,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.RunId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
 import org.magnoliabridge.sim.SimStore;
 
 class RunnerCoreTest {
--- a/library/src/test/java/org/magnoliabridge/sim/FaultMatrix.java
+++ b/library/src/test/java/org/magnoliabridge/sim/FaultMatrix.java
@@ -91,7 +91,7 @@
         out.append(String.format("%-44s %7s %10s%n", "effect / fault", "cells", "violations"));
         cells.forEach((name, n) -> out.append(String.format("%-44s %7d %10d%n", name, n[0], n[1])));
         failures.forEach(f -> out.append(f).append('\n'));
-        Path path = Path.of("target", file);
+        Path path = BuildFolder.file(file);
         Files.createDirectories(path.getParent());
         Files.writeString(path, out);
     }
--- a/library/src/test/java/org/magnoliabridge/sim/SimStore.java
+++ b/library/src/test/java/org/magnoliabridge/sim/SimStore.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.ObjectStore;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
 
 /** The object API in memory; an expected version of -1 writes unconditionally, for cores with a mechanism off. */
 public final class SimStore {
--- a/library/src/test/java/org/magnoliabridge/sim/SimWorld.java
+++ b/library/src/test/java/org/magnoliabridge/sim/SimWorld.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
 
 /** Virtual time, hosts that crash and pause, and numbered effects that a fault plan may disturb. */
 public abstract class SimWorld {
--- a/library/src/test/java/org/magnoliabridge/usage/UsageChecker.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageChecker.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.StoredObject;
 
 /** Judges a world by the deliveries that it made, the JSON of sealed windows and the reports that arrived. */
 final class UsageChecker {
--- a/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
@@ -30,7 +30,7 @@
     private static final TeamId TEAM = new TeamId("t");
     private static final WindowId FIRST = new WindowId(0);
     private final SimStore store = new SimStore();
-    private final UsageCore core = new UsageCore(new NodeId("n1"), new Incarnation(3), WINDOW_MS);
+    private final UsageCore core = new UsageCore(new NodeId("n1"), new Incarnation(3), UsageTimes.ofWindow(WINDOW_MS));
     private final List<UsageEffect> effects = new ArrayList<>();
 
     /** Guards against reports after the lease's margin, when another node may already report. */
--- a/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
@@ -6,11 +6,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.TeamId;
-import org.magnoliabridge.platform.ObjectKey;
 import org.magnoliabridge.sim.Fault;
 import org.magnoliabridge.sim.SimWorld;
 
@@ -109,7 +109,8 @@
         }
 
         private void start() {
-            core = new UsageCore(new NodeId("n" + number), new Incarnation(++starts), WINDOW_MS, mechanisms);
+            core = new UsageCore(
+                    new NodeId("n" + number), new Incarnation(++starts), UsageTimes.ofWindow(WINDOW_MS), mechanisms);
             handedOver = false;
             draining = false;
             host.every(200, () -> handle(new UsageInput.Tick()));
--- a/standins/src/main/java/org/magnoliabridge/measure/LeaseCalls.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/LeaseCalls.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseEffect;
 import org.magnoliabridge.lease.LeaseSettings;
-import org.magnoliabridge.platform.ObjectKey;
 
 /** Store calls of leases with a holder and one more candidate each. */
 final class LeaseCalls implements Measurement {
--- a/standins/src/main/java/org/magnoliabridge/measure/MemoryObjects.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/MemoryObjects.java
@@ -2,10 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.magnoliabridge.platform.ObjectKey;
-import org.magnoliabridge.platform.StoreReply;
-import org.magnoliabridge.platform.StoreRequest;
-import org.magnoliabridge.platform.StoredObject;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
 
 /** Answers reads and conditional writes from memory and counts them. */
 final class MemoryObjects {
--- a/standins/src/main/java/org/magnoliabridge/measure/UsageWindowBytes.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/UsageWindowBytes.java
@@ -3,15 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.TeamId;
-import org.magnoliabridge.platform.StoreRequest;
 import org.magnoliabridge.usage.Count;
 import org.magnoliabridge.usage.UsageCore;
 import org.magnoliabridge.usage.UsageEffect;
 import org.magnoliabridge.usage.UsageInput;
+import org.magnoliabridge.usage.UsageTimes;
 
 /** Size of the largest object that sealing one window writes, with 10 teams active on all nodes. */
 final class UsageWindowBytes implements Measurement {
@@ -31,7 +32,7 @@
     /** The leader, which holds the usage lease all the time. */
     private static final class Leader {
         private final UsageInput.Peer peer = new UsageInput.Peer(new NodeId("leader"), new Incarnation(1));
-        private final UsageCore core = new UsageCore(peer.node(), peer.incarnation(), WINDOW_MS);
+        private final UsageCore core = new UsageCore(peer.node(), peer.incarnation(), UsageTimes.ofWindow(WINDOW_MS));
         private final MemoryObjects store = new MemoryObjects();
         private int largest;
 
@@ -51,7 +52,7 @@
         }
 
         private void report(NodeId node) {
-            UsageCore sender = new UsageCore(node, new Incarnation(1), WINDOW_MS);
+            UsageCore sender = new UsageCore(node, new Incarnation(1), UsageTimes.ofWindow(WINDOW_MS));
             sender.handle(new UsageInput.Peers(List.of(peer), Optional.of(peer)), WINDOW_MS);
             List<UsageEffect> effects = new ArrayList<>();
             for (int team = 0; team < TEAMS; team++) {
