--- a/library/src/main/java/org/magnoliabridge/gateway/TeamKeys.java
+++ b/library/src/main/java/org/magnoliabridge/gateway/TeamKeys.java
@@ -10,7 +10,7 @@
 import java.util.OptionalInt;
 import org.magnoliabridge.ids.TeamId;
 
-/** Finds the team that holds a key. Keys are kept as SHA-256 digests, so a look-up's time tells nothing of them. */
+/** Finds the team that holds a key; keys are kept as SHA-256 digests. */
 public final class TeamKeys {
     private final Map<ByteBuffer, TeamAccess> teams = new HashMap<>();
 
