--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -2,10 +2,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
+import org.magnoliabridge.batch.BatchInput;
 import org.magnoliabridge.batch.BatchMessages;
 import org.magnoliabridge.batch.BatchMessages.Announcement;
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.RunnerElection;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.telemetry.LogFields;
@@ -22,6 +24,7 @@
     private final PeerCalls peers;
     private final RunnerElection election;
     private final BatchScheduler scheduler;
+    private final MonotonicClock clock;
     private long announcedAtMs;
     private volatile Optional<NodeId> runner = Optional.empty();
 
@@ -30,12 +33,14 @@
             MembershipDriver membership,
             PeerCalls peers,
             RunnerElection election,
-            BatchScheduler scheduler) {
+            BatchScheduler scheduler,
+            MonotonicClock clock) {
         this.self = self;
         this.membership = membership;
         this.peers = peers;
         this.election = election;
         this.scheduler = scheduler;
+        this.clock = clock;
         peers.serve(PeerCalls.Method.ANNOUNCE_RUNNER, (from, body, answer) -> announced(from, body));
     }
 
@@ -50,8 +55,11 @@
     }
 
     /** Takes the time, several times a second. */
-    void tick(long nowMs) {
-        boolean elected = election.members(nowMs, membership.ranked(SCOPE));
+    void tick() {
+        long nowMs = clock.nowMs();
+        boolean allAlive = membership.members().stream()
+                .allMatch(m -> m.isAlive() || m.standing().leaving());
+        boolean elected = election.members(nowMs, membership.ranked(SCOPE), allAlive);
         if (elected) {
             LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node runs the batches from now on");
         }
@@ -80,7 +88,7 @@
     private void announced(NodeId from, byte[] body) {
         try {
             Announcement announcement = BatchMessages.announcement(body);
-            if (election.announced(announcement.runner(), announcement.term())) {
+            if (election.announced(clock.nowMs(), announcement.runner(), announcement.term())) {
                 LOG.atInfo()
                         .with(LogFields.PEER, announcement.runner().value())
                         .with(LogFields.VERSION, announcement.term())
@@ -95,6 +103,7 @@
     private void apply() {
         runner = election.runner();
         if (election.isSelf()) {
+            scheduler.handle(new BatchInput.Exclusive(election.exclusiveSinceMs(clock.nowMs())));
             scheduler.activate();
         } else {
             scheduler.deactivate();
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -118,7 +118,8 @@
                 cluster.membership(),
                 cluster.peers(),
                 new RunnerElection(context.settings().nodeId(), context.clock().nowMs()),
-                scheduler);
+                scheduler,
+                context.clock());
         duties = closer.register(new GatewayDuties(context, cluster, weights));
         serve(dispatcher, new BatchFront(context, cluster.peers(), role, scheduler, stored));
         follow();
@@ -256,11 +257,10 @@
     }
 
     private void tick() {
-        long nowMs = context.clock().nowMs();
         fleet.tick();
         cluster.tick();
         if (!draining) {
-            role.tick(nowMs);
+            role.tick();
         }
         duties.tick(role.isSelf() && !draining, scheduler.open());
         scheduler.handle(new BatchInput.Tick());
--- a/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
@@ -1,9 +1,11 @@
 package org.magnoliabridge.batch;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.external.StoreRequest;
@@ -23,6 +25,7 @@
 
     private final BatchHead head;
     private final List<byte[]> parts;
+    private final Set<BatchMechanism> mechanisms;
     private int written;
     private boolean readHead;
     private boolean mayExist;
@@ -31,6 +34,11 @@
     private long notBeforeMs = Long.MIN_VALUE;
 
     public Acceptance(BatchHead head, List<BatchItem> items) {
+        this(head, items, EnumSet.allOf(BatchMechanism.class));
+    }
+
+    Acceptance(BatchHead head, List<BatchItem> items, Set<BatchMechanism> mechanisms) {
+        this.mechanisms = mechanisms;
         this.parts = parts(items);
         this.head = Objects.requireNonNull(head).withParts(parts.size());
     }
@@ -47,7 +55,7 @@
 
     /** Returns whether the batch may have been accepted, so that it must not be refused as not run. */
     public boolean undecided() {
-        return mayExist && accepted.isEmpty();
+        return mayExist && accepted.isEmpty() && mechanisms.contains(BatchMechanism.UNDECIDED);
     }
 
     /** Returns the request to make now; empty while a pause lasts or once the batch is accepted. */
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.BatchId;
@@ -38,7 +40,8 @@
     private final LongSupplier wallClock;
     private final TranscriptBank bank = new TranscriptBank();
     private final Placement placement = new Placement();
-    private final BatchReads reads = new BatchReads();
+    private final BatchReads reads;
+    private final Set<BatchMechanism> mechanisms;
     private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
     private final Map<ItemRunId, Run> runs = new HashMap<>();
     private final Map<Long, RunningBatch> requests = new HashMap<>();
@@ -56,6 +59,12 @@
      * @param wallClock milliseconds since the epoch
      */
     public BatchCore(String runner, LongSupplier wallClock) {
+        this(runner, wallClock, EnumSet.allOf(BatchMechanism.class));
+    }
+
+    BatchCore(String runner, LongSupplier wallClock, Set<BatchMechanism> mechanisms) {
+        this.mechanisms = mechanisms;
+        this.reads = new BatchReads(mechanisms.contains(BatchMechanism.CURRENT_CHECK));
         this.runner = Objects.requireNonNull(runner);
         this.wallClock = Objects.requireNonNull(wallClock);
     }
@@ -66,6 +75,7 @@
             case BatchInput.Open open -> open(nowMs, open);
             case BatchInput.End end -> end(nowMs, end.batch());
             case BatchInput.Dismissed dismissed -> dismiss();
+            case BatchInput.Exclusive exclusive -> reads.exclusive(exclusive.sinceMs());
             case BatchInput.Routes now -> routes = now.services();
             case BatchInput.Engines now -> placement.replaceEngines(now.engines());
             case BatchInput.RunEnded ended -> runEnded(nowMs, ended);
@@ -78,8 +88,8 @@
             }
         }
         place(nowMs);
-        append(nowMs);
         reads.proceed(nowMs, effects);
+        append(nowMs);
         List<BatchEffect> taken = List.copyOf(effects);
         effects.clear();
         return taken;
@@ -117,7 +127,10 @@
         if (batches.containsKey(head.id())) {
             return;
         }
-        ResultLog log = new ResultLog(head.id(), runner, !open.fresh());
+        ResultLog log = new ResultLog(head.id(), runner, !open.fresh(), mechanisms);
+        if (open.fresh() && reads.isExclusive()) {
+            log.setCurrent(nowMs);
+        }
         RunningBatch batch = new RunningBatch(head, open.items(), bank, log);
         batches.put(head.id(), batch);
         long started = batch.items().stream()
@@ -174,11 +187,11 @@
                 ended.outcome().toString(),
                 item.transcript.lastEvent(),
                 nowMs - run.startedMs()));
-        settle(nowMs, run, ended.outcome());
+        settle(nowMs, run, ended.outcome(), !ended.events().isEmpty());
         bank.keep(nowMs, item.item, item.transcript);
     }
 
-    private void settle(long nowMs, Run run, RunOutcome outcome) {
+    private void settle(long nowMs, Run run, RunOutcome outcome, boolean progressed) {
         RunningBatch batch = run.batch();
         RunningItem item = run.item();
         switch (outcome) {
@@ -194,7 +207,14 @@
             case RunOutcome.Refused refused -> retry(nowMs, item, run.engine());
             case RunOutcome.Unreachable unreachable -> retry(nowMs, item, run.engine());
             case RunOutcome.Stale stale -> retry(nowMs, item, run.engine());
-            case RunOutcome.Broken broken -> item.avoided.add(run.engine());
+            case RunOutcome.Broken broken -> {
+                // A run that has brought the text forward goes on elsewhere at once.
+                if (progressed) {
+                    item.avoided.add(run.engine());
+                } else {
+                    retry(nowMs, item, run.engine());
+                }
+            }
             case RunOutcome.Stopped stopped -> {}
         }
     }
@@ -279,7 +299,7 @@
         runs.put(id, new Run(id, batch, item, endpoint, nowMs));
         placement.began(endpoint);
         long limitMs = Math.max(1, head.giveUpAtMs() - wallClock.getAsLong());
-        long lastEvent = item.transcript.lastEvent();
+        long lastEvent = mechanisms.contains(BatchMechanism.RESUME) ? item.transcript.lastEvent() : 0;
         effects.add(new BatchEffect.StartRun(new ItemRun(id, head, item.item, engine.endpoint(), lastEvent, limitMs)));
         log(new BatchEvent.Placed(head.id(), item.item.id(), endpoint, lastEvent, waiting));
     }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -11,6 +11,7 @@
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.wire.BoundedReader;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -44,7 +45,7 @@
     }
 
     private interface Unpacking<T> {
-        T unpack(MessageUnpacker unpacker) throws IOException, InvalidIdException, MalformedBatchException;
+        T unpack(BoundedReader reader) throws IOException, InvalidIdException, MalformedBatchException;
     }
 
     /** Packs an offer. */
@@ -61,11 +62,12 @@
 
     /** Unpacks an offer. */
     public static Offer offer(byte[] body) throws MalformedBatchException {
-        return unpacked(body, unpacker -> {
-            BatchHead head = BatchCodec.head(binary(unpacker));
-            boolean fresh = unpacker.unpackBoolean();
-            Optional<List<BatchItem>> items =
-                    unpacker.unpackBoolean() ? Optional.of(BatchCodec.items(binary(unpacker))) : Optional.empty();
+        return unpacked(body, reader -> {
+            BatchHead head = BatchCodec.head(reader.binary());
+            boolean fresh = reader.unpacker().unpackBoolean();
+            Optional<List<BatchItem>> items = reader.unpacker().unpackBoolean()
+                    ? Optional.of(BatchCodec.items(reader.binary()))
+                    : Optional.empty();
             return new Offer(head, fresh, items);
         });
     }
@@ -77,7 +79,7 @@
 
     /** Unpacks a batch's id. */
     public static BatchId batch(byte[] body) throws MalformedBatchException {
-        return unpacked(body, unpacker -> BatchId.parse(unpacker.unpackString()));
+        return unpacked(body, reader -> BatchId.parse(reader.text()));
     }
 
     /** Packs an announcement. */
@@ -88,7 +90,9 @@
     /** Unpacks an announcement. */
     public static Announcement announcement(byte[] body) throws MalformedBatchException {
         return unpacked(
-                body, unpacker -> new Announcement(NodeId.parse(unpacker.unpackString()), unpacker.unpackLong()));
+                body,
+                reader -> new Announcement(
+                        NodeId.parse(reader.text()), reader.unpacker().unpackLong()));
     }
 
     /** Packs a read request. */
@@ -102,12 +106,12 @@
 
     /** Unpacks a read request. */
     public static ReadRequest read(byte[] body) throws MalformedBatchException {
-        return unpacked(body, unpacker -> {
-            BatchId batch = BatchId.parse(unpacker.unpackString());
-            TeamId team = TeamId.parse(unpacker.unpackString());
-            int after = unpacker.unpackInt();
-            long waitMs = unpacker.unpackLong();
-            String item = unpacker.unpackString();
+        return unpacked(body, reader -> {
+            BatchId batch = BatchId.parse(reader.text());
+            TeamId team = TeamId.parse(reader.text());
+            int after = reader.unpacker().unpackInt();
+            long waitMs = reader.unpacker().unpackLong();
+            String item = reader.text();
             return new ReadRequest(
                     batch, team, after, waitMs, item.isEmpty() ? Optional.empty() : Optional.of(ItemId.parse(item)));
         });
@@ -136,16 +140,16 @@
 
     /** Unpacks an answer. */
     public static ReadAnswer answer(byte[] body) throws MalformedBatchException {
-        return unpacked(body, unpacker -> switch (unpacker.unpackInt()) {
+        return unpacked(body, reader -> switch (reader.unpacker().unpackInt()) {
             case RESULTS -> {
-                int total = unpacker.unpackInt();
+                int total = reader.unpacker().unpackInt();
                 List<ItemResult> results = new ArrayList<>();
-                for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
-                    results.add(result(unpacker));
+                for (int left = reader.unpacker().unpackArrayHeader(); left > 0; left--) {
+                    results.add(result(reader));
                 }
                 yield new ReadAnswer.Results(total, results);
             }
-            case BODY -> new ReadAnswer.Body(binary(unpacker));
+            case BODY -> new ReadAnswer.Body(reader.binary());
             case MISSING -> new ReadAnswer.Missing();
             default -> new ReadAnswer.Unsure();
         });
@@ -159,13 +163,13 @@
         }
     }
 
-    private static ItemResult result(MessageUnpacker unpacker) throws IOException, InvalidIdException {
-        ItemId item = ItemId.parse(unpacker.unpackString());
-        boolean completed = unpacker.unpackBoolean();
-        String text = unpacker.unpackString();
+    private static ItemResult result(BoundedReader reader) throws IOException, InvalidIdException {
+        ItemId item = ItemId.parse(reader.text());
+        boolean completed = reader.unpacker().unpackBoolean();
+        String text = reader.text();
         List<WeightVersion> versions = new ArrayList<>();
-        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
-            versions.add(new WeightVersion(unpacker.unpackLong()));
+        for (int left = reader.unpacker().unpackArrayHeader(); left > 0; left--) {
+            versions.add(new WeightVersion(reader.unpacker().unpackLong()));
         }
         return new ItemResult(item, completed, text, versions);
     }
@@ -175,10 +179,6 @@
         packer.writePayload(bytes);
     }
 
-    private static byte[] binary(MessageUnpacker unpacker) throws IOException {
-        return unpacker.readPayload(unpacker.unpackBinaryHeader());
-    }
-
     private static byte[] packed(Packing packing) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packing.pack(packer);
@@ -190,7 +190,7 @@
 
     private static <T> T unpacked(byte[] body, Unpacking<T> unpacking) throws MalformedBatchException {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
-            return unpacking.unpack(unpacker);
+            return unpacking.unpack(new BoundedReader(unpacker, body.length));
         } catch (IOException | InvalidIdException | MessagePackException | IllegalArgumentException e) {
             throw new MalformedBatchException("message of a node about batches cannot be read", e);
         }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchReads.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchReads.java
@@ -4,13 +4,39 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
-/** Readers that wait for results. */
+/**
+ * Readers that wait for results.
+ *
+ * <p>A reader may be told that there is nothing at a position only by a log that is current: another runner may have
+ * listed more, and somebody may have read it.
+ */
 final class BatchReads {
+    // A position must be shown at every node within a second of its first showing.
+    private static final long MAX_AGE_MS = 600;
+
     private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
+    private final boolean checking;
+    private OptionalLong exclusiveSinceMs = OptionalLong.empty();
+
+    /** Creates an empty list; without checking, a log counts as current at any time. */
+    BatchReads(boolean checking) {
+        this.checking = checking;
+    }
 
     private record Waiting(BatchInput.Read read, RunningBatch batch, long untilMs) {}
 
+    /** Takes since when no other node can be a runner. */
+    void exclusive(OptionalLong sinceMs) {
+        exclusiveSinceMs = sinceMs;
+    }
+
+    /** Returns whether the log of a batch that was accepted just now is current without a look into the store. */
+    boolean isExclusive() {
+        return exclusiveSinceMs.isPresent();
+    }
+
     /** Answers a read at once if there is a result, else when there is one or the wait is over. */
     void add(long nowMs, BatchInput.Read read, RunningBatch batch, List<BatchEffect> effects) {
         Waiting reader = new Waiting(read, batch, nowMs + read.waitMs());
@@ -46,12 +72,23 @@
         }
         List<ItemResult> listed = batch.log().listed();
         boolean complete = batch.isListed() || batch.head().ended();
-        if (listed.size() <= reader.read().after() && !late && !complete) {
-            return false;
+        if (listed.size() <= reader.read().after()) {
+            if (!late && !complete) {
+                return false;
+            }
+            if (!isCurrent(nowMs, batch.log())) {
+                batch.log().check();
+                return false;
+            }
         }
         ReadAnswer page = ReadAnswer.Results.page(
                 batch.head().items(), listed, reader.read().after());
         effects.add(new BatchEffect.Answer(reader.read().ticket(), page));
         return true;
     }
+
+    private boolean isCurrent(long nowMs, ResultLog log) {
+        boolean exclusive = exclusiveSinceMs.isPresent() && log.currentAtMs() >= exclusiveSinceMs.getAsLong();
+        return !checking || exclusive || log.currentAtMs() >= nowMs - MAX_AGE_MS;
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.batch;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,17 +26,23 @@
     // An object takes at most 1 MiB, and JSON escapes make a text longer.
     private static final int MAX_SEGMENT_CHARS = 400_000;
     private static final long RETRY_MS = 100;
+    // Writes whatever is there; only for a log with its mechanism switched off.
+    private static final long ANY = -1;
 
     private final BatchId batch;
     private final String writerPrefix;
+    private final Set<BatchMechanism> mechanisms;
     private final List<ItemResult> listed = new ArrayList<>();
     private final Set<ItemId> listedItems = new HashSet<>();
     private final Map<ItemId, ItemResult> waiting = new LinkedHashMap<>();
     private int nextSegment;
     private boolean loading;
-    private boolean readBack;
+    // Segments are read until one is absent: at the start, after a conflict or a lost answer, and on request.
+    private boolean reading;
     private boolean inFlight;
     private Optional<ResultSegment> append = Optional.empty();
+    private long sentAtMs;
+    private long currentAtMs = Long.MIN_VALUE;
     private long notBeforeMs = Long.MIN_VALUE;
 
     /**
@@ -45,9 +52,30 @@
      * @param loading whether earlier segments are read before anything is appended
      */
     ResultLog(BatchId batch, String writerPrefix, boolean loading) {
+        this(batch, writerPrefix, loading, EnumSet.allOf(BatchMechanism.class));
+    }
+
+    ResultLog(BatchId batch, String writerPrefix, boolean loading, Set<BatchMechanism> mechanisms) {
+        this.mechanisms = mechanisms;
         this.batch = Objects.requireNonNull(batch);
         this.writerPrefix = Objects.requireNonNull(writerPrefix);
         this.loading = loading;
+        this.reading = loading;
+    }
+
+    /** Returns the latest time at which nothing was listed in the store that is not listed here. */
+    long currentAtMs() {
+        return currentAtMs;
+    }
+
+    /** Takes it for certain that the log is current at a time: no other runner can have appended. */
+    void setCurrent(long atMs) {
+        currentAtMs = Math.max(currentAtMs, atMs);
+    }
+
+    /** Reads the store for segments of another runner, unless a request is on its way that tells as much. */
+    void check() {
+        reading |= !inFlight && append.isEmpty();
     }
 
     /** Returns the results whose positions are fixed, in order. */
@@ -88,17 +116,17 @@
         if (inFlight || nowMs < notBeforeMs) {
             return Optional.empty();
         }
-        if (loading || readBack) {
-            inFlight = true;
+        if (reading) {
+            send(nowMs);
             return Optional.of(new StoreRequest.Read(BatchKeys.results(batch, nextSegment)));
         }
         if (append.isEmpty() && flush && !waiting.isEmpty()) {
             append = Optional.of(takeSegment());
         }
         return append.map(segment -> {
-            inFlight = true;
-            return new StoreRequest.Write(
-                    BatchKeys.results(batch, nextSegment), ObjectStore.ABSENT, BatchCodec.segment(segment));
+            send(nowMs);
+            long expected = mechanisms.contains(BatchMechanism.CREATE_SEGMENT_IF_ABSENT) ? ObjectStore.ABSENT : ANY;
+            return new StoreRequest.Write(BatchKeys.results(batch, nextSegment), expected, BatchCodec.segment(segment));
         });
     }
 
@@ -108,6 +136,7 @@
         return switch (reply) {
             case StoreReply.Written written -> {
                 list(append.orElseThrow().results());
+                currentAtMs = sentAtMs;
                 yield true;
             }
             case StoreReply.Found found -> {
@@ -117,15 +146,20 @@
             case StoreReply.NotFound absent -> {
                 // Nothing is listed beyond here, or the lost append has not taken effect so far.
                 loading = false;
-                readBack = false;
+                reading = false;
+                currentAtMs = sentAtMs;
                 yield false;
             }
             case StoreReply.Conflict conflict -> {
-                readBack = true;
+                reading = true;
                 yield false;
             }
             case StoreReply.Unknown unknown -> {
-                readBack = true;
+                if (append.isPresent() && !reading && !mechanisms.contains(BatchMechanism.READ_BACK)) {
+                    list(append.get().results());
+                    yield true;
+                }
+                reading = true;
                 notBeforeMs = nowMs + RETRY_MS;
                 yield false;
             }
@@ -137,6 +171,11 @@
         };
     }
 
+    private void send(long nowMs) {
+        inFlight = true;
+        sentAtMs = nowMs;
+    }
+
     private ResultSegment takeSegment() {
         List<ItemResult> results = new ArrayList<>();
         int chars = 0;
@@ -153,7 +192,6 @@
 
     // Results of an append that lost against another runner's segment go back and are filtered by what was listed.
     private void list(List<ItemResult> results) {
-        readBack = false;
         nextSegment++;
         for (ItemResult result : results) {
             if (listedItems.add(result.item())) {
--- a/library/src/main/java/org/magnoliabridge/wire/FrameCodec.java
+++ b/library/src/main/java/org/magnoliabridge/wire/FrameCodec.java
@@ -4,7 +4,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Arrays;
 import org.magnoliabridge.ids.InvalidIdException;
@@ -101,11 +100,11 @@
                 throw new FrameException(FrameException.Reason.MALFORMED);
             }
             FrameType type = type(unpacker.unpackInt());
-            NodeId sender = NodeId.parse(new String(
-                    payload(unpacker, unpacker.unpackRawStringHeader(), MAX_ID_BYTES), StandardCharsets.UTF_8));
+            BoundedReader reader = new BoundedReader(unpacker, array.length);
+            NodeId sender = NodeId.parse(reader.text(MAX_ID_BYTES));
             long requestId = unpacker.unpackLong();
             long sequence = unpacker.unpackLong();
-            byte[] body = payload(unpacker, unpacker.unpackBinaryHeader(), array.length);
+            byte[] body = reader.binary();
             if (unpacker.hasNext()) {
                 throw new FrameException(FrameException.Reason.MALFORMED);
             }
@@ -120,13 +119,6 @@
         }
     }
 
-    private static byte[] payload(MessageUnpacker unpacker, int length, int max) throws IOException {
-        if (length > max) {
-            throw new FrameException(FrameException.Reason.MALFORMED);
-        }
-        return unpacker.readPayload(length);
-    }
-
     private static FrameType type(int number) throws FrameException {
         for (FrameType type : FrameType.values()) {
             if (type.number() == number) {
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
@@ -0,0 +1,88 @@
+package org.magnoliabridge.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.batch.BatchMessages.Offer;
+import org.magnoliabridge.batch.BatchMessages.ReadRequest;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.WeightVersion;
+
+class BatchMessagesTest {
+    /** Guards against a text that comes out changed, whatever characters it has. */
+    @Property(tries = 300)
+    void answerSurvivesTheWay(@ForAll String text, @ForAll boolean completed) throws MalformedBatchException {
+        ItemResult result = new ItemResult(
+                new ItemId("i"), completed, valid(text), List.of(new WeightVersion(2), new WeightVersion(3)));
+        ReadAnswer answer = new ReadAnswer.Results(40, List.of(result));
+        assertThat(BatchMessages.answer(BatchMessages.pack(answer)), is(answer));
+        ResultSegment segment = new ResultSegment("n1-0", List.of(result));
+        assertThat(BatchCodec.segment(BatchCodec.segment(segment)), is(segment));
+    }
+
+    /** Guards against bytes of another node that end the process, or are taken for a message. */
+    @Property(tries = 1_000)
+    void arbitraryBytesAreRefused(@ForAll byte[] bytes) {
+        assertThrowsOrReads(() -> BatchMessages.answer(bytes));
+        assertThrowsOrReads(() -> BatchMessages.offer(bytes));
+        assertThrowsOrReads(() -> BatchMessages.read(bytes));
+        assertThrowsOrReads(() -> BatchMessages.announcement(bytes));
+        assertThrowsOrReads(() -> BatchCodec.head(bytes));
+        assertThrowsOrReads(() -> BatchCodec.items(bytes));
+    }
+
+    /** Guards against an offer that loses a part of the batch. */
+    @Test
+    void offerSurvivesTheWay() throws MalformedBatchException {
+        BatchHead head = Batches.head("b", 2, 3, true);
+        Offer offer = new Offer(head, true, Optional.of(Batches.items("a", 2)));
+        Offer read = BatchMessages.offer(BatchMessages.pack(offer));
+        assertThat(read.head(), is(head));
+        assertThat(read.fresh(), is(true));
+        assertThat(
+                read.items()
+                        .orElseThrow()
+                        .get(1)
+                        .sameRequest(Batches.items("a", 2).get(1)),
+                is(true));
+        assertThat(
+                BatchMessages.offer(BatchMessages.pack(new Offer(head, false, Optional.empty())))
+                        .items(),
+                is(Optional.empty()));
+    }
+
+    /** Guards against reads of the wrong position or item. */
+    @Test
+    void readSurvivesTheWay() throws MalformedBatchException {
+        ReadRequest read = new ReadRequest(new BatchId("b"), Batches.TEAM, 12, 1_000, Optional.of(new ItemId("i")));
+        assertThat(BatchMessages.read(BatchMessages.pack(read)), is(read));
+        byte[] cut = Arrays.copyOf(BatchMessages.pack(read), 5);
+        assertThrows(MalformedBatchException.class, () -> BatchMessages.read(cut));
+    }
+
+    // A text that is not valid Unicode cannot come from an engine, whose bytes are decoded first.
+    private static String valid(String text) {
+        return new String(
+                text.getBytes(java.nio.charset.StandardCharsets.UTF_8), java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private interface Reading {
+        void read() throws MalformedBatchException;
+    }
+
+    private static void assertThrowsOrReads(Reading reading) {
+        try {
+            reading.read();
+        } catch (MalformedBatchException e) {
+            assertThat(e.getMessage() != null, is(true));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/Batches.java
@@ -0,0 +1,82 @@
+package org.magnoliabridge.batch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliabridge.gateway.BatchTerms;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.GroupId;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.RouteId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.routing.Endpoint;
+
+/** Batches, items and engines for tests. */
+final class Batches {
+    static final RouteId ROUTE = new RouteId("flake-rollout");
+    static final ServiceId SERVICE = new ServiceId("coachgen");
+    static final ModelId MODEL = new ModelId("m0");
+    static final TeamId TEAM = new TeamId("oak");
+
+    private Batches() {}
+
+    static BatchHead head(String id, int items, long minVersion, boolean singleVersion) {
+        return new BatchHead(
+                new BatchId(id),
+                TEAM,
+                ROUTE,
+                "rollouts.example",
+                Optional.of(MODEL),
+                Optional.of(new WeightVersion(minVersion)),
+                1,
+                new BatchTerms(7_500, 40_000, singleVersion),
+                3,
+                0,
+                items,
+                1,
+                false);
+    }
+
+    static BatchHead head(String id, int items) {
+        return head(id, items, 1, false);
+    }
+
+    /** Returns items of groups of two, named after the batch or, for items that come again, after the prefix. */
+    static List<BatchItem> items(String prefix, int count) {
+        List<BatchItem> items = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            items.add(item(prefix + "-" + i, prefix + "-g" + i / 2, 0));
+        }
+        return items;
+    }
+
+    static BatchItem item(String id, String group, long expectedTokens) {
+        return new BatchItem(
+                new ItemId(id),
+                new GroupId(group),
+                "/rollouts/" + id,
+                Map.of("X-Model", "m0"),
+                ("prompt of " + id).getBytes(StandardCharsets.UTF_8),
+                940,
+                expectedTokens);
+    }
+
+    static EngineState engine(String id, int slots, long version) {
+        return new EngineState(endpoint(id), slots, Map.of(MODEL, new WeightVersion(version)));
+    }
+
+    static Endpoint endpoint(String id) {
+        return new Endpoint(new EndpointId(id), SERVICE, new DataCentre("trent"), "10.0.0.1:8080");
+    }
+
+    static Transcript.Event event(long number, String data, long version) {
+        return new Transcript.Event(number, data, new WeightVersion(version));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/fleet/FleetCoreTest.java
@@ -0,0 +1,93 @@
+package org.magnoliabridge.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.fleet.FleetInput.Entry;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.routing.Endpoint;
+
+class FleetCoreTest {
+    private static final long OUTAGE_MS = 5_000;
+
+    private final FleetCore core = new FleetCore();
+
+    /** Guards against work for an endpoint whose entry is gone while the store is well. */
+    @Test
+    void removalTakesEffectAtOnce() {
+        core.on(0, new FleetInput.Listed(1, List.of(present("a"), present("b"))));
+        core.on(1_000, new FleetInput.Changed(2, List.of(gone("a"))));
+        assertThat(ids(), contains("b"));
+    }
+
+    /** Guards against a fleet that is unusable after an outage, because its entries lapsed meanwhile. */
+    @Test
+    void entriesThatLapsedInAnOutageStayUntilTheyMustBeBack() {
+        core.on(0, new FleetInput.Listed(1, List.of(present("a"), present("b"))));
+        core.on(100, new FleetInput.Unreachable());
+        core.on(OUTAGE_MS, new FleetInput.Listed(9, List.of()));
+        assertThat(ids(), contains("a", "b"));
+        core.on(OUTAGE_MS + 500, new FleetInput.Changed(10, List.of(present("a"))));
+        core.on(OUTAGE_MS + FleetCore.RETURN_GRACE_MS - 1, new FleetInput.Tick());
+        assertThat(ids(), contains("a", "b"));
+        core.on(OUTAGE_MS + FleetCore.RETURN_GRACE_MS, new FleetInput.Tick());
+        assertThat(ids(), contains("a"));
+    }
+
+    /** Guards against an endpoint that was leaving before the outage and is kept for its lapse. */
+    @Test
+    void leavingEndpointIsNotKept() {
+        core.on(0, new FleetInput.Listed(1, List.of(leaving("a"))));
+        core.on(OUTAGE_MS, new FleetInput.Listed(9, List.of()));
+        assertThat(ids(), is(empty()));
+    }
+
+    /** Guards against news that are none: listeners act on each change. */
+    @Test
+    void sameEntryIsNoChange() {
+        assertThat(core.on(0, new FleetInput.Listed(1, List.of(present("a")))), is(true));
+        assertThat(core.on(100, new FleetInput.Changed(2, List.of(present("a")))), is(false));
+        assertThat(core.on(200, new FleetInput.Changed(3, List.of(leaving("a")))), is(true));
+        assertThat(core.ageMs(300), is(100L));
+    }
+
+    /** Guards against an entry that cannot be read and still names an endpoint. */
+    @Test
+    void unreadableEntryNamesNoEndpoint() {
+        core.on(0, new FleetInput.Listed(1, List.of(present("a"), gone("b"))));
+        core.on(100, new FleetInput.Changed(2, Arrays.asList(gone("a"))));
+        assertThat(ids(), is(empty()));
+    }
+
+    private List<String> ids() {
+        return core.endpoints().stream().map(e -> e.endpoint().id().value()).toList();
+    }
+
+    private static Entry present(String id) {
+        return new Entry(new EndpointId(id), Optional.of(endpoint(id, false)));
+    }
+
+    private static Entry leaving(String id) {
+        return new Entry(new EndpointId(id), Optional.of(endpoint(id, true)));
+    }
+
+    private static Entry gone(String id) {
+        return new Entry(new EndpointId(id), Optional.empty());
+    }
+
+    private static FleetEndpoint endpoint(String id, boolean draining) {
+        Endpoint endpoint =
+                new Endpoint(new EndpointId(id), new ServiceId("s"), new DataCentre("trent"), "10.0.0.1:80");
+        return new FleetEndpoint(endpoint, 6, draining, Map.of(), 0, false, OptionalLong.empty());
+    }
+}
