--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.magnoliabridge.batch.BatchCore;
@@ -166,21 +167,18 @@
     }
 
     private void observe(Endpoint endpoint, RunOutcome outcome) {
-        Observation seen = switch (outcome) {
-            case RunOutcome.Completed completed -> Observation.ANSWERED;
-            case RunOutcome.Impossible impossible -> Observation.ANSWERED;
-            case RunOutcome.Unreachable unreachable -> Observation.UNREACHABLE;
-            case RunOutcome.Refused refused when refused.leaving() -> Observation.DRAINING;
-            case RunOutcome.Failed failed -> Observation.FAULTY_ANSWER;
-            case RunOutcome.Broken broken -> Observation.FAULTY_ANSWER;
-            case RunOutcome.Refused refused -> null;
-            case RunOutcome.Stale stale -> null;
-            case RunOutcome.Stopped stopped -> null;
+        Optional<Observation> observation = switch (outcome) {
+            case RunOutcome.Completed completed -> Optional.of(Observation.ANSWERED);
+            case RunOutcome.Impossible impossible -> Optional.of(Observation.ANSWERED);
+            case RunOutcome.Unreachable unreachable -> Optional.of(Observation.UNREACHABLE);
+            case RunOutcome.Failed failed -> Optional.of(Observation.FAULTY_ANSWER);
+            case RunOutcome.Broken broken -> Optional.of(Observation.FAULTY_ANSWER);
+            case RunOutcome.Refused refused -> refused.leaving() ? Optional.of(Observation.DRAINING) : Optional.empty();
+            case RunOutcome.Stale stale -> Optional.empty();
+            case RunOutcome.Stopped stopped -> Optional.empty();
         };
-        if (seen != null) {
-            dispatcher.post(
-                    new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), seen)));
-        }
+        observation.ifPresent(seen -> dispatcher.post(
+                new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), seen))));
     }
 
     private void load() {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/Retirements.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Retirements.java
@@ -10,9 +10,7 @@
 import org.magnoliabridge.external.ObjectWatch;
 import org.magnoliabridge.external.PlatformException;
 
-/**
- * Answers requests to empty an instance with a disk. Nothing is kept on the disks, so each request is completed at once.
- */
+/** Completes each request to empty an instance with a disk at once, because nothing is kept on the disks. */
 final class Retirements implements ObjectWatch.Listener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long RETRY_MS = 500;
