Make store calls of a node that the store turns away through another node

Change: a call that the store refuses, or does not answer, is made through another node over the peer protocol, with the same condition; a write of unknown outcome is never repeated on the other way. The store is probed with one call a period.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -33,7 +33,9 @@
                         .with(LogFields.BATCH, e.batch().value())
                         .with(LogFields.ITEM, e.item().value())
                         .with(LogFields.ENDPOINT, e.endpoint().value())
-                        .log("item placed after event %d, waiting %d", e.lastEvent(), e.waiting());
+                        .log(
+                                "item placed after event %d, expected tokens %d, waiting %d",
+                                e.lastEvent(), e.expectedTokens(), e.waiting());
             case BatchEvent.RunEnded e -> {
                 metrics.timer("batch.run_time").update(e.tookMs(), TimeUnit.MILLISECONDS);
                 LOG.atInfo()
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
@@ -9,6 +9,7 @@
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.external.Backoff;
 import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.StorePath;
 import org.magnoliabridge.external.StoreRunner;
 
 /**
@@ -16,7 +17,9 @@
  *
  * @param wallClock milliseconds since the epoch, for what outlives the process
  * @param random used on the control thread only
- * @param budget the platform's object store within this node's limits
+ * @param objects the platform's object store, by way of another node while it does not serve this one
+ * @param path whether the store serves this node
+ * @param budget the object store within this node's limits
  * @param store runs the store requests of decision cores
  * @param joined what the node learned when it joined
  */
@@ -29,6 +32,8 @@
         MetricRegistry metrics,
         Spans spans,
         ControlLoop loop,
+        RelayedStore objects,
+        StorePath path,
         BudgetedStore budget,
         StoreRunner store,
         NodeRegistry.Joined joined) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -31,6 +31,7 @@
 import org.magnoliabridge.external.Backoff;
 import org.magnoliabridge.external.BudgetedStore;
 import org.magnoliabridge.external.ObjectWatch;
+import org.magnoliabridge.external.StorePath;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.fleet.FleetEndpoint;
@@ -80,8 +81,8 @@
     private static final long END_BEFORE_KILL_MS = 800;
     // Far above what a node needs; bounds its part of the store's rates while the store is slow.
     private static final int STORE_CALLS = 32;
-    // Fifty times the store's usual answer is 200 ms; a silent connection costs a call this long.
-    private static final long STORE_DEADLINE_MS = 1_000;
+    // Room for a call that gets no answer from the store and is then made through another node.
+    private static final long STORE_DEADLINE_MS = 1_600;
 
     private final GatewayContext context;
     private final Closer closer;
@@ -110,6 +111,13 @@
         fleet = new FleetDriver(context, dispatcher);
         config = new ConfigFollower(context, policy);
         cluster = new GatewayCluster(context, closer);
+        context.objects()
+                .relayBy(new StoreRelay(
+                        context.settings().nodeId(),
+                        cluster.membership(),
+                        cluster.peers(),
+                        context.platform().objects(),
+                        context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
         BatchCore core = new BatchCore(context.processName(), context.wallClock());
         scheduler = new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored);
@@ -151,7 +159,10 @@
         ControlLoop loop = closer.register(new ControlLoop("control"));
         HttpCaller http = closer.register(new UndertowHttpCaller(1));
         GatewayPlatform platform = platforms.apply(http);
-        BudgetedStore budget = new BudgetedStore(platform.objects(), STORE_CALLS, STORE_DEADLINE_MS, metrics);
+        MonotonicClock clock = MonotonicClock.system();
+        StorePath path = new StorePath();
+        RelayedStore objects = new RelayedStore(platform.objects(), path, clock);
+        BudgetedStore budget = new BudgetedStore(objects, STORE_CALLS, STORE_DEADLINE_MS, metrics);
         Random random = new Random(new SecureRandom().nextLong());
         Backoff backoff = GatewayContext.newBackoff(new Random(random.nextLong()));
         NodeRegistry.Joined joined = new NodeRegistry(budget.at(Priority.DECISION), backoff)
@@ -161,12 +172,14 @@
         return new GatewayContext(
                 settings,
                 platform,
-                MonotonicClock.system(),
+                clock,
                 System::currentTimeMillis,
                 random,
                 metrics,
                 new TracerSpans(Tracing.none().tracer()),
                 loop,
+                objects,
+                path,
                 budget,
                 new StoreRunner(budget, loop),
                 joined);
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
@@ -0,0 +1,213 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreMessages;
+import org.magnoliabridge.external.StorePath;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoreRunner;
+import org.magnoliabridge.external.StoredObject;
+
+/**
+ * The object store, by way of another node while the store does not serve this one.
+ *
+ * <p>A write of which it is not known whether it took effect is never repeated on the other way: its caller settles it
+ * by reading.
+ */
+final class RelayedStore implements ObjectStore {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final int MAX_WATCH_FAILURES = 2;
+
+    private final ObjectStore direct;
+    private final AtomicInteger watchFailures = new AtomicInteger();
+    private final StorePath path;
+    private final MonotonicClock clock;
+    private volatile Optional<Relay> relay = Optional.empty();
+
+    /** Makes calls through another node. */
+    interface Relay {
+        /** Makes a call, or throws {@link PlatformException} if no node gave a reply. */
+        StoreMessages.Result call(StoreMessages.Call call, long waitMs) throws PlatformException;
+    }
+
+    private interface DirectCall<T> {
+        T run() throws PlatformException;
+    }
+
+    private interface RelayedCall<T> {
+        T run(Relay through) throws PlatformException;
+    }
+
+    RelayedStore(ObjectStore direct, StorePath path, MonotonicClock clock) {
+        this.direct = direct;
+        this.path = path;
+        this.clock = clock;
+    }
+
+    /** Sets the way through other nodes, once this node has joined them. */
+    void relayBy(Relay through) {
+        relay = Optional.of(through);
+    }
+
+    @Override
+    public Optional<StoredObject> read(ObjectKey key) throws PlatformException {
+        return call(() -> direct.read(key), through -> {
+            StoreReply reply = reply(through, new StoreRequest.Read(key));
+            return switch (reply) {
+                case StoreReply.Found found -> Optional.of(found.object());
+                case StoreReply.NotFound absent -> Optional.empty();
+                default -> throw failure(reply, key, ABSENT);
+            };
+        });
+    }
+
+    @Override
+    public long write(ObjectKey key, long expectedVersion, byte[] value) throws PlatformException {
+        return call(() -> direct.write(key, expectedVersion, value), through -> {
+            StoreReply reply = reply(through, new StoreRequest.Write(key, expectedVersion, value));
+            if (reply instanceof StoreReply.Written written) {
+                return written.version();
+            }
+            throw failure(reply, key, expectedVersion);
+        });
+    }
+
+    @Override
+    public void delete(ObjectKey key, long expectedVersion) throws PlatformException {
+        boolean done = call(
+                () -> {
+                    direct.delete(key, expectedVersion);
+                    return true;
+                },
+                through -> {
+                    StoreReply reply = reply(through, new StoreRequest.Delete(key, expectedVersion));
+                    if (reply instanceof StoreReply.Written) {
+                        return true;
+                    }
+                    throw failure(reply, key, expectedVersion);
+                });
+        LOG.atFine().log("object %s deleted: %b", key, done);
+    }
+
+    @Override
+    public Listing list(String prefix) throws PlatformException {
+        return call(() -> direct.list(prefix), through -> listing(reply(through, new StoreRequest.List(prefix))));
+    }
+
+    @Override
+    public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
+        DirectCall<Listing> here = () -> direct.watch(prefix, sinceRevision, waitMs);
+        if (!path.isAway()) {
+            return watchHere(here);
+        }
+        return call(here, through -> {
+            StoreMessages.Call watch = new StoreMessages.Call.Watch(prefix, sinceRevision, waitMs);
+            return switch (through.call(watch, waitMs)) {
+                case StoreMessages.Result.TooOld tooOld -> throw new PlatformException.RevisionTooOld(sinceRevision);
+                case StoreMessages.Result.Replied replied -> listing(replied.reply());
+            };
+        });
+    }
+
+    // The store may cut a watch while it serves all other calls, so only repeated failures say that it is not there.
+    private Listing watchHere(DirectCall<Listing> watch) throws PlatformException {
+        try {
+            Listing changes = watch.run();
+            watchFailures.set(0);
+            return changes;
+        } catch (PlatformException.Unavailable | PlatformException.RateLimited e) {
+            if (watchFailures.incrementAndGet() >= MAX_WATCH_FAILURES) {
+                turnedAway(e);
+            }
+            throw e;
+        }
+    }
+
+    private <T> T call(DirectCall<T> direct, RelayedCall<T> relayed) throws PlatformException {
+        Optional<Relay> through = relay;
+        if (through.isPresent() && path.choose(clock.nowMs()) == StorePath.Way.RELAYED) {
+            return relayed.run(through.get());
+        }
+        try {
+            T result = direct.run();
+            served();
+            return result;
+        } catch (PlatformException.Unavailable | PlatformException.RateLimited e) {
+            turnedAway(e);
+            if (through.isEmpty()) {
+                throw e;
+            }
+            return relayed.run(through.get());
+        } catch (PlatformException.OutcomeUnknown e) {
+            turnedAway(e);
+            throw e;
+        } catch (PlatformException e) {
+            served();
+            throw e;
+        }
+    }
+
+    private void served() {
+        if (path.served()) {
+            LOG.atInfo().log("the object store serves this node again");
+        }
+    }
+
+    private void turnedAway(PlatformException cause) {
+        if (path.turnedAway(clock.nowMs())) {
+            LOG.atWarning().withCause(cause).log("the object store does not serve this node; asking others");
+        }
+    }
+
+    private static StoreReply reply(Relay through, StoreRequest request) throws PlatformException {
+        return switch (through.call(new StoreMessages.Call.Request(request), 0)) {
+            case StoreMessages.Result.Replied replied -> replied.reply();
+            case StoreMessages.Result.TooOld tooOld ->
+                throw new PlatformException.Malformed("the reply belongs to a watch", null);
+        };
+    }
+
+    private static Listing listing(StoreReply reply) throws PlatformException {
+        if (reply instanceof StoreReply.Listed listed) {
+            return listed.listing();
+        }
+        throw new PlatformException.Unavailable("the other node could not list either", null);
+    }
+
+    private static PlatformException failure(StoreReply reply, ObjectKey key, long expectedVersion) {
+        return switch (reply) {
+            case StoreReply.Conflict conflict -> new PlatformException.VersionConflict(key, expectedVersion);
+            case StoreReply.Unknown unknown ->
+                new PlatformException.OutcomeUnknown("the other node got no answer either", null);
+            default -> new PlatformException.Unavailable("the other node could not reach the store either", null);
+        };
+    }
+
+    /** Performs a call of another node at the store itself. */
+    static StoreMessages.Result perform(ObjectStore store, StoreMessages.Call call) {
+        return switch (call) {
+            case StoreMessages.Call.Request request ->
+                new StoreMessages.Result.Replied(StoreRunner.perform(store, request.request()));
+            case StoreMessages.Call.Watch watch -> watch(store, watch);
+        };
+    }
+
+    private static StoreMessages.Result watch(ObjectStore store, StoreMessages.Call.Watch watch) {
+        try {
+            Listing changes = store.watch(watch.prefix(), watch.sinceRevision(), watch.waitMs());
+            return new StoreMessages.Result.Replied(new StoreReply.Listed(changes));
+        } catch (PlatformException.RevisionTooOld e) {
+            return new StoreMessages.Result.TooOld();
+        } catch (PlatformException e) {
+            LOG.atInfo().withCause(e).log("watch of %s for another node failed", watch.prefix());
+            return new StoreMessages.Result.Replied(new StoreReply.Unavailable());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
@@ -0,0 +1,104 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.StoreMessages;
+import org.magnoliabridge.external.StorePath;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Makes store calls through other nodes, and makes theirs. */
+final class StoreRelay implements RelayedStore.Relay {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // When the store is out for all nodes, every call would ask each of them.
+    private static final int MAX_NODES = 2;
+    private static final long CALL_LIMIT_MS = 450;
+
+    private final NodeId self;
+    private final MembershipDriver membership;
+    private final PeerCalls peers;
+
+    /**
+     * Starts to serve other nodes.
+     *
+     * @param direct the store itself; calls of others are never passed on to a third node
+     * @param path whether the store serves this node
+     */
+    StoreRelay(NodeId self, MembershipDriver membership, PeerCalls peers, ObjectStore direct, StorePath path) {
+        this.self = self;
+        this.membership = membership;
+        this.peers = peers;
+        peers.serve(PeerCalls.Method.STORE_CALL, (from, body, answer) -> {
+            if (path.isAway()) {
+                answer.accept(StoreMessages.pack(new StoreMessages.Result.Replied(new StoreReply.Unavailable())));
+            } else {
+                serve(direct, from, body, answer);
+            }
+        });
+    }
+
+    @Override
+    public StoreMessages.Result call(StoreMessages.Call call, long waitMs) throws PlatformException {
+        byte[] body = StoreMessages.pack(call);
+        for (NodeId node : others()) {
+            try {
+                byte[] answer = peers.call(node, PeerCalls.Method.STORE_CALL, body, waitMs + CALL_LIMIT_MS)
+                        .get();
+                StoreMessages.Result result = StoreMessages.result(answer);
+                boolean refused = result instanceof StoreMessages.Result.Replied replied
+                        && replied.reply() instanceof StoreReply.Unavailable;
+                if (!refused) {
+                    return result;
+                }
+            } catch (ExecutionException e) {
+                LOG.atInfo()
+                        .withCause(e.getCause())
+                        .with(LogFields.PEER, node.value())
+                        .log("no reply for a store call");
+                if (isChange(call)) {
+                    throw new PlatformException.OutcomeUnknown("the node that made the call did not reply", e);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new PlatformException.OutcomeUnknown("interrupted while another node makes the call", e);
+            }
+        }
+        throw new PlatformException.Unavailable("no other node reaches the store", null);
+    }
+
+    private static boolean isChange(StoreMessages.Call call) {
+        return call instanceof StoreMessages.Call.Request request
+                && (request.request() instanceof StoreRequest.Write
+                        || request.request() instanceof StoreRequest.Delete);
+    }
+
+    private List<NodeId> others() {
+        List<NodeId> alive = new ArrayList<>(membership.members().stream()
+                .filter(Member::isAlive)
+                .map(Member::id)
+                .filter(id -> !id.equals(self))
+                .toList());
+        Collections.shuffle(alive, ThreadLocalRandom.current());
+        return alive.subList(0, Math.min(MAX_NODES, alive.size()));
+    }
+
+    private static void serve(ObjectStore direct, NodeId from, byte[] body, Consumer<byte[]> answer) {
+        Thread.ofVirtual().name("store-relay").start(() -> {
+            try {
+                answer.accept(StoreMessages.pack(RelayedStore.perform(direct, StoreMessages.call(body))));
+            } catch (PlatformException.Malformed e) {
+                LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("store call cannot be read");
+            }
+        });
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -301,7 +301,7 @@
         long limitMs = Math.max(1, head.giveUpAtMs() - wallClock.getAsLong());
         long lastEvent = mechanisms.contains(BatchMechanism.RESUME) ? item.transcript.lastEvent() : 0;
         effects.add(new BatchEffect.StartRun(new ItemRun(id, head, item.item, engine.endpoint(), lastEvent, limitMs)));
-        log(new BatchEvent.Placed(head.id(), item.item.id(), endpoint, lastEvent, waiting));
+        log(new BatchEvent.Placed(head.id(), item.item.id(), endpoint, lastEvent, item.item.expectedTokens(), waiting));
     }
 
     private void append(long nowMs) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
@@ -16,7 +16,8 @@
     record Closed(BatchId batch, int listed, int items, String reason) implements BatchEvent {}
 
     /** An item was sent to an engine. */
-    record Placed(BatchId batch, ItemId item, EndpointId endpoint, long lastEvent, int waiting) implements BatchEvent {}
+    record Placed(BatchId batch, ItemId item, EndpointId endpoint, long lastEvent, long expectedTokens, int waiting)
+            implements BatchEvent {}
 
     /** A run of an item ended. */
     record RunEnded(BatchId batch, ItemId item, EndpointId endpoint, String outcome, long lastEvent, long tookMs)
