Move runs off slow and silent engines, let stragglers go on for the next batch, and plan a step by its groups

Cause: on tkhq steps were decided by stragglers. An engine four times slower kept its runs to their end; a silent one was noticed after 3 s; the runs of the groups that a trainer leaves for its next batch were stopped and started over; their texts were of weights too old for that batch; engines put runs back when their memory was full.

Change: the pace of each engine is compared with the others' and runs that fall behind go on elsewhere after their last event; runs of an ended batch go on for 2.5 s and are taken over by the next one; groups are ranked by their longest item, and those that will come again run on the newest weights; items are spread by the memory that they will hold; two engines load at once; results are appended when they complete what the trainer waits for, else after 0.8 s.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -44,6 +44,14 @@
                         .with(LogFields.ENDPOINT, e.endpoint().value())
                         .log("run ended after %d ms at event %d: %s", e.tookMs(), e.lastEvent(), e.outcome());
             }
+            case BatchEvent.Moved e -> {
+                metrics.counter("batch.moved").inc();
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.ITEM, e.item().value())
+                        .with(LogFields.ENDPOINT, e.endpoint().value())
+                        .log("run moved: %s", e.reason());
+            }
             case BatchEvent.GivenUp e -> {
                 metrics.counter("batch.given_up").inc();
                 LOG.atInfo()
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.magnoliabridge.batch.BatchCore;
 import org.magnoliabridge.batch.BatchEffect;
@@ -41,11 +42,15 @@
     private final Dispatcher dispatcher;
     private final StoredBatches stored;
     private final BatchLog log;
-    private final Map<ItemRunId, Thread> runs = new ConcurrentHashMap<>();
+    private final Map<ItemRunId, RunningThread> runs = new ConcurrentHashMap<>();
     // Used on the control thread only.
     private final Map<Long, Consumer<ReadAnswer>> tickets = new HashMap<>();
     private long lastTicket;
     private boolean active;
+
+    /** The thread of a run, and the number of events that it has received. */
+    private record RunningThread(Thread thread, AtomicInteger events) {}
+
     private boolean loading;
 
     BatchScheduler(
@@ -93,6 +98,15 @@
         }
     }
 
+    /** Tells the core how far the runs have come; control thread only. */
+    void reportProgress() {
+        if (active && !runs.isEmpty()) {
+            Map<ItemRunId, Integer> progress = new HashMap<>();
+            runs.forEach((id, run) -> progress.put(id, run.events().get()));
+            handle(new BatchInput.Progress(progress));
+        }
+    }
+
     /** Gives the core an input; control thread only. */
     void handle(BatchInput input) {
         if (input instanceof BatchInput.Open && !active) {
@@ -123,9 +137,9 @@
         switch (effect) {
             case BatchEffect.StartRun start -> start(start.run());
             case BatchEffect.StopRun stop -> {
-                Thread run = runs.get(stop.run());
+                RunningThread run = runs.get(stop.run());
                 if (run != null) {
-                    run.interrupt();
+                    run.thread().interrupt();
                 }
             }
             case BatchEffect.Store store ->
@@ -145,16 +159,20 @@
     }
 
     private void start(ItemRun run) {
-        Thread thread = Thread.ofVirtual().name("item-run").unstarted(() -> run(run));
-        runs.put(run.id(), thread);
+        AtomicInteger events = new AtomicInteger();
+        Thread thread = Thread.ofVirtual().name("item-run").unstarted(() -> run(run, events));
+        runs.put(run.id(), new RunningThread(thread, events));
         thread.start();
     }
 
-    private void run(ItemRun run) {
+    private void run(ItemRun run, AtomicInteger count) {
         List<Transcript.Event> events = new ArrayList<>();
         RunOutcome outcome;
         try {
-            outcome = engines.run(run, events::add);
+            outcome = engines.run(run, event -> {
+                events.add(event);
+                count.incrementAndGet();
+            });
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log(
                     "run of item %s failed unexpectedly", run.item().id());
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -10,7 +11,9 @@
 import org.magnoliabridge.external.ObjectWatch;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseSettings;
 import org.magnoliabridge.orders.EngineLoadSender;
@@ -81,6 +84,16 @@
         return usage;
     }
 
+    /** Returns the newest weights that are named, as far as this node follows them; control thread only. */
+    Map<ModelId, WeightVersion> newestWeights() {
+        return weights.newest();
+    }
+
+    /** Returns whether an engine carries out an order of this node; control thread only. */
+    boolean isLoading(EndpointId engine) {
+        return weights.isLoading(engine);
+    }
+
     /** Takes the endpoints; control thread only. */
     void fleetChanged(List<FleetEndpoint> fleet) {
         weights.fleetChanged(fleet);
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -15,6 +15,7 @@
 import org.magnoliabridge.addresses.AddressBook;
 import org.magnoliabridge.batch.BatchCore;
 import org.magnoliabridge.batch.BatchInput;
+import org.magnoliabridge.batch.BatchTarget;
 import org.magnoliabridge.batch.EngineState;
 import org.magnoliabridge.batch.RunnerElection;
 import org.magnoliabridge.batch.StoredBatches;
@@ -36,8 +37,10 @@
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.fleet.FleetEndpoint;
 import org.magnoliabridge.gateway.CurrentPolicy;
+import org.magnoliabridge.gateway.EngineLimits;
 import org.magnoliabridge.gateway.GatewayConfig;
 import org.magnoliabridge.gateway.GatewayRoute;
+import org.magnoliabridge.gateway.GatewayService;
 import org.magnoliabridge.gateway.RouteKind;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.UndertowHttpCaller;
@@ -276,6 +279,8 @@
             role.tick();
         }
         duties.tick(role.isSelf() && !draining, scheduler.open());
+        duties.newestWeights().forEach((model, version) -> scheduler.handle(new BatchInput.Newest(model, version)));
+        scheduler.reportProgress();
         scheduler.handle(new BatchInput.Tick());
         boolean known = policy.get().isPresent() && fleet.known();
         if (known && !ready && !draining) {
@@ -286,20 +291,34 @@
         fleetChanged(fleet.endpoints());
     }
 
-    private void configured(GatewayConfig config) {
-        Map<RouteId, ServiceId> routes = new HashMap<>();
-        for (GatewayRoute route : config.routes()) {
+    private void configured(GatewayConfig news) {
+        Map<RouteId, BatchTarget> routes = new HashMap<>();
+        for (GatewayRoute route : news.routes()) {
             if (route.kind() == RouteKind.BATCH) {
-                routes.put(route.id(), route.services().getFirst().service());
+                routes.put(route.id(), target(news, route));
             }
         }
         scheduler.handle(new BatchInput.Routes(routes));
     }
 
+    private static BatchTarget target(GatewayConfig config, GatewayRoute route) {
+        ServiceId service = route.services().getFirst().service();
+        Optional<EngineLimits> engine =
+                Optional.ofNullable(config.services().get(service)).flatMap(GatewayService::engine);
+        return new BatchTarget(
+                service,
+                engine.map(EngineLimits::tokensPerEvent).orElse(1),
+                engine.map(EngineLimits::cacheTokens).orElse(Long.MAX_VALUE));
+    }
+
     private void fleetChanged(List<FleetEndpoint> endpoints) {
         List<EngineState> engines = endpoints.stream()
                 .filter(e -> isChoosable(e.endpoint()))
-                .map(e -> new EngineState(e.endpoint(), e.slots(), weights.of(e)))
+                .map(e -> new EngineState(
+                        e.endpoint(),
+                        e.slots(),
+                        weights.of(e),
+                        duties.isLoading(e.endpoint().id())))
                 .toList();
         scheduler.handle(new BatchInput.Engines(engines));
         duties.fleetChanged(endpoints);
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
@@ -3,12 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.magnoliabridge.external.EngineReports;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.ObjectWatch;
@@ -30,6 +28,8 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // A load takes about a second, and an item that waits for the engine starts with the first report of its end.
     private static final long ASK_MS = 200;
+    // An order without effect for this long is ordered again; the engine is not taken to be loading any more.
+    private static final long LOAD_LIMIT_MS = 4_000;
 
     private final GatewayContext context;
     private final WeightsCore core;
@@ -41,7 +41,8 @@
     private final Map<EndpointId, Endpoint> endpoints = new HashMap<>();
     private final Map<ModelId, WeightVersion> newest = new HashMap<>();
     private final Map<EndpointId, Long> askedAtMs = new HashMap<>();
-    private final Set<EndpointId> loading = new HashSet<>();
+    private final Map<EndpointId, Long> orderedAtMs = new HashMap<>();
+    private final Map<EndpointId, WeightsEffect.Load> loading = new HashMap<>();
 
     WeightRollout(
             GatewayContext context,
@@ -58,6 +59,16 @@
         this.known = known;
     }
 
+    /** Returns the newest version of each model; control thread only. */
+    Map<ModelId, WeightVersion> newest() {
+        return newest;
+    }
+
+    /** Returns whether an engine carries out an order; control thread only. */
+    boolean isLoading(EndpointId engine) {
+        return loading.containsKey(engine);
+    }
+
     /** Takes the endpoints that may be ordered; control thread only. */
     void fleetChanged(List<FleetEndpoint> fleet) {
         List<WeightsInput.Engine> engines = new ArrayList<>();
@@ -71,7 +82,7 @@
                                 e.endpoint().id(), e.endpoint().service(), model, true)));
             }
         }
-        loading.retainAll(endpoints.keySet());
+        loading.keySet().retainAll(endpoints.keySet());
         handle(new WeightsInput.Engines(engines));
         for (FleetEndpoint e : fleet) {
             known.of(e)
@@ -92,7 +103,8 @@
     void tick() {
         handle(new WeightsInput.Tick());
         long nowMs = context.clock().nowMs();
-        for (EndpointId engine : List.copyOf(loading)) {
+        loading.values().removeIf(l -> nowMs - orderedAtMs.getOrDefault(l.engine(), 0L) > LOAD_LIMIT_MS);
+        for (EndpointId engine : List.copyOf(loading.keySet())) {
             if (nowMs - askedAtMs.getOrDefault(engine, 0L) >= ASK_MS) {
                 askedAtMs.put(engine, nowMs);
                 ask(endpoints.get(engine));
@@ -142,11 +154,10 @@
     }
 
     private void reported(Endpoint engine, EngineReports.Report report) {
-        if (!report.busy()) {
-            boolean behind = report.weights().entrySet().stream()
-                    .anyMatch(e -> newest.containsKey(e.getKey())
-                            && newest.get(e.getKey()).isAfter(e.getValue()));
-            if (!behind) {
+        WeightsEffect.Load load = loading.get(engine.id());
+        if (load != null && !report.busy()) {
+            WeightVersion held = report.weights().get(load.model());
+            if (held != null && !load.version().isAfter(held)) {
                 loading.remove(engine.id());
             }
         }
@@ -194,7 +205,8 @@
             sent(load, OrderOutcome.NOT_SENT);
             return;
         }
-        loading.add(load.engine());
+        loading.put(load.engine(), load);
+        orderedAtMs.put(load.engine(), context.clock().nowMs());
         Thread.ofVirtual().name("weight-order").start(() -> {
             OrderOutcome outcome = order(engine, load);
             context.loop().post(() -> sent(load, outcome));
@@ -209,6 +221,9 @@
                 .with(LogFields.FENCING, load.fencing().value())
                 .log("order to load weights: %s", outcome);
         context.metrics().counter("weights.orders." + outcome).inc();
+        if (outcome != OrderOutcome.ACCEPTED && outcome != OrderOutcome.UNKNOWN) {
+            loading.remove(load.engine(), load);
+        }
         handle(new WeightsInput.Sent(load.orderId(), load.engine(), load.model(), outcome));
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
@@ -87,6 +87,7 @@
             ObjectNode headers = node.putObject("headers");
             item.headers().forEach(headers::put);
             node.put("body", item.body());
+            node.put("prompt_tokens", item.promptTokens());
             node.put("tokens", item.tokens());
             node.put("expected_tokens", item.expectedTokens());
         }
@@ -149,6 +150,7 @@
                     text(node, "path"),
                     headers,
                     node.path("body").binaryValue(),
+                    node.path("prompt_tokens").asLong(),
                     node.path("tokens").asLong(),
                     node.path("expected_tokens").asLong());
         } catch (IOException e) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -1,7 +1,6 @@
 package org.magnoliabridge.batch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,8 +13,9 @@
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
-import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.WeightVersion;
 
 /**
  * Runs the batches of a deployment: decides which item goes to which engine and when, appends results to the logs and
@@ -33,25 +33,28 @@
     private static final long RETRY_MS = 50;
     // Retries of an item back off to this while no engine takes it.
     private static final long MAX_RETRY_MS = 1_000;
+    // A run of an ended batch goes on for this long; its group comes again after the trainer's training time.
+    private static final long LINGER_MS = 2_500;
+    // An item waits this long for an engine with the newest weights, which takes a load or two.
+    private static final long NEWEST_WAIT_MS = 2_200;
     // Readers of a batch that has just ended are answered from memory for this long.
     private static final long ENDED_KEPT_MS = 30_000;
 
     private final String runner;
     private final LongSupplier wallClock;
     private final TranscriptBank bank = new TranscriptBank();
-    private final Placement placement = new Placement();
+    private final EnginePace pace = new EnginePace();
+    private final Placement placement = new Placement(pace);
     private final BatchReads reads;
     private final Set<BatchMechanism> mechanisms;
     private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
-    private final Map<ItemRunId, Run> runs = new HashMap<>();
     private final Map<Long, RunningBatch> requests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
-    private Map<RouteId, ServiceId> routes = Map.of();
-    private long lastRun;
+    private final RunBook runs = new RunBook(placement, pace, effects);
+    private final Map<ModelId, WeightVersion> newest = new HashMap<>();
+    private Map<RouteId, BatchTarget> routes = Map.of();
     private long lastRequest;
 
-    private record Run(ItemRunId id, RunningBatch batch, RunningItem item, EndpointId engine, long startedMs) {}
-
     /**
      * Creates a core without batches.
      *
@@ -76,14 +79,18 @@
             case BatchInput.End end -> end(nowMs, end.batch());
             case BatchInput.Dismissed dismissed -> dismiss();
             case BatchInput.Exclusive exclusive -> reads.exclusive(exclusive.sinceMs());
-            case BatchInput.Routes now -> routes = now.services();
+            case BatchInput.Routes now -> routes = now.targets();
             case BatchInput.Engines now -> placement.replaceEngines(now.engines());
+            case BatchInput.Newest named ->
+                newest.merge(named.model(), named.version(), (a, b) -> b.isAfter(a) ? b : a);
+            case BatchInput.Progress progress -> runs.progress(nowMs, progress.events(), this::target);
             case BatchInput.RunEnded ended -> runEnded(nowMs, ended);
             case BatchInput.StoreReplied reply -> storeReplied(nowMs, reply);
             case BatchInput.Read read -> read(nowMs, read);
             case BatchInput.ReadBody body -> readBody(body);
             case BatchInput.Tick tick -> {
                 giveUp(nowMs);
+                stopLingering(nowMs);
                 forget(nowMs);
             }
         }
@@ -131,15 +138,19 @@
         if (open.fresh() && reads.isExclusive()) {
             log.setCurrent(nowMs);
         }
-        RunningBatch batch = new RunningBatch(head, open.items(), bank, log);
+        RunningBatch batch = new RunningBatch(nowMs, head, open.items(), bank, log);
         batches.put(head.id(), batch);
         long started = batch.items().stream()
                 .filter(i -> !i.transcript.events().isEmpty())
                 .count();
         log(new BatchEvent.Opened(head.id(), head.items(), (int) started, open.fresh()));
-        batch.items().stream()
-                .filter(i -> i.transcript.complete())
-                .forEach(i -> batch.finish(nowMs, i, i.transcript.result(i.item.id())));
+        for (RunningItem item : batch.items()) {
+            if (item.transcript.complete()) {
+                batch.finish(nowMs, item, item.transcript.result(item.item.id()));
+            } else {
+                runs.adopt(batch, item);
+            }
+        }
     }
 
     private void end(long nowMs, BatchId id) {
@@ -148,11 +159,36 @@
             return;
         }
         batch.end(nowMs);
-        stopRuns(batch);
+        runs.of(batch).stream().filter(r -> !mayComeAgain(r)).forEach(runs::stop);
         batch.items().forEach(i -> bank.keep(nowMs, i.item, i.transcript));
         log(new BatchEvent.Closed(id, batch.log().listed().size(), batch.head().items(), "ended"));
     }
 
+    // The next batch of a trainer allows the weights from the next version on. A run that fits goes on for a while, in
+    // case its group is asked for again.
+    private static boolean mayComeAgain(Run run) {
+        BatchHead head = run.batch.head();
+        boolean version = run.version.isPresent()
+                && (head.minVersion().isEmpty()
+                        || run.version.get().isAfter(head.minVersion().get()));
+        boolean text = head.minVersion().isEmpty()
+                || run.item.transcript.versions().stream()
+                        .allMatch(v -> v.isAfter(head.minVersion().get()));
+        return version && text && !run.item.finished;
+    }
+
+    private void stopLingering(long nowMs) {
+        for (RunningBatch batch : batches.values()) {
+            if (batch.endedBefore(nowMs - LINGER_MS)) {
+                runs.of(batch).forEach(runs::stop);
+            }
+        }
+    }
+
+    private Optional<BatchTarget> target(RunningBatch batch) {
+        return Optional.ofNullable(routes.get(batch.head().route()));
+    }
+
     private void dismiss() {
         for (RunningBatch batch : batches.values()) {
             stopRuns(batch);
@@ -165,35 +201,34 @@
     }
 
     private void stopRuns(RunningBatch batch) {
-        runs.values().stream()
-                .filter(r -> r.batch() == batch)
-                .forEach(r -> effects.add(new BatchEffect.StopRun(r.id())));
+        runs.of(batch).forEach(runs::stop);
     }
 
     private void runEnded(long nowMs, BatchInput.RunEnded ended) {
-        Run run = runs.remove(ended.run());
-        if (run == null) {
+        Optional<Run> known = runs.ended(ended.run());
+        if (known.isEmpty()) {
             return;
         }
-        placement.ended(run.engine());
-        RunningItem item = run.item();
-        item.run = Optional.empty();
+        Run run = known.get();
+        RunningItem item = run.item;
         boolean completed = ended.outcome() instanceof RunOutcome.Completed;
         item.transcript = item.transcript.extended(ended.events(), completed);
         log(new BatchEvent.RunEnded(
-                run.batch().head().id(),
+                run.batch.head().id(),
                 item.item.id(),
-                run.engine(),
+                run.engine,
                 ended.outcome().toString(),
                 item.transcript.lastEvent(),
-                nowMs - run.startedMs()));
-        settle(nowMs, run, ended.outcome(), !ended.events().isEmpty());
+                nowMs - run.startedMs));
+        if (!run.batch.head().ended()) {
+            settle(nowMs, run, ended.outcome(), !ended.events().isEmpty());
+        }
         bank.keep(nowMs, item.item, item.transcript);
     }
 
     private void settle(long nowMs, Run run, RunOutcome outcome, boolean progressed) {
-        RunningBatch batch = run.batch();
-        RunningItem item = run.item();
+        RunningBatch batch = run.batch;
+        RunningItem item = run.item;
         switch (outcome) {
             case RunOutcome.Completed completed -> complete(nowMs, batch, item);
             case RunOutcome.Impossible impossible -> giveUp(nowMs, batch, item, "the engine cannot run it");
@@ -202,17 +237,17 @@
                 if (item.failures >= batch.head().maxAttempts()) {
                     giveUp(nowMs, batch, item, "all attempts failed");
                 }
-                retry(nowMs, item, run.engine());
+                retry(nowMs, item, run.engine);
             }
-            case RunOutcome.Refused refused -> retry(nowMs, item, run.engine());
-            case RunOutcome.Unreachable unreachable -> retry(nowMs, item, run.engine());
-            case RunOutcome.Stale stale -> retry(nowMs, item, run.engine());
+            case RunOutcome.Refused refused -> retry(nowMs, item, run.engine);
+            case RunOutcome.Unreachable unreachable -> retry(nowMs, item, run.engine);
+            case RunOutcome.Stale stale -> retry(nowMs, item, run.engine);
             case RunOutcome.Broken broken -> {
                 // A run that has brought the text forward goes on elsewhere at once.
                 if (progressed) {
-                    item.avoided.add(run.engine());
+                    item.avoided.add(run.engine);
                 } else {
-                    retry(nowMs, item, run.engine());
+                    retry(nowMs, item, run.engine);
                 }
             }
             case RunOutcome.Stopped stopped -> {}
@@ -249,7 +284,7 @@
 
     private void giveUp(long nowMs, RunningBatch batch, RunningItem item, String reason) {
         if (!item.finished) {
-            item.run.ifPresent(run -> effects.add(new BatchEffect.StopRun(run)));
+            item.run.ifPresent(runs::stop);
             batch.finish(nowMs, item, ItemResult.givenUp(item.item.id()));
             log(new BatchEvent.GivenUp(batch.head().id(), item.item.id(), reason));
         }
@@ -263,45 +298,51 @@
 
     private void place(long nowMs) {
         for (RunningBatch batch : batches.values()) {
-            ServiceId service = routes.get(batch.head().route());
-            if (service == null || batch.head().ended() || batch.log().loading() || !placement.hasRoom(service)) {
-                continue;
+            Optional<BatchTarget> target = target(batch);
+            boolean open = !batch.head().ended() && !batch.log().loading();
+            if (open && target.isPresent() && placement.hasRoom(target.get())) {
+                place(nowMs, batch, target.get());
             }
-            List<RunningItem> waiting = batch.items().stream()
-                    .filter(i -> i.waits(nowMs))
-                    .sorted(order())
-                    .toList();
-            int left = waiting.size();
-            for (RunningItem item : waiting) {
-                left--;
-                Optional<EngineState> engine = placement.choose(service, batch.head(), item);
-                if (engine.isPresent()) {
-                    start(nowMs, batch, item, engine.get(), left);
-                }
+        }
+    }
+
+    private void place(long nowMs, RunningBatch batch, BatchTarget target) {
+        StepPlan plan = new StepPlan(batch, target);
+        List<RunningItem> waiting = plan.waiting(nowMs);
+        int left = waiting.size();
+        for (RunningItem item : waiting) {
+            left--;
+            boolean newestOnly = plan.wantsNewestWeights(item) && nowMs - batch.openedMs() < NEWEST_WAIT_MS;
+            Optional<EngineState> engine =
+                    placement.choose(target, batch.head(), item, e -> !newestOnly || isNewest(e, batch.head()));
+            if (engine.isPresent()) {
+                start(nowMs, batch, item, engine.get(), left);
             }
         }
     }
 
-    // The items with the longest rest go first, because the last item decides when its group is complete.
-    private static Comparator<RunningItem> order() {
-        return Comparator.comparingLong((RunningItem i) -> -i.item.expectedTokens())
-                .thenComparingInt(i -> i.position);
+    private boolean isNewest(EngineState engine, BatchHead head) {
+        return head.model()
+                .map(model -> {
+                    WeightVersion wanted = newest.get(model);
+                    return wanted == null
+                            || engine.version(model)
+                                    .map(v -> !wanted.isAfter(v))
+                                    .orElse(false);
+                })
+                .orElse(true);
     }
 
     private void start(long nowMs, RunningBatch batch, RunningItem item, EngineState engine, int waiting) {
         if (!item.transcript.fits(batch.head())) {
             item.transcript = Transcript.EMPTY;
         }
-        ItemRunId id = new ItemRunId(++lastRun);
         BatchHead head = batch.head();
-        item.run = Optional.of(id);
-        EndpointId endpoint = engine.endpoint().id();
-        runs.put(id, new Run(id, batch, item, endpoint, nowMs));
-        placement.began(endpoint);
         long limitMs = Math.max(1, head.giveUpAtMs() - wallClock.getAsLong());
         long lastEvent = mechanisms.contains(BatchMechanism.RESUME) ? item.transcript.lastEvent() : 0;
-        effects.add(new BatchEffect.StartRun(new ItemRun(id, head, item.item, engine.endpoint(), lastEvent, limitMs)));
-        log(new BatchEvent.Placed(head.id(), item.item.id(), endpoint, lastEvent, item.item.expectedTokens(), waiting));
+        runs.start(nowMs, batch, item, engine, lastEvent, limitMs);
+        log(new BatchEvent.Placed(
+                head.id(), item.item.id(), engine.endpoint().id(), lastEvent, item.item.expectedTokens(), waiting));
     }
 
     private void append(long nowMs) {
@@ -340,10 +381,9 @@
 
     // Another runner has listed an item that also runs here.
     private void stopListed(RunningBatch batch) {
-        runs.values().stream()
-                .filter(r -> r.batch() == batch && r.item().finished)
-                .filter(r -> batch.log().isListed(r.item().item.id()))
-                .forEach(r -> effects.add(new BatchEffect.StopRun(r.id())));
+        runs.of(batch).stream()
+                .filter(r -> r.item.finished && batch.log().isListed(r.item.item.id()))
+                .forEach(runs::stop);
     }
 
     private void read(long nowMs, BatchInput.Read read) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
@@ -23,6 +23,9 @@
     record RunEnded(BatchId batch, ItemId item, EndpointId endpoint, String outcome, long lastEvent, long tookMs)
             implements BatchEvent {}
 
+    /** A run is moved to another engine, or went on for a later batch. */
+    record Moved(BatchId batch, ItemId item, EndpointId endpoint, String reason) implements BatchEvent {}
+
     /** An item was given up. */
     record GivenUp(BatchId batch, ItemId item, String reason) implements BatchEvent {}
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -6,9 +6,10 @@
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
-import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.ids.WeightVersion;
 
 /** What {@link BatchCore} is told. */
 public sealed interface BatchInput {
@@ -36,10 +37,20 @@
      */
     record Exclusive(OptionalLong sinceMs) implements BatchInput {}
 
-    /** The service of each batch route in the configuration in force. */
-    record Routes(Map<RouteId, ServiceId> services) implements BatchInput {
+    /** Where the items of each batch route run by the configuration in force. */
+    record Routes(Map<RouteId, BatchTarget> targets) implements BatchInput {
         public Routes {
-            services = Map.copyOf(services);
+            targets = Map.copyOf(targets);
+        }
+    }
+
+    /** The newest version of a model, which some of its engines may still have to load. */
+    record Newest(ModelId model, WeightVersion version) implements BatchInput {}
+
+    /** The number of events that each run has brought so far; given several times a second. */
+    record Progress(Map<ItemRunId, Integer> events) implements BatchInput {
+        public Progress {
+            events = Map.copyOf(events);
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
@@ -13,6 +13,7 @@
  * @param path where the item is posted at an engine, with a leading slash
  * @param headers sent along as they are
  * @param body the content; not copied
+ * @param promptTokens tokens of the prompt
  * @param tokens prompt tokens plus the largest number of output tokens
  * @param expectedTokens the trainer's estimate of the output tokens, which is often far off; 0 if it gives none
  */
@@ -23,6 +24,7 @@
         String path,
         Map<String, String> headers,
         byte[] body,
+        long promptTokens,
         long tokens,
         long expectedTokens) {
     public BatchItem {
@@ -35,6 +37,11 @@
         }
     }
 
+    /** Returns the tokens that the item is expected to hold in an engine's memory at its end. */
+    long expectedSize() {
+        return expectedTokens == 0 ? tokens : Math.min(tokens, promptTokens + expectedTokens);
+    }
+
     /** Returns whether the other item asks for the same generation. */
     public boolean sameRequest(BatchItem other) {
         return id.equals(other.id)
--- a/library/src/main/java/org/magnoliabridge/batch/EngineState.java
+++ b/library/src/main/java/org/magnoliabridge/batch/EngineState.java
@@ -12,18 +12,21 @@
  *
  * @param slots items that it runs at the same time
  * @param weights the version of each model that it holds
+ * @param loading whether it loads weights, so that its runs pause
  */
-public record EngineState(Endpoint endpoint, int slots, Map<ModelId, WeightVersion> weights) {
+public record EngineState(Endpoint endpoint, int slots, Map<ModelId, WeightVersion> weights, boolean loading) {
     public EngineState {
         Objects.requireNonNull(endpoint);
         weights = Map.copyOf(weights);
     }
 
+    /** Returns the version of a model that it holds, if that is known. */
+    Optional<WeightVersion> version(ModelId model) {
+        return Optional.ofNullable(weights.get(model));
+    }
+
     /** Returns whether its weights are known to be too old for a batch. */
     boolean tooOldFor(BatchHead batch) {
-        return batch.model()
-                .flatMap(m -> Optional.ofNullable(weights.get(m)))
-                .map(v -> !batch.accepts(v))
-                .orElse(false);
+        return batch.model().flatMap(this::version).map(v -> !batch.accepts(v)).orElse(false);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -5,62 +5,95 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.magnoliabridge.ids.EndpointId;
-import org.magnoliabridge.ids.ServiceId;
 
 /**
  * Chooses the engine of an item.
  *
- * <p>Load pattern: a step brings some hundred items at once, and engines run what they are given at nearly the same
- * speed up to their number of slots. Items therefore go to the engine with the smallest share of its slots in use, and
- * never beyond the slots, where they would wait behind others that may be longer.
+ * <p>Load pattern: a step brings some hundred items at once, of which a few are many times as long as the rest. Engines
+ * run what they are given at nearly the same pace up to their number of slots, but put items back to the start of their
+ * queue when the texts outgrow the memory. Items therefore go to the engine with the smallest share of its slots and
+ * memory in use, never beyond the slots, and beyond the memory only if no other engine is left.
  */
 final class Placement {
-    private final Map<EndpointId, Integer> inUse = new HashMap<>();
+    private final Map<EndpointId, Use> uses = new HashMap<>();
+    private final EnginePace pace;
     private List<EngineState> engines = List.of();
 
+    private static final class Use {
+        int runs;
+        long tokens;
+    }
+
+    Placement(EnginePace pace) {
+        this.pace = pace;
+    }
+
     void replaceEngines(List<EngineState> now) {
         engines = List.copyOf(now);
     }
 
-    List<EngineState> engines() {
-        return engines;
+    Optional<EngineState> engine(EndpointId id) {
+        return engines.stream().filter(e -> e.endpoint().id().equals(id)).findFirst();
     }
 
-    void began(EndpointId engine) {
-        inUse.merge(engine, 1, Integer::sum);
+    void began(EndpointId engine, long tokens) {
+        Use use = uses.computeIfAbsent(engine, id -> new Use());
+        use.runs++;
+        use.tokens += tokens;
     }
 
-    void ended(EndpointId engine) {
-        inUse.computeIfPresent(engine, (id, n) -> n > 1 ? n - 1 : null);
+    void ended(EndpointId engine, long tokens) {
+        Use use = uses.get(engine);
+        use.runs--;
+        use.tokens -= tokens;
+        if (use.runs == 0) {
+            uses.remove(engine);
+        }
     }
 
-    /** Returns whether any engine of a service has a free slot. */
-    boolean hasRoom(ServiceId service) {
-        return engines.stream().anyMatch(e -> e.endpoint().service().equals(service) && isFree(e));
+    /** Returns whether any engine of a target has a free slot. */
+    boolean hasRoom(BatchTarget target) {
+        return engines.stream().anyMatch(e -> serves(e, target) && isFree(e));
     }
 
-    /** Returns the engine for an item, or empty if none that may run it has a free slot. */
-    Optional<EngineState> choose(ServiceId service, BatchHead batch, RunningItem item) {
-        List<EngineState> allowed = engines.stream()
-                .filter(e -> e.endpoint().service().equals(service) && !e.tooOldFor(batch))
+    /**
+     * Returns the engine for an item, or empty if none that may run it has a free slot.
+     *
+     * @param wanted the engines to choose from, if not all that may run it
+     */
+    Optional<EngineState> choose(BatchTarget target, BatchHead batch, RunningItem item, Predicate<EngineState> wanted) {
+        List<EngineState> free = engines.stream()
+                .filter(e -> serves(e, target) && !e.tooOldFor(batch) && isFree(e))
+                .filter(wanted)
                 .toList();
-        List<EngineState> others = allowed.stream()
+        List<EngineState> others = free.stream()
                 .filter(e -> !item.avoided.contains(e.endpoint().id()))
                 .toList();
-        return (others.isEmpty() ? allowed : others)
-                .stream().filter(this::isFree).min(Comparator.comparingDouble(this::share));
+        List<EngineState> pool = others.isEmpty() ? free : others;
+        List<EngineState> fast =
+                pool.stream().filter(e -> !pace.isSlow(e.endpoint().id())).toList();
+        return (fast.isEmpty() ? pool : fast)
+                .stream().min(Comparator.comparingDouble(e -> share(e, target, item.item.expectedSize())));
     }
 
-    private boolean isFree(EngineState engine) {
-        return used(engine) < engine.slots();
+    private static boolean serves(EngineState engine, BatchTarget target) {
+        return engine.endpoint().service().equals(target.service());
     }
 
-    private double share(EngineState engine) {
-        return (double) used(engine) / engine.slots();
+    private boolean isFree(EngineState engine) {
+        Use use = uses.get(engine.endpoint().id());
+        return use == null || use.runs < engine.slots();
     }
 
-    private int used(EngineState engine) {
-        return inUse.getOrDefault(engine.endpoint().id(), 0);
+    private double share(EngineState engine, BatchTarget target, long tokens) {
+        Use use = uses.get(engine.endpoint().id());
+        double runs = use == null ? 0 : use.runs;
+        double held = use == null ? 0 : use.tokens;
+        double memory = (held + tokens) / target.cacheTokens();
+        double slots = (runs + 1) / engine.slots();
+        // Above its memory an engine puts items back, which costs more than any share of its slots.
+        return memory > 1 ? 1 + memory : Math.max(memory, slots);
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/Run.java
@@ -0,0 +1,49 @@
+package org.magnoliabridge.batch;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.WeightVersion;
+
+/** A run of an item at an engine. */
+final class Run {
+    final ItemRunId id;
+    final EndpointId engine;
+    final long startedMs;
+    final long size;
+    final Optional<WeightVersion> version;
+    RunningBatch batch;
+    RunningItem item;
+    boolean stopping;
+    int events;
+    long progressAtMs;
+
+    /**
+     * Creates a run.
+     *
+     * @param size tokens that the item is expected to hold at the engine
+     * @param version the weights that the engine is known to hold
+     */
+    Run(
+            ItemRunId id,
+            RunningBatch batch,
+            RunningItem item,
+            EndpointId engine,
+            long startedMs,
+            long size,
+            Optional<WeightVersion> version) {
+        this.id = Objects.requireNonNull(id);
+        this.batch = Objects.requireNonNull(batch);
+        this.item = Objects.requireNonNull(item);
+        this.engine = Objects.requireNonNull(engine);
+        this.startedMs = startedMs;
+        this.progressAtMs = startedMs;
+        this.size = size;
+        this.version = version;
+    }
+
+    /** Returns the number of events that are still expected of the run. */
+    long eventsLeft(BatchTarget target) {
+        return Math.max(1, item.eventsLeft(target) - events);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/RunBook.java
@@ -0,0 +1,170 @@
+package org.magnoliabridge.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.WeightVersion;
+
+/**
+ * The runs at engines: their beginning, their progress, and which of them are stopped to go on elsewhere.
+ *
+ * <p>Load pattern: an engine turns slow or silent in the middle of a text. The text so far is kept and reading its prompt
+ * again takes milliseconds, so the run goes on at another engine as soon as it is seen to fall behind.
+ */
+final class RunBook {
+    // Without an event for this long an engine is silent: the slowest sound engine makes one in a tenth of it.
+    private static final long STALL_MS = 800;
+    // A run with fewer events to go ends sooner where it is.
+    private static final long MIN_EVENTS_TO_MOVE = 8;
+
+    private final Map<ItemRunId, Run> runs = new HashMap<>();
+    private final Placement placement;
+    private final EnginePace pace;
+    private final List<BatchEffect> effects;
+    private long lastRun;
+    private long lastProgressMs;
+
+    /**
+     * Creates a book without runs.
+     *
+     * @param effects takes what is to be done
+     */
+    RunBook(Placement placement, EnginePace pace, List<BatchEffect> effects) {
+        this.placement = placement;
+        this.pace = pace;
+        this.effects = effects;
+    }
+
+    int size() {
+        return runs.size();
+    }
+
+    /** Starts a run of an item. */
+    void start(long nowMs, RunningBatch batch, RunningItem item, EngineState engine, long lastEvent, long limitMs) {
+        ItemRunId id = new ItemRunId(++lastRun);
+        EndpointId endpoint = engine.endpoint().id();
+        Optional<WeightVersion> version = batch.head().model().flatMap(engine::version);
+        Run run = new Run(id, batch, item, endpoint, nowMs, item.item.expectedSize(), version);
+        item.run = Optional.of(id);
+        runs.put(id, run);
+        placement.began(endpoint, run.size);
+        effects.add(new BatchEffect.StartRun(
+                new ItemRun(id, batch.head(), item.item, engine.endpoint(), lastEvent, limitMs)));
+    }
+
+    /** Takes the end of a run; returns it, if it is known. */
+    Optional<Run> ended(ItemRunId id) {
+        Run run = runs.remove(id);
+        if (run == null) {
+            return Optional.empty();
+        }
+        placement.ended(run.engine, run.size);
+        run.item.run = Optional.empty();
+        return Optional.of(run);
+    }
+
+    /** Stops a run; its end is still reported. */
+    void stop(Run run) {
+        if (!run.stopping) {
+            run.stopping = true;
+            effects.add(new BatchEffect.StopRun(run.id));
+        }
+    }
+
+    void stop(ItemRunId id) {
+        Run run = runs.get(id);
+        if (run != null) {
+            stop(run);
+        }
+    }
+
+    /** Returns the runs of a batch. */
+    List<Run> of(RunningBatch batch) {
+        return runs.values().stream().filter(r -> r.batch == batch).toList();
+    }
+
+    /** Lets a run of an item that an ended batch has left go on for a later batch, if its weights fit. */
+    void adopt(RunningBatch batch, RunningItem item) {
+        ItemId id = item.item.id();
+        for (Run run : new ArrayList<>(runs.values())) {
+            boolean same = run.batch.head().ended() && run.item.item.id().equals(id);
+            if (!same || run.stopping) {
+                continue;
+            }
+            boolean fits = run.item.item.sameRequest(item.item)
+                    && run.item.transcript.fits(batch.head())
+                    && run.version.map(batch.head()::accepts).orElse(false);
+            if (fits) {
+                run.batch = batch;
+                item.transcript = run.item.transcript;
+                item.run = Optional.of(run.id);
+                run.item = item;
+                effects.add(new BatchEffect.Decided(
+                        new BatchEvent.Moved(batch.head().id(), id, run.engine, "goes on for this batch")));
+            } else {
+                stop(run);
+            }
+        }
+    }
+
+    /** Takes how many events each run has brought, and stops those that fall behind and have somewhere to go. */
+    void progress(long nowMs, Map<ItemRunId, Integer> events, Function<RunningBatch, Optional<BatchTarget>> targets) {
+        long elapsedMs = nowMs - lastProgressMs;
+        lastProgressMs = nowMs;
+        for (Run run : runs.values()) {
+            int now = events.getOrDefault(run.id, run.events);
+            boolean loading = isLoading(run.engine);
+            if (now > run.events || loading) {
+                run.progressAtMs = nowMs;
+            }
+            if (!loading && run.events > 0) {
+                pace.observe(run.engine, now - run.events, elapsedMs);
+            }
+            run.events = now;
+        }
+        pace.decide(nowMs);
+        for (Run run : new ArrayList<>(runs.values())) {
+            targets.apply(run.batch).ifPresent(target -> moveIfBehind(nowMs, run, target));
+        }
+    }
+
+    private void moveIfBehind(long nowMs, Run run, BatchTarget target) {
+        boolean stalled = nowMs - run.progressAtMs >= STALL_MS;
+        if (stalled) {
+            pace.stalled(nowMs, run.engine);
+        }
+        boolean slow = pace.isSlow(run.engine) && run.eventsLeft(target) >= MIN_EVENTS_TO_MOVE;
+        if (run.stopping || isLoading(run.engine) || !(stalled || slow)) {
+            return;
+        }
+        boolean elsewhere = placement
+                .choose(
+                        target,
+                        run.batch.head(),
+                        run.item,
+                        e -> isBetter(e.endpoint().id(), run))
+                .isPresent();
+        if (elsewhere) {
+            run.item.avoided.add(run.engine);
+            effects.add(new BatchEffect.Decided(new BatchEvent.Moved(
+                    run.batch.head().id(),
+                    run.item.item.id(),
+                    run.engine,
+                    stalled ? "engine is silent" : "engine is slow")));
+            stop(run);
+        }
+    }
+
+    private boolean isBetter(EndpointId engine, Run run) {
+        return !engine.equals(run.engine) && !pace.isSlow(engine);
+    }
+
+    private boolean isLoading(EndpointId engine) {
+        return placement.engine(engine).map(EngineState::loading).orElse(false);
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
@@ -11,22 +11,25 @@
 
 /** A batch that this node runs: its items and its result log. */
 final class RunningBatch {
-    // A lone result waits this long for others before it is appended, since every append is a priced call.
-    private static final long MAX_APPEND_DELAY_MS = 250;
+    // Before the wanted groups are complete nobody acts on results, so they wait this long for others: every append is
+    // a priced call. A runner that dies loses what waits.
+    private static final long MAX_APPEND_DELAY_MS = 800;
 
     private final Map<ItemId, RunningItem> items = new LinkedHashMap<>();
     private final Map<GroupId, Integer> unfinished = new HashMap<>();
     private final ResultLog log;
+    private final long openedMs;
     private BatchHead head;
     private boolean groupCompleted;
     private long endedAtMs = Long.MAX_VALUE;
     private long firstWaitingAtMs = Long.MAX_VALUE;
 
-    RunningBatch(BatchHead head, List<BatchItem> batchItems, TranscriptBank bank, ResultLog log) {
+    RunningBatch(long nowMs, BatchHead head, List<BatchItem> batchItems, TranscriptBank bank, ResultLog log) {
+        this.openedMs = nowMs;
         this.head = head;
         this.log = log;
         for (BatchItem item : batchItems) {
-            items.put(item.id(), new RunningItem(item, items.size(), bank.find(head, item)));
+            items.put(item.id(), new RunningItem(item, items.size(), bank.knows(item), bank.find(head, item)));
             unfinished.merge(item.group(), 1, Integer::sum);
         }
     }
@@ -35,6 +38,10 @@
         return head;
     }
 
+    long openedMs() {
+        return openedMs;
+    }
+
     ResultLog log() {
         return log;
     }
@@ -83,9 +90,10 @@
         }
     }
 
-    /** Returns whether results that wait are appended now: a group is complete, or they have waited long enough. */
+    /** Returns whether results that wait are appended now. */
     boolean flushDue(long nowMs) {
-        return groupCompleted || unfinishedItems() == 0 || nowMs - firstWaitingAtMs >= MAX_APPEND_DELAY_MS;
+        boolean wanted = groupCompleted && completeGroups() >= head.wantedGroups();
+        return wanted || unfinishedItems() == 0 || nowMs - firstWaitingAtMs >= MAX_APPEND_DELAY_MS;
     }
 
     /** Returns whether every item has a position in the log. */
--- a/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
@@ -10,6 +10,7 @@
 final class RunningItem {
     final BatchItem item;
     final int position;
+    final boolean carried;
     Transcript transcript;
     Optional<ItemRunId> run = Optional.empty();
     int failures;
@@ -22,15 +23,23 @@
      * Creates an item that waits for its first run.
      *
      * @param position in the batch, counted from 0
+     * @param carried whether it was part of an earlier batch
      * @param transcript what an earlier batch has left
      */
-    RunningItem(BatchItem item, int position, Transcript transcript) {
+    RunningItem(BatchItem item, int position, boolean carried, Transcript transcript) {
         this.item = Objects.requireNonNull(item);
         this.position = position;
+        this.carried = carried;
         this.transcript = Objects.requireNonNull(transcript);
     }
 
     boolean waits(long nowMs) {
         return !finished && run.isEmpty() && nowMs >= notBeforeMs;
     }
+
+    /** Returns the number of events that are still expected; an item that has passed the estimate may go on. */
+    long eventsLeft(BatchTarget target) {
+        long done = transcript.lastEvent();
+        return Math.max(target.expectedEvents(item) - done, 1 + done / 4);
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/TranscriptBank.java
+++ b/library/src/main/java/org/magnoliabridge/batch/TranscriptBank.java
@@ -20,11 +20,8 @@
 
     private record Kept(BatchItem item, Transcript transcript, long atMs) {}
 
-    /** Keeps a text; an empty one replaces nothing. */
+    /** Keeps an item with what is known of its text. */
     void keep(long nowMs, BatchItem item, Transcript transcript) {
-        if (transcript.events().isEmpty()) {
-            return;
-        }
         kept.remove(item.id());
         kept.put(item.id(), new Kept(item, transcript, nowMs));
         Iterator<Kept> eldest = kept.values().iterator();
@@ -37,12 +34,16 @@
         }
     }
 
+    /** Returns whether an item was part of an earlier batch. */
+    boolean knows(BatchItem item) {
+        Kept entry = kept.get(item.id());
+        return entry != null && entry.item().sameRequest(item);
+    }
+
     /** Returns the text that a batch may start an item with; empty if there is none that fits. */
     Transcript find(BatchHead batch, BatchItem item) {
-        Kept entry = kept.get(item.id());
-        boolean usable = entry != null
-                && entry.item().sameRequest(item)
-                && entry.transcript().fits(batch);
-        return usable ? entry.transcript() : Transcript.EMPTY;
+        return knows(item) && kept.get(item.id()).transcript().fits(batch)
+                ? kept.get(item.id()).transcript()
+                : Transcript.EMPTY;
     }
 }
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
@@ -238,9 +238,10 @@
         return free;
     }
 
-    /** Returns how many of a service's engines may swap at once; one if it has fewer than four. */
-    static int atOnce(int engines) {
-        return Math.max(1, engines / SWAPPING_PART);
+    /** Returns how many of a service's engines may swap at once. */
+    private int atOnce(int engines) {
+        int least = Math.min(settings.leastAtOnce(), engines / 2);
+        return Math.max(1, Math.max(least, engines / SWAPPING_PART));
     }
 
     private void onPermit(long nowMs, LeaseView lease, WeightsInput.Permit permit) {
--- a/library/src/test/java/org/magnoliabridge/batch/AcceptanceTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/AcceptanceTest.java
@@ -26,7 +26,7 @@
         List<BatchItem> items = new ArrayList<>();
         for (int i = 0; i < 600; i++) {
             items.add(new BatchItem(
-                    new ItemId("i" + i), new GroupId("g" + i / 8), "/p", Map.of(), new byte[4_000], 100, 0));
+                    new ItemId("i" + i), new GroupId("g" + i / 8), "/p", Map.of(), new byte[4_000], 50, 100, 0));
         }
         Acceptance acceptance = new Acceptance(Batches.head("b", items.size()), items);
         run(acceptance);
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -26,7 +26,7 @@
 
     @BeforeEach
     void knowTheRoute() {
-        tell(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.SERVICE)));
+        tell(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
         tell(new BatchInput.Exclusive(OptionalLong.of(0)));
     }
 
--- a/library/src/test/java/org/magnoliabridge/batch/BatchWorld.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchWorld.java
@@ -216,7 +216,7 @@
         private void tick() {
             if (isRunner(number) && !running) {
                 running = true;
-                handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.SERVICE)));
+                handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
                 heads.keySet().forEach(this::load);
             } else if (!isRunner(number) && running) {
                 running = false;
--- a/library/src/test/java/org/magnoliabridge/batch/Batches.java
+++ b/library/src/test/java/org/magnoliabridge/batch/Batches.java
@@ -25,6 +25,8 @@
     static final ModelId MODEL = new ModelId("m0");
     static final TeamId TEAM = new TeamId("oak");
 
+    static final BatchTarget TARGET = new BatchTarget(SERVICE, 72, 100_000);
+
     private Batches() {}
 
     static BatchHead head(String id, int items, long minVersion, boolean singleVersion) {
@@ -64,12 +66,13 @@
                 "/rollouts/" + id,
                 Map.of("X-Model", "m0"),
                 ("prompt of " + id).getBytes(StandardCharsets.UTF_8),
+                540,
                 940,
                 expectedTokens);
     }
 
     static EngineState engine(String id, int slots, long version) {
-        return new EngineState(endpoint(id), slots, Map.of(MODEL, new WeightVersion(version)));
+        return new EngineState(endpoint(id), slots, Map.of(MODEL, new WeightVersion(version)), false);
     }
 
     static Endpoint endpoint(String id) {
