--- a/library/src/main/java/org/magnoliabridge/batch/RunBook.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunBook.java
@@ -13,8 +13,8 @@
 /**
  * The runs at engines: their beginning, their progress, and which of them are stopped to go on elsewhere.
  *
- * <p>Load pattern: an engine turns slow or silent in the middle of a text. The text so far is kept and reading its prompt
- * again takes milliseconds, so the run goes on at another engine as soon as it is seen to fall behind.
+ * <p>Load pattern: an engine turns slow or silent in the middle of a text. The text so far is kept and reading its
+ * prompt again takes milliseconds, so the run goes on at another engine as soon as it is seen to fall behind.
  */
 final class RunBook {
     // Without an event for this long an engine is silent: the slowest sound engine makes one in a tenth of it.
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsSettings.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsSettings.java
@@ -31,8 +31,8 @@
     }
 
     /**
-     * Returns the limits of a deployment whose engines load from a store that they share, without permits; it serves two
-     * of them at the pace of one. An engine that misses an order is ordered again for as long as it lives.
+     * Returns the limits of a deployment whose engines load from a store that they share, without permits; it serves
+     * two of them at the pace of one. An engine that misses an order is ordered again for as long as it lives.
      */
     public static WeightsSettings withoutPermits() {
         return new WeightsSettings(1_000, 1_000, 4_000, Integer.MAX_VALUE, 300, 2, false);
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
@@ -0,0 +1,109 @@
+package org.magnoliabridge.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.ids.BatchId;
+
+/** A batch core with one route on a virtual clock, and what it has asked for so far. */
+final class RunnerRig {
+    private final List<BatchEffect> heard = new ArrayList<>();
+    private final Map<ItemRunId, Integer> progress = new HashMap<>();
+    private long nowMs = 1_000;
+    private long lastTicket = 1_000;
+    private final BatchCore core = new BatchCore("n1-1", () -> nowMs);
+
+    RunnerRig() {
+        tell(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
+        tell(new BatchInput.Exclusive(OptionalLong.of(0)));
+    }
+
+    void tell(BatchInput input) {
+        heard.addAll(core.on(nowMs, input));
+    }
+
+    void open(BatchHead head, List<BatchItem> items, boolean fresh) {
+        tell(new BatchInput.Open(head, items, fresh));
+    }
+
+    void engines(EngineState... engines) {
+        tell(new BatchInput.Engines(List.of(engines)));
+    }
+
+    void end(ItemRun run, RunOutcome outcome, Transcript.Event... events) {
+        tell(new BatchInput.RunEnded(run.id(), outcome, List.of(events)));
+    }
+
+    void written() {
+        nowMs += 300;
+        tell(new BatchInput.Tick());
+        heard.stream()
+                .filter(BatchEffect.Store.class::isInstance)
+                .map(BatchEffect.Store.class::cast)
+                .toList()
+                .forEach(s -> tell(new BatchInput.StoreReplied(s.tag(), new StoreReply.Written(1))));
+    }
+
+    List<ItemResult> read(String batch, int after) {
+        long ticket = ++lastTicket;
+        tell(new BatchInput.Read(ticket, new BatchId(batch), Batches.TEAM, after, 0));
+        return ((ReadAnswer.Results) answer(ticket)).results();
+    }
+
+    ReadAnswer answer(long ticket) {
+        return heard.stream()
+                .filter(BatchEffect.Answer.class::isInstance)
+                .map(BatchEffect.Answer.class::cast)
+                .filter(a -> a.ticket() == ticket)
+                .findFirst()
+                .orElseThrow()
+                .answer();
+    }
+
+    List<ItemRun> runs() {
+        return heard.stream()
+                .filter(BatchEffect.StartRun.class::isInstance)
+                .map(e -> ((BatchEffect.StartRun) e).run())
+                .toList();
+    }
+
+    List<String> started() {
+        return runs().stream().map(r -> r.item().id().value()).toList();
+    }
+
+    /** Returns the runs that were stopped, in order. */
+    List<ItemRunId> stopped() {
+        return heard.stream()
+                .filter(BatchEffect.StopRun.class::isInstance)
+                .map(e -> ((BatchEffect.StopRun) e).run())
+                .toList();
+    }
+
+    /** Returns the run of an item that was started last. */
+    ItemRun run(String item) {
+        return runs().stream()
+                .filter(r -> r.item().id().value().equals(item))
+                .reduce((a, b) -> b)
+                .orElseThrow();
+    }
+
+    /** Lets time pass. */
+    void pass(long ms) {
+        nowMs += ms;
+        tell(new BatchInput.Tick());
+    }
+
+    /** Lets time pass in which a run makes some events. */
+    void make(ItemRun run, int events) {
+        progress.merge(run.id(), events, Integer::sum);
+    }
+
+    /** Reports what was made, after some time. */
+    void report(long afterMs) {
+        nowMs += afterMs;
+        tell(new BatchInput.Progress(Map.copyOf(progress)));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/StepPlanTest.java
@@ -0,0 +1,86 @@
+package org.magnoliabridge.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.gateway.BatchTerms;
+import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.WeightVersion;
+
+class StepPlanTest {
+    private static final BatchItem CARRIED = Batches.item("carried", "g-carried", 9_000);
+    private static final List<BatchItem> ITEMS = List.of(
+            Batches.item("short-1", "g-short", 300),
+            Batches.item("short-2", "g-short", 600),
+            Batches.item("middle", "g-middle", 1_500),
+            Batches.item("longest", "g-long", 12_000),
+            Batches.item("its-sister", "g-long", 100),
+            CARRIED);
+
+    private final TranscriptBank bank = new TranscriptBank();
+
+    /** Guards against a step that waits for groups which the trainer does not need, while needed ones queue. */
+    @Test
+    void groupsThatAreNotWaitedForComeLast() {
+        bank.keep(0, CARRIED, Transcript.EMPTY);
+        assertThat(order(batch(3)), contains("carried", "middle", "short-2", "short-1", "longest", "its-sister"));
+    }
+
+    /** Guards against a group that is asked for again and waits behind others, as the trainer waits for it anyway. */
+    @Test
+    void carriedGroupIsWaitedForHoweverLongItIs() {
+        bank.keep(0, CARRIED, Transcript.EMPTY);
+        assertThat(order(batch(1)).getFirst(), is("carried"));
+    }
+
+    /** Guards against long texts that start over with the next batch because their weights are then too old. */
+    @Test
+    void longItemsThatWillComeAgainWantTheNewestWeights() {
+        RunningBatch batch = batch(3);
+        StepPlan plan = new StepPlan(batch, Batches.TARGET);
+        assertThat(plan.wantsNewestWeights(item(batch, "longest")), is(true));
+        assertThat(plan.wantsNewestWeights(item(batch, "its-sister")), is(false));
+        assertThat(plan.wantsNewestWeights(item(batch, "middle")), is(false));
+    }
+
+    /** Guards against a plan that still counts what is done. */
+    @Test
+    void completeGroupsCountTowardsWhatIsWanted() {
+        RunningBatch batch = batch(2);
+        batch.finish(0, item(batch, "short-1"), ItemResult.givenUp(new ItemId("short-1")));
+        batch.finish(0, item(batch, "short-2"), ItemResult.givenUp(new ItemId("short-2")));
+        assertThat(order(batch), contains("middle", "longest", "carried", "its-sister"));
+    }
+
+    private RunningBatch batch(int wantedGroups) {
+        BatchHead head = new BatchHead(
+                new BatchId("b"),
+                Batches.TEAM,
+                Batches.ROUTE,
+                "rollouts.example",
+                Optional.of(Batches.MODEL),
+                Optional.of(new WeightVersion(1)),
+                wantedGroups,
+                new BatchTerms(7_500, 40_000, false),
+                3,
+                0,
+                ITEMS.size(),
+                1,
+                false);
+        return new RunningBatch(0, head, ITEMS, bank, new ResultLog(head.id(), "n1", false));
+    }
+
+    private static RunningItem item(RunningBatch batch, String id) {
+        return batch.item(new ItemId(id)).orElseThrow();
+    }
+
+    private static List<String> order(RunningBatch batch) {
+        return new StepPlan(batch, Batches.TARGET)
+                .waiting(0).stream().map(i -> i.item.id().value()).toList();
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/orders/Fleet.java
+++ b/library/src/test/java/org/magnoliabridge/orders/Fleet.java
@@ -62,6 +62,10 @@
         tell(new WeightsInput.Newest(new ModelId(service), new WeightVersion(version)));
     }
 
+    void allow(String service, int versions) {
+        tell(new WeightsInput.Lag(new ModelId(service), versions));
+    }
+
     void run(long untilMs) {
         at(nowMs, this::tick);
         at(nowMs, this::report);
--- a/library/src/test/java/org/magnoliabridge/orders/WeightsCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/WeightsCoreTest.java
@@ -109,6 +109,39 @@
         assertThat(fleet.violations, is(empty()));
     }
 
+    /** Guards against engines that all pause for each version although work may run on the version before. */
+    @Test
+    void halfOfTheEnginesLoadEachVersionWhereWorkMayRunOnTheOneBefore() {
+        Fleet fleet = fleetOfEight();
+        fleet.allow("coachgen", 1);
+        fleet.run(20_000);
+        assertThat(fleet.countAt(2), is(4L));
+        fleet.publish("coachgen", 3);
+        fleet.run(40_000);
+        assertThat("the other half", fleet.countAt(3), is(4L));
+        assertThat("none is two versions old", fleet.countAt(1), is(0L));
+        fleet.publish("coachgen", 4);
+        fleet.run(60_000);
+        assertThat(fleet.countAt(4), is(4L));
+        assertThat(fleet.countAt(3), is(4L));
+        assertThat(
+                fleet.ordersByEngine.values().stream()
+                        .mapToInt(Integer::intValue)
+                        .sum(),
+                is(12));
+    }
+
+    /** Guards against versions that come faster than they load, and leave engines behind what work allows. */
+    @Test
+    void engineThatIsTooOldForAllWorkLoadsAlthoughEnoughOthersAreFresh() {
+        Fleet fleet = fleetOfEight();
+        fleet.allow("coachgen", 1);
+        fleet.publish("coachgen", 3);
+        fleet.run(40_000);
+        assertThat("those that were loading when the next one came", fleet.countAt(2), is(2L));
+        assertThat(fleet.countAt(3), is(6L));
+    }
+
     private static Fleet fleetOfEight() {
         Fleet fleet = new Fleet(60, 20, SETTINGS);
         fleet.add("coachgen", 8, true);
