Keep items away from engines that load weights or have just refused one

Change: an engine that loads gets no items, one that refuses is left alone for 100 to 400 ms, and an order that a later report does not show no longer counts as a load. Ruled out: engines that were full of other requests; nothing else runs there. Test: EnginePausesTest replays a full deployment with one refusing engine (1,200 refusals a second before, at most 36 after).

--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
@@ -30,6 +30,8 @@
     private static final long ASK_MS = 200;
     // An order without effect for this long is ordered again; the engine is not taken to be loading any more.
     private static final long LOAD_LIMIT_MS = 4_000;
+    // Reports are some hundred milliseconds old; by now they show an order that is carried out.
+    private static final long SEEN_IN_REPORT_MS = 800;
 
     private final GatewayContext context;
     private final WeightsCore core;
@@ -157,7 +159,9 @@
         WeightsEffect.Load load = loading.get(engine.id());
         if (load != null && !report.busy()) {
             WeightVersion held = report.weights().get(load.model());
-            if (held != null && !load.version().isAfter(held)) {
+            boolean done = held != null && !load.version().isAfter(held);
+            boolean lost = context.clock().nowMs() - orderedAtMs.getOrDefault(engine.id(), 0L) >= SEEN_IN_REPORT_MS;
+            if (done || lost) {
                 loading.remove(engine.id());
             }
         }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -44,7 +44,8 @@
     private final LongSupplier wallClock;
     private final TranscriptBank bank = new TranscriptBank();
     private final EnginePace pace = new EnginePace();
-    private final Placement placement = new Placement(pace);
+    private final EnginePauses pauses = new EnginePauses();
+    private final Placement placement = new Placement(pace, pauses);
     private final BatchReads reads;
     private final Set<BatchMechanism> mechanisms;
     private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
@@ -74,6 +75,7 @@
 
     /** Takes an input and returns what is to be done, in order. */
     public List<BatchEffect> on(long nowMs, BatchInput input) {
+        placement.setTime(nowMs);
         switch (input) {
             case BatchInput.Open open -> open(nowMs, open);
             case BatchInput.End end -> end(nowMs, end.batch());
@@ -212,6 +214,11 @@
         Run run = known.get();
         RunningItem item = run.item;
         boolean completed = ended.outcome() instanceof RunOutcome.Completed;
+        if (ended.outcome() instanceof RunOutcome.Refused) {
+            pauses.refused(nowMs, run.engine);
+        } else if (!ended.events().isEmpty()) {
+            pauses.accepted(run.engine);
+        }
         item.transcript = item.transcript.extended(ended.events(), completed);
         log(new BatchEvent.RunEnded(
                 run.batch.head().id(),
--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -14,11 +14,14 @@
  * <p>Load pattern: a step brings some hundred items at once, of which a few are many times as long as the rest. Engines
  * run what they are given at nearly the same pace up to their number of slots, but put items back to the start of their
  * queue when the texts outgrow the memory. Items therefore go to the engine with the smallest share of its slots and
- * memory in use, never beyond the slots, and beyond the memory only if no other engine is left.
+ * memory in use, never beyond the slots, and beyond the memory only if no other engine is left. Engines that load
+ * weights or have just refused an item get none.
  */
 final class Placement {
     private final Map<EndpointId, Use> uses = new HashMap<>();
     private final EnginePace pace;
+    private final EnginePauses pauses;
+    private long nowMs;
     private List<EngineState> engines = List.of();
 
     private static final class Use {
@@ -26,8 +29,14 @@
         long tokens;
     }
 
-    Placement(EnginePace pace) {
+    Placement(EnginePace pace, EnginePauses pauses) {
         this.pace = pace;
+        this.pauses = pauses;
+    }
+
+    /** Sets the time of the choices that follow. */
+    void setTime(long now) {
+        nowMs = now;
     }
 
     void replaceEngines(List<EngineState> now) {
@@ -83,8 +92,10 @@
     }
 
     private boolean isFree(EngineState engine) {
-        Use use = uses.get(engine.endpoint().id());
-        return use == null || use.runs < engine.slots();
+        EndpointId id = engine.endpoint().id();
+        Use use = uses.get(id);
+        boolean hasSlot = use == null || use.runs < engine.slots();
+        return hasSlot && !engine.loading() && !pauses.isPaused(nowMs, id);
     }
 
     private double share(EngineState engine, BatchTarget target, long tokens) {
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/EnginePausesTest.java
@@ -0,0 +1,81 @@
+package org.magnoliabridge.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.WeightVersion;
+
+/** A full deployment with one engine that refuses everything for a second, as it does while it loads weights. */
+class EnginePausesTest {
+    private static final EndpointId REFUSING = new EndpointId("e1");
+    private static final long REFUSES_FOR_MS = 1_000;
+    private static final long STEP_MS = 10;
+
+    private final RunnerRig rig = new RunnerRig();
+    private final Set<ItemRunId> ended = new HashSet<>();
+
+    /** Guards against waiting items that are each refused in turn by the one engine with free slots. */
+    @Test
+    void refusingEngineIsAskedAFewTimesASecond() {
+        rig.engines(Batches.engine("e1", 12, 1), Batches.engine("e2", 12, 1));
+        rig.open(Batches.head("b", 160), Batches.items("a", 160), true);
+        long afterFirstMs = 0;
+        int atFirst = refuseAll();
+        for (long t = 0; t < REFUSES_FOR_MS; t += STEP_MS) {
+            rig.pass(STEP_MS);
+            afterFirstMs += refuseAll();
+        }
+        assertThat("all slots of the engine", atFirst, is(12));
+        // 100, 200 and 400 ms after the first refusal; a slot each.
+        assertThat("refusals after the first", afterFirstMs, lessThanOrEqualTo(3 * 12L));
+    }
+
+    /** Guards against an engine that stays unused after it has stopped refusing. */
+    @Test
+    void engineIsFullAgainSoonAfterItsLastRefusal() {
+        rig.engines(Batches.engine("e1", 12, 1), Batches.engine("e2", 12, 1));
+        rig.open(Batches.head("b", 160), Batches.items("a", 160), true);
+        for (long t = 0; t < REFUSES_FOR_MS; t += STEP_MS) {
+            refuseAll();
+            rig.pass(STEP_MS);
+        }
+        refuseAll();
+        rig.pass(400);
+        assertThat(open(REFUSING), hasSize(12));
+    }
+
+    /** Guards against items that are sent to an engine which is known to be loading. */
+    @Test
+    void loadingEngineGetsNoItems() {
+        EngineState loading =
+                new EngineState(Batches.endpoint("e1"), 12, Map.of(Batches.MODEL, new WeightVersion(1)), true);
+        rig.engines(loading, Batches.engine("e2", 2, 1));
+        rig.open(Batches.head("b", 8), Batches.items("a", 8), true);
+        assertThat(open(REFUSING), hasSize(0));
+        rig.engines(Batches.engine("e1", 12, 1), Batches.engine("e2", 2, 1));
+        assertThat(open(REFUSING), hasSize(6));
+    }
+
+    private int refuseAll() {
+        List<ItemRun> runs = open(REFUSING);
+        for (ItemRun run : runs) {
+            ended.add(run.id());
+            rig.end(run, new RunOutcome.Refused(false));
+        }
+        return runs.size();
+    }
+
+    private List<ItemRun> open(EndpointId engine) {
+        return rig.runs().stream()
+                .filter(r -> r.endpoint().id().equals(engine) && !ended.contains(r.id()))
+                .toList();
+    }
+}
