Pass streams on event by event, and resume them elsewhere where their route allows it

Cause: requests of streaming routes were answered only when the endpoint had sent its whole answer. Change: StreamCaller hands each whole event over as it comes, byte for byte; a stream that breaks goes on at another endpoint after its last event if it may be repeated, else the caller's connection is cut so that it does not look complete. A call that nobody else may answer is no longer ended by an endpoint's silence before its deadline. PlainCaller and StreamCaller share the counting of attempts.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -24,6 +24,7 @@
 import org.magnoliabridge.calls.CallTools;
 import org.magnoliabridge.calls.PlainCaller;
 import org.magnoliabridge.calls.RetryBudget;
+import org.magnoliabridge.calls.StreamCaller;
 import org.magnoliabridge.core.CloseFailedException;
 import org.magnoliabridge.core.Closer;
 import org.magnoliabridge.core.ControlLoop;
@@ -235,6 +236,7 @@
         GatewayServices services = new GatewayServices(
                 policy,
                 new PlainCaller(context.platform().services(), tools),
+                new StreamCaller(context.platform().services(), tools),
                 batches,
                 team -> duties.usage().began(team, context.wallClock().getAsLong()),
                 gate,
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.magnoliabridge.batch.Engines;
-import org.magnoliabridge.calls.PlainServices;
+import org.magnoliabridge.calls.StreamServices;
 import org.magnoliabridge.external.EngineOrders;
 import org.magnoliabridge.external.EngineReports;
 import org.magnoliabridge.external.ObjectKey;
@@ -56,7 +56,7 @@
     UsageReports usageReports();
 
     /** Returns how requests are put to endpoints. */
-    PlainServices services();
+    StreamServices services();
 
     /** Returns how items of batches are run at engines. */
     Engines engines();
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServices.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServices.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.magnoliabridge.calls.PlainCaller;
+import org.magnoliabridge.calls.StreamCaller;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.DrainGate;
 import org.magnoliabridge.gateway.CurrentPolicy;
@@ -17,7 +18,8 @@
  * What a node offers to the handlers of an adapter.
  *
  * @param policy the configuration in force
- * @param plain forwards requests
+ * @param plain forwards requests whose answers come whole
+ * @param streams forwards requests whose answers are streams of events
  * @param batches takes and reads batches
  * @param usage counts a request of a team that began to run
  * @param gate counts open requests and begins the drain
@@ -29,6 +31,7 @@
 public record GatewayServices(
         CurrentPolicy policy,
         PlainCaller plain,
+        StreamCaller streams,
         BatchService batches,
         UsageCounter usage,
         DrainGate gate,
--- a/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
@@ -161,6 +161,11 @@
             throw new HttpFailure.NotSent("no streams here", null);
         }
 
+        @Override
+        public HttpAnswer relay(HttpCall call, PieceReceiver pieces) throws HttpFailure {
+            throw new HttpFailure.NotSent("no streams here", null);
+        }
+
         @Override
         public void close() {}
     }
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -0,0 +1,113 @@
+package org.magnoliabridge.calls;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.ids.EndpointId;
+
+/** The attempts of one request: the endpoints that were tried, the attempts and the time that are left. */
+final class Attempts {
+    // An endpoint that refuses work has used no attempt, but a service that is full everywhere must not be asked on.
+    private static final int MAX_REFUSALS = 3;
+    // An attempt takes at most this part of the time left while another one is possible.
+    private static final int ATTEMPT_PART = 2;
+
+    private final PlainRequest request;
+    private final CallTools tools;
+    private final Cancellation cancellation;
+    private final CallProgress progress = new CallProgress();
+    private final Set<EndpointId> excluded = new HashSet<>();
+    private int attempts;
+    private int refusals;
+
+    Attempts(PlainRequest request, CallTools tools, Cancellation cancellation) {
+        this.request = request;
+        this.tools = tools;
+        this.cancellation = cancellation;
+        tools.budget().onCall();
+    }
+
+    /** Waits for a slot at an endpoint that was not tried yet. */
+    EndpointSource.Slot acquire() throws CallException {
+        EndpointSource.Need need = new EndpointSource.Need(
+                request.service(),
+                request.team(),
+                EndpointSource.Priority.INTERACTIVE,
+                1,
+                0,
+                "",
+                request.deadlineMs(),
+                Optional.empty(),
+                excluded);
+        try {
+            EndpointSource.Slot slot = tools.endpoints().acquire(need, cancellation);
+            excluded.add(slot.endpoint());
+            return slot;
+        } catch (CallException e) {
+            throw failed(e.failure());
+        }
+    }
+
+    /** Counts an attempt that begins now. */
+    void sending() {
+        progress.sending();
+        attempts++;
+    }
+
+    /** Returns the limits of the attempt that was counted last, which leave time for another one. */
+    HttpLimits limits() {
+        return isLast()
+                ? tools.limits().patient(remainingMs())
+                : tools.limits().within(Math.max(1, remainingMs() / ATTEMPT_PART));
+    }
+
+    /** Returns the limits of a stream, which may last as long as the request. */
+    HttpLimits streamLimits() {
+        return isLast() ? tools.limits().patient(remainingMs()) : tools.limits().within(remainingMs());
+    }
+
+    private boolean isLast() {
+        return !request.idempotent() || attempts >= request.maxAttempts();
+    }
+
+    /** Takes that the endpoint has begun to answer. */
+    void answered() {
+        progress.answered();
+    }
+
+    /** Takes that the last attempt did not run; it is not counted. */
+    void notRun() {
+        progress.notRun();
+        attempts--;
+        refusals++;
+    }
+
+    /** Returns whether a request that did not run may be sent to another endpoint. */
+    boolean mayRepeatRefused() {
+        return refusals <= MAX_REFUSALS && mayRepeat();
+    }
+
+    /** Returns whether attempts, time and the retry budget allow another attempt. */
+    boolean mayRepeat() {
+        if (attempts >= request.maxAttempts() || cancellation.reason().isPresent() || remainingMs() <= 0) {
+            return false;
+        }
+        boolean granted = tools.budget().tryRetry();
+        if (granted) {
+            tools.metrics().retries.inc();
+        } else {
+            tools.metrics().retriesRefused.inc();
+        }
+        return granted;
+    }
+
+    long remainingMs() {
+        return request.deadlineMs() - tools.clock().nowMs();
+    }
+
+    /** Returns the failure of the whole call. */
+    CallException failed(Failure failure) {
+        return new CallException(failure, progress.claim());
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/calls/CallLimits.java
+++ b/library/src/main/java/org/magnoliabridge/calls/CallLimits.java
@@ -13,6 +13,15 @@
     /** The limits of a node without settings of its own. */
     public static final CallLimits DEFAULT = new CallLimits(1_000, 10_000, 5_000);
 
+    /**
+     * Returns the limits of a call of which {@code remainingMs} are left and that nobody else can answer: once it is
+     * connected, silence does not end it before its deadline.
+     */
+    HttpLimits patient(long remainingMs) {
+        long total = Math.max(1, remainingMs);
+        return new HttpLimits(Math.min(connectMs, total), total, total, total);
+    }
+
     /** Returns the limits of a call of which {@code remainingMs} are left before its deadline. */
     HttpLimits within(long remainingMs) {
         long total = Math.max(1, remainingMs);
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -1,11 +1,8 @@
 package org.magnoliabridge.calls;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.magnoliabridge.http.HttpAnswer;
 import org.magnoliabridge.http.HttpFailure;
-import org.magnoliabridge.ids.EndpointId;
 
 /**
  * Calls plain services; repeats a request only if the route is idempotent or the request certainly did not run.
@@ -14,11 +11,7 @@
  * the time that is left is tried at another one, so that one silent endpoint does not use up the deadline.
  */
 public final class PlainCaller {
-    // An endpoint that refuses work has used no attempt, but a service that is full everywhere must not be asked on.
-    private static final int MAX_REFUSALS = 3;
     private static final int FIRST_SERVER_ERROR = 500;
-    // An attempt takes at most this part of the time left while another one is possible.
-    private static final int ATTEMPT_PART = 2;
 
     private final PlainServices services;
     private final CallTools tools;
@@ -63,20 +56,15 @@
     /** One call with its attempts. */
     private final class Call {
         private final PlainRequest request;
-        private final Cancellation cancellation;
-        private final CallProgress progress = new CallProgress();
-        private final Set<EndpointId> excluded = new HashSet<>();
+        private final Attempts attempts;
         private Optional<PlainAnswer> serverError = Optional.empty();
-        private int attempts;
-        private int refusals;
 
         Call(PlainRequest request, Cancellation cancellation) {
             this.request = request;
-            this.cancellation = cancellation;
+            this.attempts = new Attempts(request, tools, cancellation);
         }
 
         PlainAnswer run() throws CallException {
-            tools.budget().onCall();
             while (true) {
                 Attempt attempt;
                 try {
@@ -90,19 +78,18 @@
                 switch (attempt) {
                     case Attempt.Answered answered -> {
                         boolean failed = answered.answer().status() >= FIRST_SERVER_ERROR;
-                        if (!failed || !request.idempotent() || !mayRepeat()) {
+                        if (!failed || !request.idempotent() || !attempts.mayRepeat()) {
                             return answered.answer();
                         }
                         serverError = Optional.of(answered.answer());
                     }
                     case Attempt.NotRun refused -> {
-                        refusals++;
-                        if (refusals > MAX_REFUSALS || !mayRepeat()) {
+                        if (!attempts.mayRepeatRefused()) {
                             return orServerError(refused.failure());
                         }
                     }
                     case Attempt.Lost lost -> {
-                        if (!request.idempotent() || !mayRepeat()) {
+                        if (!request.idempotent() || !attempts.mayRepeat()) {
                             return orServerError(lost.failure());
                         }
                     }
@@ -110,7 +97,6 @@
                         return orServerError(late.failure());
                     }
                 }
-                tools.metrics().retries.inc();
             }
         }
 
@@ -119,28 +105,12 @@
             if (serverError.isPresent()) {
                 return serverError.get();
             }
-            throw new CallException(failure, progress.claim());
-        }
-
-        private boolean mayRepeat() {
-            if (attempts >= request.maxAttempts() || cancellation.reason().isPresent() || remainingMs() <= 0) {
-                return false;
-            }
-            boolean granted = tools.budget().tryRetry();
-            if (!granted) {
-                tools.metrics().retriesRefused.inc();
-            }
-            return granted;
-        }
-
-        private long remainingMs() {
-            return request.deadlineMs() - tools.clock().nowMs();
+            throw attempts.failed(failure);
         }
 
         private Attempt attempt() throws CallException {
-            try (EndpointSource.Slot slot = acquire()) {
-                excluded.add(slot.endpoint());
-                if (remainingMs() <= 0) {
+            try (EndpointSource.Slot slot = attempts.acquire()) {
+                if (attempts.remainingMs() <= 0) {
                     return new Attempt.Late(new Failure.DeadlineExceeded());
                 }
                 Spans.Span span = tools.spans()
@@ -152,39 +122,18 @@
             }
         }
 
-        private EndpointSource.Slot acquire() throws CallException {
-            EndpointSource.Need need = new EndpointSource.Need(
-                    request.service(),
-                    request.team(),
-                    EndpointSource.Priority.INTERACTIVE,
-                    1,
-                    0,
-                    "",
-                    request.deadlineMs(),
-                    Optional.empty(),
-                    excluded);
-            try {
-                return tools.endpoints().acquire(need, cancellation);
-            } catch (CallException e) {
-                throw new CallException(e.failure(), progress.claim(), e);
-            }
-        }
-
         private Attempt send(EndpointSource.Slot slot, TraceContext trace) {
-            progress.sending();
-            attempts++;
-            boolean last = !request.idempotent() || attempts >= request.maxAttempts();
-            long limitMs = last ? remainingMs() : Math.max(1, remainingMs() / ATTEMPT_PART);
+            attempts.sending();
             try {
-                HttpAnswer answer = services.send(request, slot, tools.limits().within(limitMs), trace);
-                progress.answered();
+                HttpAnswer answer = services.send(request, slot, attempts.limits(), trace);
+                attempts.answered();
                 return answered(slot, answer);
             } catch (HttpFailure.NotSent e) {
-                notRun();
+                attempts.notRun();
                 slot.observed(EndpointSource.Observation.UNREACHABLE);
                 return new Attempt.NotRun(new Failure.BackEndFailed("the service could not be reached"));
             } catch (HttpFailure.TooLarge e) {
-                progress.answered();
+                attempts.answered();
                 return new Attempt.Late(new Failure.IncompleteAnswer("the answer is over the size limit"));
             } catch (HttpFailure e) {
                 return lost(slot, e);
@@ -194,7 +143,7 @@
         private Attempt answered(EndpointSource.Slot slot, HttpAnswer answer) {
             BackEndRefusal refusal = services.refusal(answer);
             if (refusal.notRun()) {
-                notRun();
+                attempts.notRun();
                 slot.observed(
                         refusal.draining()
                                 ? EndpointSource.Observation.DRAINING
@@ -205,18 +154,13 @@
             return new Attempt.Answered(services.answer(answer));
         }
 
-        private void notRun() {
-            progress.notRun();
-            attempts--;
-        }
-
         private Attempt lost(EndpointSource.Slot slot, HttpFailure cause) {
             tools.metrics().brokenAnswers.inc();
             if (!request.idempotent()) {
                 return new Attempt.Lost(new Failure.OutcomeUnknown());
             }
             slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
-            return remainingMs() <= 0
+            return attempts.remainingMs() <= 0
                     ? new Attempt.Late(new Failure.DeadlineExceeded())
                     : new Attempt.Lost(new Failure.IncompleteAnswer(
                             "the service's answer did not come whole: " + cause.getMessage()));
--- a/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
@@ -27,9 +27,28 @@
      */
     HttpAnswer stream(HttpCall call, LineReceiver lines) throws HttpFailure;
 
+    /**
+     * Makes a call and hands over the answer's content as it arrives, byte for byte.
+     *
+     * <p>An answer with a status other than 200 is returned whole and nothing is handed over.
+     *
+     * @return the answer's status and headers; the body is empty if the content was handed over
+     * @throws HttpFailure.Lost also if the answer ended before its proper end
+     */
+    HttpAnswer relay(HttpCall call, PieceReceiver pieces) throws HttpFailure;
+
     @Override
     void close();
 
+    /** Receives the content of an answer in pieces of any size. */
+    interface PieceReceiver {
+        /** Takes the status and headers before the first piece; returns false to stop and close the connection. */
+        boolean head(HttpAnswer head);
+
+        /** Takes a piece; returns false to stop and close the connection. */
+        boolean piece(byte[] piece);
+    }
+
     /** Receives lines of a streamed answer. */
     @FunctionalInterface
     interface LineReceiver {
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -29,12 +29,28 @@
     @Override
     public HttpAnswer call(HttpCall call) throws HttpFailure {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        return run(call, collector(body, call.maxAnswerBytes()), body);
+        return run(call, collector(body, call.maxAnswerBytes()), body, true);
     }
 
     @Override
     public HttpAnswer stream(HttpCall call, LineReceiver lines) throws HttpFailure {
-        return run(call, new LineSplitter(lines, call.maxAnswerBytes()), new ByteArrayOutputStream());
+        return run(call, new LineSplitter(lines, call.maxAnswerBytes()), new ByteArrayOutputStream(), false);
+    }
+
+    @Override
+    public HttpAnswer relay(HttpCall call, PieceReceiver pieces) throws HttpFailure {
+        ContentReceiver content = new ContentReceiver() {
+            @Override
+            public boolean head(HttpAnswer head) {
+                return pieces.head(head);
+            }
+
+            @Override
+            public boolean bytes(byte[] piece) {
+                return pieces.piece(piece);
+            }
+        };
+        return run(call, content, new ByteArrayOutputStream(), false);
     }
 
     @Override
@@ -42,7 +58,10 @@
         pool.close();
     }
 
-    private HttpAnswer run(HttpCall call, ContentReceiver content, ByteArrayOutputStream collected) throws HttpFailure {
+    /** Makes a call; an answer that the receiver does not take, because of its status, is collected. */
+    private HttpAnswer run(
+            HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
+            throws HttpFailure {
         Deadline deadline = new Deadline(call.limits().totalMs());
         ClientConnection connection = pool.connection(call, deadline);
         Exchange exchange = new Exchange(connection, call);
@@ -52,7 +71,7 @@
             exchange.start();
             Exchange.Head head =
                     exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
-            boolean toReceiver = head.status() == 200 || !(content instanceof LineSplitter);
+            boolean toReceiver = head.status() == 200 || takesEveryStatus;
             ContentReceiver receiver = toReceiver ? content : collector(collected, call.maxAnswerBytes());
             HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), NO_BODY);
             boolean whole = receiver.head(begun) && receive(exchange, receiver, call, deadline);
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/calls/StreamCallerTest.java
@@ -0,0 +1,250 @@
+package org.magnoliabridge.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.http.HttpAnswer;
+import org.magnoliabridge.http.HttpCall;
+import org.magnoliabridge.http.HttpCaller;
+import org.magnoliabridge.http.HttpFailure;
+import org.magnoliabridge.http.HttpLimits;
+import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+
+class StreamCallerTest {
+    private final CallFixture fixture = new CallFixture();
+    private final List<String> received = new CopyOnWriteArrayList<>();
+    private final CountDownLatch firstEvent = new CountDownLatch(1);
+    private volatile FakeBackEnd.Script firstScript = (request, out) -> false;
+    private volatile FakeBackEnd.Script secondScript = (request, out) -> false;
+    private final FakeBackEnd one = new FakeBackEnd((request, out) -> firstScript.answer(request, out));
+    private final FakeBackEnd two = new FakeBackEnd((request, out) -> secondScript.answer(request, out));
+    private final StreamCaller caller = new StreamCaller(new RawStreams(fixture.http), fixture.tools);
+
+    StreamCallerTest() throws IOException {
+        fixture.endpoints.endpoints.clear();
+        fixture.endpoints.add("one", one.address()).add("two", two.address());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+        one.close();
+        two.close();
+    }
+
+    /** Guards against events that wait for the end of their stream. */
+    @Test
+    void eventIsHandedOverBeforeTheNextOneIsMade() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\r\ndata: a\r\n\r\n");
+            firstEvent.await();
+            chunk(out, "id: 2\ndata: b\n\n");
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(false).isEmpty(), is(true));
+        assertThat("bytes as they came", received, contains("200", "id: 1\r\ndata: a\r\n\r\n", "id: 2\ndata: b\n\n"));
+    }
+
+    /** Guards against a stream with a gap, a repeated event or a piece of one where another endpoint goes on. */
+    @Test
+    void brokenStreamGoesOnAfterItsLastWholeEvent() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\nid: 2\nda");
+            return false;
+        };
+        secondScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 2\ndata: b\n\n");
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(true).isEmpty(), is(true));
+        assertThat(received, contains("200", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"));
+        assertThat(two.requests("/").getFirst().head(), containsString("last-event-id: 1"));
+    }
+
+    /** Guards against two runs of a request that may run once. */
+    @Test
+    void brokenStreamThatMustNotBeRepeatedFails() {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\n");
+            return false;
+        };
+        CallException failed = assertThrows(CallException.class, () -> call(false));
+        assertThat(failed.run(), is(RunClaim.RAN));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
+    /** Guards against a stream that looks complete although events are missing in it. */
+    @Test
+    void missingEventEndsTheAttempt() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+            return FakeBackEnd.endStream(out);
+        };
+        CallException failed = assertThrows(CallException.class, () -> call(true));
+        assertThat(failed.failure(), is(instanceOf(Failure.IncompleteAnswer.class)));
+        assertThat(received, contains("200", "id: 1\ndata: a\n\n"));
+    }
+
+    /** Guards against an end within an event that passes for the end of the stream. */
+    @Test
+    void endWithinAnEventIsNoEnd() {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\nid: 2\ndata: b\n");
+            return FakeBackEnd.endStream(out);
+        };
+        assertThrows(CallException.class, () -> call(false));
+        assertThat(received, hasSize(2));
+    }
+
+    /** Guards against a refusal that counts as a run, and against a failure that hides the endpoint's own answer. */
+    @Test
+    void refusedRequestGoesElsewhereAndAnErrorIsPassedOn() throws CallException {
+        firstScript = (request, out) -> FakeBackEnd.respond(
+                out, 503, "application/json", "{\"error\":{\"type\":\"full\",\"run\":\"not_run\"}}");
+        secondScript = (request, out) -> FakeBackEnd.respond(out, 500, "application/json", "{\"own\":1}");
+        Optional<PlainAnswer> answer = call(false);
+        assertThat(answer.orElseThrow().status(), is(500));
+        assertThat(new String(answer.get().body(), StandardCharsets.UTF_8), is("{\"own\":1}"));
+        assertThat(received, hasSize(0));
+    }
+
+    /** Guards against an endpoint's long silence that cuts a stream which nobody else may continue. */
+    @Test
+    void silenceDoesNotEndAStreamThatMustNotBeRepeated() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\n");
+            // Longer than the limit between two pieces that the fixture sets.
+            Thread.sleep(600);
+            chunk(out, "id: 2\ndata: b\n\n");
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(false).isEmpty(), is(true));
+        assertThat(received, hasSize(3));
+    }
+
+    /** Guards against work at an endpoint for a caller that has left. */
+    @Test
+    void callerThatIsGoneEndsTheCall() {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\n");
+            firstEvent.await();
+            return true;
+        };
+        Cancellation cancellation = new Cancellation();
+        Thread.ofVirtual().start(() -> {
+            try {
+                firstEvent.await();
+                cancellation.cancel(Cancellation.Reason.CALLER_GONE);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        CallException failed = assertThrows(CallException.class, () -> call(true, cancellation));
+        assertThat(failed.failure(), is(instanceOf(Failure.CallerGone.class)));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
+    private Optional<PlainAnswer> call(boolean repeatable) throws CallException {
+        return call(repeatable, new Cancellation());
+    }
+
+    private Optional<PlainAnswer> call(boolean repeatable, Cancellation cancellation) throws CallException {
+        PlainRequest request = new PlainRequest(
+                new ServiceId("chat"),
+                new TeamId("oak"),
+                "POST",
+                "/chat",
+                Map.of(),
+                new byte[] {1},
+                repeatable,
+                3,
+                fixture.deadline(),
+                new RequestId("r1"),
+                CallFixture.noTrace());
+        return caller.call(request, cancellation, new StreamCaller.Receiver() {
+            @Override
+            public void begin(PlainAnswer head) {
+                received.add(Integer.toString(head.status()));
+            }
+
+            @Override
+            public void event(byte[] bytes) {
+                received.add(new String(bytes, StandardCharsets.UTF_8));
+                firstEvent.countDown();
+            }
+        });
+    }
+
+    private static void chunk(OutputStream out, String text) throws IOException {
+        out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    /** Puts requests to back ends without any headers of a platform. */
+    private static final class RawStreams implements StreamServices {
+        private final HttpCaller http;
+        private final PlainServiceAdapter plain;
+
+        RawStreams(HttpCaller http) {
+            this.http = http;
+            this.plain = new PlainServiceAdapter(http);
+        }
+
+        @Override
+        public HttpAnswer stream(
+                PlainRequest request,
+                EndpointSource.Slot slot,
+                HttpLimits limits,
+                long lastEvent,
+                HttpCaller.PieceReceiver pieces)
+                throws HttpFailure {
+            HttpCall call = HttpCall.of(request.method(), slot.address(), request.path())
+                    .withBody(request.body())
+                    .withLimits(limits)
+                    .onFreshConnection();
+            return http.relay(
+                    lastEvent > 0 ? call.withHeader("Last-Event-Id", Long.toString(lastEvent)) : call, pieces);
+        }
+
+        @Override
+        public HttpAnswer send(PlainRequest request, EndpointSource.Slot slot, HttpLimits limits, TraceContext trace)
+                throws HttpFailure {
+            return plain.send(request, slot, limits, trace);
+        }
+
+        @Override
+        public BackEndRefusal refusal(HttpAnswer answer) {
+            return plain.refusal(answer);
+        }
+
+        @Override
+        public PlainAnswer answer(HttpAnswer answer) {
+            return plain.answer(answer);
+        }
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/external/ScriptedCaller.java
+++ b/library/src/test/java/org/magnoliabridge/external/ScriptedCaller.java
@@ -38,6 +38,11 @@
         return call(call);
     }
 
+    @Override
+    public HttpAnswer relay(HttpCall call, PieceReceiver pieces) throws HttpFailure {
+        return call(call);
+    }
+
     @Override
     public void close() {}
 }
