--- a/daemon/src/main/java/org/magnoliabridge/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NodeMain.java
@@ -44,6 +44,7 @@
             return OK;
         } catch (IOException e) {
             LOG.atSevere().withCause(e).log("node cannot start");
+            JsonLogs.flush();
             return UNEXPECTED;
         }
     }
@@ -55,5 +56,6 @@
         } catch (InterruptedException | CloseFailedException e) {
             LOG.atSevere().withCause(e).log("node did not end cleanly");
         }
+        JsonLogs.flush();
     }
 }
--- a/library/src/main/java/org/magnoliabridge/telemetry/JsonLogs.java
+++ b/library/src/main/java/org/magnoliabridge/telemetry/JsonLogs.java
@@ -1,11 +1,12 @@
 package org.magnoliabridge.telemetry;
 
-import java.util.logging.ConsoleHandler;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Sends all logs of the process to standard error as JSON lines. */
+/** Sends all logs of the process to standard output as JSON lines. */
 public final class JsonLogs {
     private JsonLogs() {}
 
@@ -15,10 +16,18 @@
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        Handler console = new ConsoleHandler();
-        console.setFormatter(new JsonLogFormatter(nodeId));
-        console.setLevel(level);
-        root.addHandler(console);
+        // Not System.out, which takes a lock and copies each line once more.
+        Handler queued = new QueuedHandler(
+                new FileOutputStream(FileDescriptor.out), new JsonLogFormatter(nodeId), System::nanoTime);
+        queued.setLevel(level);
+        root.addHandler(queued);
         root.setLevel(level);
     }
+
+    /** Waits briefly until all lines are written; called before the process ends. */
+    public static void flush() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
+        }
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/telemetry/LastingLogManager.java
+++ b/library/src/main/java/org/magnoliabridge/telemetry/LastingLogManager.java
@@ -11,6 +11,6 @@
 public final class LastingLogManager extends LogManager {
     @Override
     public void reset() {
-        // Called by the runtime's shutdown hook; the console handler needs no closing.
+        // Called by the runtime's shutdown hook; the process flushes its handler itself.
     }
 }
