Show nothing at a position only after asking the store, and let nodes that start together meet within two periods

After all nodes are killed and start together each node meets one other and then tries one listed node in 5 s, so two islands elect a runner each. Ruled out: lost or stale answers of the store (a single rare position, not sixty), and offers that come late. The mechanism that is gone (RunnerElection.exclusiveSinceMs) takes its test with it; the new test asks more: no empty answer without a look into the store. Listed nodes that are no members yet are pinged in turn, several in each period. Tests: BatchCoreTest.nothingIsShownAtAPositionBeforeTheStoreWasAsked and MembershipCoreTest.listedNodesThatAreNoMembersYetArePingedEachPeriod failed before; the fault matrix passes without the claim.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
-import org.magnoliabridge.batch.BatchInput;
 import org.magnoliabridge.batch.BatchMessages;
 import org.magnoliabridge.batch.BatchMessages.Announcement;
 import org.magnoliabridge.batch.MalformedBatchException;
@@ -57,9 +56,7 @@
     /** Takes the time, several times a second. */
     void tick() {
         long nowMs = clock.nowMs();
-        boolean allAlive = membership.members().stream()
-                .allMatch(m -> m.isAlive() || m.standing().leaving());
-        boolean elected = election.members(nowMs, membership.ranked(SCOPE), allAlive);
+        boolean elected = election.members(nowMs, membership.ranked(SCOPE));
         if (elected) {
             LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node runs the batches from now on");
         }
@@ -88,7 +85,7 @@
     private void announced(NodeId from, byte[] body) {
         try {
             Announcement announcement = BatchMessages.announcement(body);
-            if (election.announced(clock.nowMs(), announcement.runner(), announcement.term())) {
+            if (election.announced(announcement.runner(), announcement.term())) {
                 LOG.atInfo()
                         .with(LogFields.PEER, announcement.runner().value())
                         .with(LogFields.VERSION, announcement.term())
@@ -103,7 +100,6 @@
     private void apply() {
         runner = election.runner();
         if (election.isSelf()) {
-            scheduler.handle(new BatchInput.Exclusive(election.exclusiveSinceMs(clock.nowMs())));
             scheduler.activate();
         } else {
             scheduler.deactivate();
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -80,7 +80,6 @@
             case BatchInput.Open open -> open(nowMs, open);
             case BatchInput.End end -> end(nowMs, end.batch());
             case BatchInput.Dismissed dismissed -> dismiss();
-            case BatchInput.Exclusive exclusive -> reads.exclusive(exclusive.sinceMs());
             case BatchInput.Routes now -> routes = now.targets();
             case BatchInput.Engines now -> placement.replaceEngines(now.engines());
             case BatchInput.Newest named ->
@@ -137,9 +136,6 @@
             return;
         }
         ResultLog log = new ResultLog(head.id(), runner, !open.fresh(), mechanisms);
-        if (open.fresh() && reads.isExclusive()) {
-            log.setCurrent(nowMs);
-        }
         RunningBatch batch = new RunningBatch(nowMs, head, open.items(), bank, log);
         batches.put(head.id(), batch);
         long started = batch.items().stream()
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
@@ -30,13 +29,6 @@
     /** Another node runs the batches now, or none does. */
     record Dismissed() implements BatchInput {}
 
-    /**
-     * Whether this node is surely the only runner.
-     *
-     * @param sinceMs since when, on the node's monotonic clock; empty if another node may run batches too
-     */
-    record Exclusive(OptionalLong sinceMs) implements BatchInput {}
-
     /** Where the items of each batch route run by the configuration in force. */
     record Routes(Map<RouteId, BatchTarget> targets) implements BatchInput {
         public Routes {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchReads.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchReads.java
@@ -4,13 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 
 /**
  * Readers that wait for results.
  *
- * <p>A reader may be told that there is nothing at a position only by a log that is current: another runner may have
- * listed more, and somebody may have read it.
+ * <p>A reader may be told that there is nothing at a position only by a log that is complete or current: another runner
+ * may have listed more, and somebody may have read it. No node can know that it is the only runner, so the log counts
+ * as current only for a short time after the store was asked.
  */
 final class BatchReads {
     // A position must be shown at every node within a second of its first showing.
@@ -18,7 +18,6 @@
 
     private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
     private final boolean checking;
-    private OptionalLong exclusiveSinceMs = OptionalLong.empty();
 
     /** Creates an empty list; without checking, a log counts as current at any time. */
     BatchReads(boolean checking) {
@@ -27,16 +26,6 @@
 
     private record Waiting(BatchInput.Read read, RunningBatch batch, long untilMs) {}
 
-    /** Takes since when no other node can be a runner. */
-    void exclusive(OptionalLong sinceMs) {
-        exclusiveSinceMs = sinceMs;
-    }
-
-    /** Returns whether the log of a batch that was accepted just now is current without a look into the store. */
-    boolean isExclusive() {
-        return exclusiveSinceMs.isPresent();
-    }
-
     /** Answers a read at once if there is a result, else when there is one or the wait is over. */
     void add(long nowMs, BatchInput.Read read, RunningBatch batch, List<BatchEffect> effects) {
         Waiting reader = new Waiting(read, batch, nowMs + read.waitMs());
@@ -76,7 +65,7 @@
             if (!late && !complete) {
                 return false;
             }
-            if (!isCurrent(nowMs, batch.log())) {
+            if (!batch.isListed() && !isCurrent(nowMs, batch.log())) {
                 batch.log().check();
                 return false;
             }
@@ -88,7 +77,6 @@
     }
 
     private boolean isCurrent(long nowMs, ResultLog log) {
-        boolean exclusive = exclusiveSinceMs.isPresent() && log.currentAtMs() >= exclusiveSinceMs.getAsLong();
-        return !checking || exclusive || log.currentAtMs() >= nowMs - MAX_AGE_MS;
+        return !checking || log.currentAtMs() >= nowMs - MAX_AGE_MS;
     }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -68,11 +68,6 @@
         return currentAtMs;
     }
 
-    /** Takes it for certain that the log is current at a time: no other runner can have appended. */
-    void setCurrent(long atMs) {
-        currentAtMs = Math.max(currentAtMs, atMs);
-    }
-
     /** Reads the store for segments of another runner, unless a request is on its way that tells as much. */
     void check() {
         reading |= !inFlight && append.isEmpty();
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.magnoliabridge.ids.NodeId;
 
 /**
@@ -16,19 +15,15 @@
 public final class RunnerElection {
     // A node that has just started knows only itself, and would announce itself although there is a runner.
     private static final long SETTLE_MS = 800;
-    // A node that doubts this one, or that this one doubts, is noticed well within this time.
-    private static final long DOUBT_MS = 3_000;
 
     private final NodeId self;
     private final long startedMs;
     private long term;
     private Optional<NodeId> runner = Optional.empty();
-    private long doubtedAtMs;
 
     public RunnerElection(NodeId self, long nowMs) {
         this.self = Objects.requireNonNull(self);
         this.startedMs = nowMs;
-        this.doubtedAtMs = nowMs;
     }
 
     /** Returns the node that runs the batches, as far as is known. */
@@ -46,22 +41,8 @@
         return term;
     }
 
-    /**
-     * Returns since when no other node can be a runner, on the clock of the inputs.
-     *
-     * <p>Another node can be one only if it has not seen this node alive, which this node sees as well, or if it has
-     * announced itself.
-     */
-    public OptionalLong exclusiveSinceMs(long nowMs) {
-        boolean settled = isSelf() && nowMs - doubtedAtMs >= DOUBT_MS;
-        return settled ? OptionalLong.of(doubtedAtMs + DOUBT_MS) : OptionalLong.empty();
-    }
-
     /** Takes an announcement of another node; returns whether the runner changed. */
-    public boolean announced(long nowMs, NodeId node, long newTerm) {
-        if (!node.equals(runner.orElse(null))) {
-            doubtedAtMs = nowMs;
-        }
+    public boolean announced(NodeId node, long newTerm) {
         boolean wins = newTerm > term
                 || (newTerm == term && runner.map(r -> node.compareTo(r) < 0).orElse(true));
         boolean changed = wins && runner.filter(node::equals).isEmpty();
@@ -75,13 +56,8 @@
     /**
      * Takes the live members that take work, in rendezvous order; returns whether this node is now the runner and must
      * announce it.
-     *
-     * @param allAlive whether every known member is alive
      */
-    public boolean members(long nowMs, List<NodeId> ranked, boolean allAlive) {
-        if (!allAlive) {
-            doubtedAtMs = nowMs;
-        }
+    public boolean members(long nowMs, List<NodeId> ranked) {
         boolean alive = runner.filter(ranked::contains).isPresent();
         boolean first = !ranked.isEmpty() && ranked.getFirst().equals(self);
         if (alive || !first || nowMs - startedMs < SETTLE_MS) {
@@ -89,7 +65,6 @@
         }
         term++;
         runner = Optional.of(self);
-        doubtedAtMs = nowMs;
         return true;
     }
 
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -51,6 +51,7 @@
     private Map<NodeId, String> instances = Map.of();
     private long confirmedAtMs = NEVER_MS;
     private int loadPermille;
+    private int nextStranger;
     private long periodStartMs = NEVER_MS;
     private long rejoinAtMs = NEVER_MS;
     private long syncAtMs = NEVER_MS;
@@ -135,6 +136,7 @@
         }
         pingSuspects(nowMs, effects);
         pingAwaited(nowMs, effects);
+        greet(nowMs, effects);
         boolean alone = table.others().isEmpty();
         if (alone || nowMs - rejoinAtMs >= REJOIN_PERIOD_MS) {
             rejoinAtMs = nowMs;
@@ -160,15 +162,22 @@
                 .forEach(m -> ping(m, false, nowMs, effects)));
     }
 
-    private void rejoin(long nowMs, List<MembershipEffect> effects) {
-        List<Member> lost = table.lost();
-        List<String> addresses = new ArrayList<>();
+    // Nodes that start together meet in islands, and each island elects for itself until it has met the others.
+    private void greet(long nowMs, List<MembershipEffect> effects) {
+        List<String> strangers = new ArrayList<>();
         instances.forEach((id, address) -> {
             if (table.get(id).isEmpty()) {
-                addresses.add(address);
+                strangers.add(address);
             }
         });
-        addresses.addAll(seeds);
+        for (int i = 0; i < Math.min(settings.pings(), strangers.size()); i++) {
+            pingUnnamed(strangers.get(nextStranger++ % strangers.size()), nowMs, effects);
+        }
+    }
+
+    private void rejoin(long nowMs, List<MembershipEffect> effects) {
+        List<Member> lost = table.lost();
+        List<String> addresses = new ArrayList<>(seeds);
         // Seeds that are members already are left alone: with 340 nodes they would get most of the pings.
         addresses.removeAll(
                 table.all().stream().map(m -> m.place().peerAddress()).toList());
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -2,7 +2,6 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
-import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -12,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.WeightVersion;
 
 class BatchCoreTest {
     private final RunnerRig rig = new RunnerRig();
@@ -136,11 +136,24 @@
         rig.open(Batches.head("b", 1), Batches.items("a", 1), true);
         rig.end(rig.runs().getFirst(), new RunOutcome.Completed(), Batches.event(1, "x", 1));
         rig.tell(new BatchInput.Read(7, new BatchId("b"), Batches.TEAM, 0, 0));
-        assertThat(((ReadAnswer.Results) rig.answer(7)).results(), is(empty()));
+        assertThat("the append is on its way", rig.isAnswered(7), is(false));
         rig.written();
+        assertThat(((ReadAnswer.Results) rig.answer(7)).results(), hasSize(1));
         assertThat(rig.read("b", 0), hasSize(1));
     }
 
+    /** Guards against a reader that is shown nothing where another runner has listed a result that was read already. */
+    @Test
+    void nothingIsShownAtAPositionBeforeTheStoreWasAsked() {
+        rig.engines(Batches.engine("e1", 1, 1));
+        rig.open(Batches.head("b", 1), Batches.items("a", 1), true);
+        rig.tell(new BatchInput.Read(7, new BatchId("b"), Batches.TEAM, 0, 0));
+        assertThat(rig.isAnswered(7), is(false));
+        ItemResult listed = new ItemResult(new ItemId("a-0"), true, "x", List.of(new WeightVersion(1)));
+        rig.storeReplies(new ResultSegment("n2-0", List.of(listed)));
+        assertThat(((ReadAnswer.Results) rig.answer(7)).results(), contains(listed));
+    }
+
     /** Guards against a team that reads another team's batch. */
     @Test
     void otherTeamFindsNothing() {
--- a/library/src/test/java/org/magnoliabridge/batch/BatchWorld.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchWorld.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.magnoliabridge.external.StoreReply;
@@ -223,9 +222,6 @@
                 handle(new BatchInput.Dismissed());
             }
             if (running) {
-                OptionalLong exclusive =
-                        now > SPLIT_TO_MS + TOUCH_MS ? OptionalLong.of(SPLIT_TO_MS + TOUCH_MS) : OptionalLong.empty();
-                handle(new BatchInput.Exclusive(exclusive));
                 // While both run batches, the second one reaches no engine and learns of results from the log only.
                 boolean cut = number == 1 && now < SPLIT_TO_MS;
                 EngineState engine = Batches.engine("e1", 3, now < NEW_WEIGHTS_MS ? 1 : 2);
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
@@ -4,8 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
 
 /** A batch core with one route on a virtual clock, and what it has asked for so far. */
@@ -18,7 +19,6 @@
 
     RunnerRig() {
         tell(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
-        tell(new BatchInput.Exclusive(OptionalLong.of(0)));
     }
 
     void tell(BatchInput input) {
@@ -47,6 +47,30 @@
                 .forEach(s -> tell(new BatchInput.StoreReplied(s.tag(), new StoreReply.Written(1))));
     }
 
+    /** Answers the reads of the store that are open: each segment is there, and then none. */
+    void storeReplies(ResultSegment... segments) {
+        for (int i = 0; i <= segments.length; i++) {
+            BatchEffect.Store request = lastStore();
+            StoreRequest.Read read = (StoreRequest.Read) request.request();
+            StoreReply reply = i < segments.length
+                    ? new StoreReply.Found(new StoredObject(read.key(), 1, BatchCodec.segment(segments[i])))
+                    : new StoreReply.NotFound();
+            tell(new BatchInput.StoreReplied(request.tag(), reply));
+        }
+    }
+
+    private BatchEffect.Store lastStore() {
+        return heard.stream()
+                .filter(BatchEffect.Store.class::isInstance)
+                .map(BatchEffect.Store.class::cast)
+                .reduce((a, b) -> b)
+                .orElseThrow();
+    }
+
+    boolean isAnswered(long ticket) {
+        return heard.stream().anyMatch(e -> e instanceof BatchEffect.Answer answer && answer.ticket() == ticket);
+    }
+
     List<ItemResult> read(String batch, int after) {
         long ticket = ++lastTicket;
         tell(new BatchInput.Read(ticket, new BatchId(batch), Batches.TEAM, after, 0));
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -10,8 +10,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -57,6 +61,32 @@
         assertThat(left.merge(standing(b)), equalTo(left));
     }
 
+    /** Guards against islands of nodes that started at the same time, each of which takes itself for the whole. */
+    @Test
+    void listedNodesThatAreNoMembersYetArePingedEachPeriod() {
+        Standing alive = new Standing(new Incarnation(5), 0, State.ALIVE, false);
+        MembershipCore core = new MembershipCore(
+                new Member(new NodeId("self"), alive, place("self"), 0),
+                List.of(),
+                new Random(1),
+                MembershipSettings.FAST);
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        Map<NodeId, String> listed = new TreeMap<>();
+        for (int i = 0; i < 8; i++) {
+            listed.put(new NodeId("n" + i), "10.0.0." + i + ":7000");
+        }
+        core.handle(new MembershipInput.Instances(listed), 0);
+        Set<String> pinged = new TreeSet<>();
+        for (long now = 0; now <= 2_000; now += 100) {
+            for (MembershipEffect effect : core.handle(new MembershipInput.Tick(), now)) {
+                if (effect instanceof MembershipEffect.Send send && send.type() == FrameType.PING) {
+                    pinged.add(send.address());
+                }
+            }
+        }
+        assertThat(pinged.containsAll(listed.values()), is(true));
+    }
+
     /** Guards against a crash of the control thread on any body, from random bytes to an altered ping. */
     @Property(tries = 500, seed = "47")
     void reportsMalformedBodies(@ForAll @Size(max = 120) byte[] random, @ForAll @IntRange(max = 200) int at) {
