--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -1,13 +1,16 @@
 package org.magnoliabridge.calls;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.telemetry.LogFields;
 
 /** The attempts of one request: the endpoints that were tried, the attempts and the time that are left. */
 final class Attempts {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // An endpoint that refuses work has used no attempt, but a service that is full everywhere must not be asked on.
     private static final int MAX_REFUSALS = 3;
     // An attempt takes at most this part of the time left while another one is possible.
@@ -71,6 +74,18 @@
         return !request.idempotent() || attempts >= request.maxAttempts();
     }
 
+    /** Logs an attempt that brought no answer; whoever asked logs what became of the request. */
+    void logFailed(EndpointSource.Slot slot, String reason) {
+        LOG.atInfo()
+                .with(LogFields.REQUEST, request.id().value())
+                .with(LogFields.SERVICE, request.service().value())
+                .with(LogFields.ENDPOINT, slot.endpoint().value())
+                .with(LogFields.TEAM, request.team().value())
+                .log(
+                        "attempt failed: %s; attempts %d of %d, refusals %d, %d ms left",
+                        reason, attempts, request.maxAttempts(), refusals, remainingMs());
+    }
+
     /** Takes that the endpoint has begun to answer. */
     void answered() {
         progress.answered();
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -131,6 +131,7 @@
             } catch (HttpFailure.NotSent e) {
                 attempts.notRun();
                 slot.observed(EndpointSource.Observation.UNREACHABLE);
+                attempts.logFailed(slot, e.getMessage());
                 return new Attempt.NotRun(new Failure.BackEndFailed("the service could not be reached"));
             } catch (HttpFailure.TooLarge e) {
                 attempts.answered();
@@ -144,6 +145,7 @@
             BackEndRefusal refusal = services.refusal(answer);
             if (refusal.notRun()) {
                 attempts.notRun();
+                attempts.logFailed(slot, "refused with status " + refusal.status());
                 slot.observed(
                         refusal.draining()
                                 ? EndpointSource.Observation.DRAINING
@@ -156,6 +158,7 @@
 
         private Attempt lost(EndpointSource.Slot slot, HttpFailure cause) {
             tools.metrics().brokenAnswers.inc();
+            attempts.logFailed(slot, cause.getMessage());
             if (!request.idempotent()) {
                 return new Attempt.Lost(new Failure.OutcomeUnknown());
             }
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -151,6 +151,7 @@
             } catch (HttpFailure.NotSent e) {
                 attempts.notRun();
                 slot.observed(EndpointSource.Observation.UNREACHABLE);
+                attempts.logFailed(slot, e.getMessage());
                 return new Attempt.NotRun(new Failure.BackEndFailed("the service could not be reached"));
             } catch (HttpFailure e) {
                 return broken(slot, "the stream broke off: " + e.getMessage());
@@ -176,6 +177,7 @@
                 return new Attempt.Answered(services.answer(answer));
             }
             attempts.notRun();
+            attempts.logFailed(slot, "refused with status " + refusal.status());
             slot.observed(
                     refusal.draining()
                             ? EndpointSource.Observation.DRAINING
@@ -185,6 +187,7 @@
 
         private Attempt broken(EndpointSource.Slot slot, String detail) {
             tools.metrics().brokenAnswers.inc();
+            attempts.logFailed(slot, detail + ", last event " + lastEvent.orElse(0));
             if (cancellation.reason().isPresent()) {
                 return new Attempt.Broken(
                         Cancellation.failure(cancellation.reason().get()));
