Append results within 250 ms, and settle the ends of runs in a class of their own

Cause: results waited up to 0.8 s for others before the wanted groups were complete, because each append is a priced call; a reader polls twice a second, so some saw them a poll or two later. Change: 250 ms. Test: resultIsAppendedWithinHalfOfAReadersPoll, which failed before.

--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -12,7 +12,6 @@
 import java.util.function.LongSupplier;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.BatchId;
-import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.WeightVersion;
@@ -29,10 +28,6 @@
  * }</pre>
  */
 public final class BatchCore {
-    // An engine that refused or broke an item gets another one soon, but not the same one at once.
-    private static final long RETRY_MS = 50;
-    // Retries of an item back off to this while no engine takes it.
-    private static final long MAX_RETRY_MS = 1_000;
     // A run of an ended batch goes on for this long; its group comes again after the trainer's training time.
     private static final long LINGER_MS = 2_500;
     // An item waits this long for an engine with the newest weights, which takes a load or two.
@@ -52,6 +47,7 @@
     private final Map<Long, RunningBatch> requests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
     private final RunBook runs = new RunBook(placement, pace, effects);
+    private final Settlement settlement = new Settlement(runs, effects);
     private final Map<ModelId, WeightVersion> newest = new HashMap<>();
     private Map<RouteId, BatchTarget> routes = Map.of();
     private long lastRequest;
@@ -224,54 +220,11 @@
                 item.transcript.lastEvent(),
                 nowMs - run.startedMs));
         if (!run.batch.head().ended()) {
-            settle(nowMs, run, ended.outcome(), !ended.events().isEmpty());
+            settlement.settle(nowMs, run, ended.outcome(), !ended.events().isEmpty());
         }
         bank.keep(nowMs, item.item, item.transcript);
     }
 
-    private void settle(long nowMs, Run run, RunOutcome outcome, boolean progressed) {
-        RunningBatch batch = run.batch;
-        RunningItem item = run.item;
-        switch (outcome) {
-            case RunOutcome.Completed completed -> complete(nowMs, batch, item);
-            case RunOutcome.Impossible impossible -> giveUp(nowMs, batch, item, "the engine cannot run it");
-            case RunOutcome.Failed failed -> {
-                item.failures++;
-                if (item.failures >= batch.head().maxAttempts()) {
-                    giveUp(nowMs, batch, item, "all attempts failed");
-                }
-                retry(nowMs, item, run.engine);
-            }
-            case RunOutcome.Refused refused -> retry(nowMs, item, run.engine);
-            case RunOutcome.Unreachable unreachable -> retry(nowMs, item, run.engine);
-            case RunOutcome.Stale stale -> retry(nowMs, item, run.engine);
-            case RunOutcome.Broken broken -> {
-                // A run that has brought the text forward goes on elsewhere at once.
-                if (progressed) {
-                    item.avoided.add(run.engine);
-                } else {
-                    retry(nowMs, item, run.engine);
-                }
-            }
-            case RunOutcome.Stopped stopped -> {}
-        }
-    }
-
-    private void complete(long nowMs, RunningBatch batch, RunningItem item) {
-        if (item.transcript.fits(batch.head())) {
-            batch.finish(nowMs, item, item.transcript.result(item.item.id()));
-        } else {
-            // Weights changed in the middle of a text that must come from one version.
-            item.transcript = Transcript.EMPTY;
-        }
-    }
-
-    private static void retry(long nowMs, RunningItem item, EndpointId engine) {
-        item.avoided.add(engine);
-        long waitMs = Math.min(MAX_RETRY_MS, RETRY_MS * item.avoided.size());
-        item.notBeforeMs = nowMs + waitMs;
-    }
-
     private void giveUp(long nowMs) {
         long wallMs = wallClock.getAsLong();
         for (RunningBatch batch : batches.values()) {
@@ -280,19 +233,13 @@
                     !routes.isEmpty() && !routes.containsKey(batch.head().route());
             if ((late || dropped) && !batch.head().ended()) {
                 String reason = late ? "its time is up" : "its route is gone";
-                batch.items().stream().filter(i -> !i.finished).forEach(i -> giveUp(nowMs, batch, i, reason));
+                batch.items().stream()
+                        .filter(i -> !i.finished)
+                        .forEach(i -> settlement.giveUp(nowMs, batch, i, reason));
             }
         }
     }
 
-    private void giveUp(long nowMs, RunningBatch batch, RunningItem item, String reason) {
-        if (!item.finished) {
-            item.run.ifPresent(runs::stop);
-            batch.finish(nowMs, item, ItemResult.givenUp(item.item.id()));
-            log(new BatchEvent.GivenUp(batch.head().id(), item.item.id(), reason));
-        }
-    }
-
     // Reads of a batch that has ended are rare, and the store answers them too.
     private void forget(long nowMs) {
         batches.values()
--- a/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
@@ -11,9 +11,9 @@
 
 /** A batch that this node runs: its items and its result log. */
 final class RunningBatch {
-    // Before the wanted groups are complete nobody acts on results, so they wait this long for others: every append is
-    // a priced call. A runner that dies loses what waits.
-    private static final long MAX_APPEND_DELAY_MS = 800;
+    // Half of the time between two polls of a reader: results that complete close together share a segment, and hardly
+    // any reader sees them later for that.
+    private static final long MAX_APPEND_DELAY_MS = 250;
 
     private final Map<ItemId, RunningItem> items = new LinkedHashMap<>();
     private final Map<GroupId, Integer> unfinished = new HashMap<>();
--- a/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
@@ -27,6 +27,26 @@
         void close();
     }
 
+    /** Work that may be stopped. */
+    @FunctionalInterface
+    interface Work<T> {
+        /** Runs the work; an interrupt ends its waits. */
+        T run() throws CallException;
+    }
+
+    /** Runs work on this thread, which is interrupted when the call is stopped. */
+    <T> T interrupting(Work<T> work) throws CallException {
+        Thread caller = Thread.currentThread();
+        Registration registration = onCancel(caller::interrupt);
+        try {
+            return work.run();
+        } finally {
+            registration.close();
+            // The interrupt has ended a wait of this call and must not end one of its thread's next work.
+            Thread.interrupted();
+        }
+    }
+
     /** Stops the call and runs the listeners on this thread; a repeat does nothing. */
     public void cancel(Reason why) {
         List<Runnable> toRun;
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -27,15 +27,7 @@
      * @throws CallException if there is no whole answer; {@link CallException#run} says whether the request ran
      */
     public PlainAnswer call(PlainRequest request, Cancellation cancellation) throws CallException {
-        Thread caller = Thread.currentThread();
-        Cancellation.Registration registration = cancellation.onCancel(caller::interrupt);
-        try {
-            return new Call(request, cancellation).run();
-        } finally {
-            registration.close();
-            // The interrupt has ended a wait of this call and must not end one of its thread's next work.
-            Thread.interrupted();
-        }
+        return cancellation.interrupting(() -> new Call(request, cancellation).run());
     }
 
     /** What came of one attempt. */
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -42,15 +42,7 @@
      */
     public Optional<PlainAnswer> call(PlainRequest request, Cancellation cancellation, Receiver receiver)
             throws CallException {
-        Thread caller = Thread.currentThread();
-        Cancellation.Registration registration = cancellation.onCancel(caller::interrupt);
-        try {
-            return new Call(request, cancellation, receiver).run();
-        } finally {
-            registration.close();
-            // The interrupt has ended a wait of this call and must not end one of its thread's next work.
-            Thread.interrupted();
-        }
+        return cancellation.interrupting(() -> new Call(request, cancellation, receiver).run());
     }
 
     /** What came of one attempt. */
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -154,6 +154,16 @@
         assertThat(((ReadAnswer.Results) rig.answer(7)).results(), contains(listed));
     }
 
+    /** Guards against results that wait for others for longer than their reader takes to ask again. */
+    @Test
+    void resultIsAppendedWithinHalfOfAReadersPoll() {
+        rig.engines(Batches.engine("e1", 2, 1));
+        rig.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        rig.end(rig.runs().getFirst(), new RunOutcome.Completed(), Batches.event(1, "x", 1));
+        rig.pass(250);
+        assertThat(rig.appends(), hasSize(1));
+    }
+
     /** Guards against a team that reads another team's batch. */
     @Test
     void otherTeamFindsNothing() {
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
@@ -59,6 +59,16 @@
         }
     }
 
+    /** Returns the appends to logs, in order. */
+    List<StoreRequest.Write> appends() {
+        return heard.stream()
+                .filter(BatchEffect.Store.class::isInstance)
+                .map(e -> ((BatchEffect.Store) e).request())
+                .filter(StoreRequest.Write.class::isInstance)
+                .map(StoreRequest.Write.class::cast)
+                .toList();
+    }
+
     private BatchEffect.Store lastStore() {
         return heard.stream()
                 .filter(BatchEffect.Store.class::isInstance)
