--- a/library/src/main/java/org/magnoliabridge/fleet/FleetCore.java
+++ b/library/src/main/java/org/magnoliabridge/fleet/FleetCore.java
@@ -27,6 +27,7 @@
     private final Map<EndpointId, FleetEndpoint> endpoints = new TreeMap<>();
     private final Map<EndpointId, Long> lapsedUntilMs = new HashMap<>();
     private boolean known;
+    private boolean failed;
     private long revision;
     private long currentAtMs;
     private long graceUntilMs = Long.MIN_VALUE;
@@ -36,7 +37,11 @@
         return switch (input) {
             case FleetInput.Listed listed -> listed(nowMs, listed);
             case FleetInput.Changed changed -> changed(nowMs, changed);
-            case FleetInput.Unreachable unreachable -> false;
+            case FleetInput.Unreachable unreachable -> {
+                // A poll that waits in vain for changes is as long as an outage, so only failed polls tell of one.
+                failed = true;
+                yield false;
+            }
             case FleetInput.Tick tick -> expire(nowMs);
         };
     }
@@ -87,10 +92,11 @@
     }
 
     private void contact(long nowMs, long newRevision) {
-        if (known && nowMs - currentAtMs >= OUTAGE_MS) {
+        if (known && failed && nowMs - currentAtMs >= OUTAGE_MS) {
             graceUntilMs = nowMs + RETURN_GRACE_MS;
         }
         known = true;
+        failed = false;
         revision = newRevision;
         currentAtMs = nowMs;
     }
--- a/library/src/test/java/org/magnoliabridge/fleet/FleetCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/fleet/FleetCoreTest.java
@@ -30,6 +30,15 @@
         assertThat(ids(), contains("b"));
     }
 
+    /** Guards against an endpoint that is removed after a quiet time and gets work for two seconds more. */
+    @Test
+    void removalAfterAQuietPollTakesEffectAtOnce() {
+        core.on(0, new FleetInput.Listed(1, List.of(present("a"))));
+        core.on(3_000, new FleetInput.Changed(1, List.of()));
+        assertThat(core.on(6_000, new FleetInput.Changed(2, List.of(gone("a")))), is(true));
+        assertThat(ids(), is(empty()));
+    }
+
     /** Guards against a fleet that is unusable after an outage, because its entries lapsed meanwhile. */
     @Test
     void entriesThatLapsedInAnOutageStayUntilTheyMustBeBack() {
