--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -9,9 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.magnoliabridge.addresses.AddressBook;
 import org.magnoliabridge.batch.BatchCore;
 import org.magnoliabridge.batch.BatchInput;
@@ -314,8 +316,11 @@
     }
 
     private void fleetChanged(List<FleetEndpoint> endpoints) {
+        Map<ServiceId, Set<EndpointId>> choosable = new HashMap<>();
         List<EngineState> engines = endpoints.stream()
-                .filter(e -> isChoosable(e.endpoint()))
+                .filter(e -> choosable
+                        .computeIfAbsent(e.endpoint().service(), this::choosable)
+                        .contains(e.endpoint().id()))
                 .map(e -> new EngineState(
                         e.endpoint(),
                         e.slots(),
@@ -326,11 +331,8 @@
         duties.fleetChanged(endpoints);
     }
 
-    private boolean isChoosable(Endpoint endpoint) {
-        List<EndpointId> choosable = admission.choosable(endpoint.service()).stream()
-                .map(Endpoint::id)
-                .toList();
-        return choosable.contains(endpoint.id());
+    private Set<EndpointId> choosable(ServiceId service) {
+        return admission.choosable(service).stream().map(Endpoint::id).collect(Collectors.toSet());
     }
 
     private List<String> addresses(String callerIp, Optional<DataCentre> near) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchHead.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchHead.java
@@ -51,24 +51,15 @@
 
     /** Returns the head with the number of objects that hold the items. */
     BatchHead withParts(int number) {
-        return new BatchHead(
-                id,
-                team,
-                route,
-                host,
-                model,
-                minVersion,
-                wantedGroups,
-                terms,
-                maxAttempts,
-                submittedAtMs,
-                items,
-                number,
-                ended);
+        return copy(number, ended);
     }
 
     /** Returns the head of the batch after its end. */
     public BatchHead end() {
+        return copy(parts, true);
+    }
+
+    private BatchHead copy(int newParts, boolean newEnded) {
         return new BatchHead(
                 id,
                 team,
@@ -81,8 +72,8 @@
                 maxAttempts,
                 submittedAtMs,
                 items,
-                parts,
-                true);
+                newParts,
+                newEnded);
     }
 
     /** Returns the wall-clock time at which items without a result are given up. */
--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.magnoliabridge.http.HttpFailure;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.telemetry.LogFields;
@@ -48,7 +49,7 @@
             excluded.add(slot.endpoint());
             return slot;
         } catch (CallException e) {
-            throw failed(e.failure());
+            throw new CallException(e.failure(), progress.claim(), e);
         }
     }
 
@@ -91,8 +92,25 @@
         progress.answered();
     }
 
-    /** Takes that the last attempt did not run; it is not counted. */
-    void notRun() {
+    /** Takes that the endpoint of the last attempt could not be reached; returns what that means for the call. */
+    Failure unreachable(EndpointSource.Slot slot, HttpFailure.NotSent cause) {
+        notRun();
+        slot.observed(EndpointSource.Observation.UNREACHABLE);
+        logFailed(slot, cause.getMessage());
+        return new Failure.BackEndFailed("the service could not be reached");
+    }
+
+    /** Takes that the endpoint of the last attempt did not run it; returns what that means for the call. */
+    Failure refused(EndpointSource.Slot slot, BackEndRefusal refusal) {
+        notRun();
+        slot.observed(
+                refusal.draining() ? EndpointSource.Observation.DRAINING : EndpointSource.Observation.FAULTY_ANSWER);
+        logFailed(slot, "refused with status " + refusal.status());
+        return new Failure.BackEndFailed("the service did not run the request");
+    }
+
+    // The attempt is not counted.
+    private void notRun() {
         progress.notRun();
         attempts--;
         refusals++;
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -121,10 +121,7 @@
                 attempts.answered();
                 return answered(slot, answer);
             } catch (HttpFailure.NotSent e) {
-                attempts.notRun();
-                slot.observed(EndpointSource.Observation.UNREACHABLE);
-                attempts.logFailed(slot, e.getMessage());
-                return new Attempt.NotRun(new Failure.BackEndFailed("the service could not be reached"));
+                return new Attempt.NotRun(attempts.unreachable(slot, e));
             } catch (HttpFailure.TooLarge e) {
                 attempts.answered();
                 return new Attempt.Late(new Failure.IncompleteAnswer("the answer is over the size limit"));
@@ -136,13 +133,7 @@
         private Attempt answered(EndpointSource.Slot slot, HttpAnswer answer) {
             BackEndRefusal refusal = services.refusal(answer);
             if (refusal.notRun()) {
-                attempts.notRun();
-                attempts.logFailed(slot, "refused with status " + refusal.status());
-                slot.observed(
-                        refusal.draining()
-                                ? EndpointSource.Observation.DRAINING
-                                : EndpointSource.Observation.FAULTY_ANSWER);
-                return new Attempt.NotRun(new Failure.BackEndFailed("the service did not run the request"));
+                return new Attempt.NotRun(attempts.refused(slot, refusal));
             }
             slot.observed(EndpointSource.Observation.ANSWERED);
             return new Attempt.Answered(services.answer(answer));
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -66,7 +66,7 @@
         private final Cancellation cancellation;
         private final Receiver receiver;
         private final Attempts attempts;
-        private EventSplitter splitter = new EventSplitter(this::event);
+        private EventSplitter splitter;
         private boolean begun;
         private OptionalLong lastEvent = OptionalLong.empty();
         private Optional<Failure> fault = Optional.empty();
@@ -141,10 +141,7 @@
                         services.stream(request, slot, attempts.streamLimits(), begun ? lastEvent.orElse(0) : 0, this);
                 return answer.status() == OK ? ended(slot) : answered(slot, answer);
             } catch (HttpFailure.NotSent e) {
-                attempts.notRun();
-                slot.observed(EndpointSource.Observation.UNREACHABLE);
-                attempts.logFailed(slot, e.getMessage());
-                return new Attempt.NotRun(new Failure.BackEndFailed("the service could not be reached"));
+                return new Attempt.NotRun(attempts.unreachable(slot, e));
             } catch (HttpFailure e) {
                 return broken(slot, "the stream broke off: " + e.getMessage());
             }
@@ -163,18 +160,12 @@
 
         private Attempt answered(EndpointSource.Slot slot, HttpAnswer answer) {
             BackEndRefusal refusal = services.refusal(answer);
-            if (!refusal.notRun()) {
-                attempts.answered();
-                slot.observed(EndpointSource.Observation.ANSWERED);
-                return new Attempt.Answered(services.answer(answer));
+            if (refusal.notRun()) {
+                return new Attempt.NotRun(attempts.refused(slot, refusal));
             }
-            attempts.notRun();
-            attempts.logFailed(slot, "refused with status " + refusal.status());
-            slot.observed(
-                    refusal.draining()
-                            ? EndpointSource.Observation.DRAINING
-                            : EndpointSource.Observation.FAULTY_ANSWER);
-            return new Attempt.NotRun(new Failure.BackEndFailed("the service did not run the request"));
+            attempts.answered();
+            slot.observed(EndpointSource.Observation.ANSWERED);
+            return new Attempt.Answered(services.answer(answer));
         }
 
         private Attempt broken(EndpointSource.Slot slot, String detail) {
@@ -194,7 +185,7 @@
         @Override
         public boolean head(HttpAnswer head) {
             attempts.answered();
-            if (begun || head.status() != OK) {
+            if (begun) {
                 return true;
             }
             begun = true;
