--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -59,6 +59,17 @@
                         .with(LogFields.ITEM, e.item().value())
                         .log("item given up: %s", e.reason());
             }
+            case BatchEvent.TextsTaken e -> {
+                metrics.counter("batch.texts_taken").inc(e.items());
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.COUNT, (long) e.items())
+                        .log("items go on with stored texts, claimed first %b", e.claimed());
+            }
+            case BatchEvent.TextsLost e ->
+                LOG.atWarning()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .log("another runner has claimed the texts in progress; runs are stopped");
             case BatchEvent.Listed e ->
                 LOG.atInfo()
                         .with(LogFields.BATCH, e.batch().value())
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -1,13 +1,11 @@
 package org.magnoliabridge.daemon;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.magnoliabridge.batch.BatchCore;
 import org.magnoliabridge.batch.BatchEffect;
@@ -26,6 +24,7 @@
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.routing.AdmissionInput;
 import org.magnoliabridge.routing.Dispatcher;
@@ -48,8 +47,8 @@
     private long lastTicket;
     private boolean active;
 
-    /** The thread of a run, and the number of events that it has received. */
-    private record RunningThread(Thread thread, AtomicInteger events) {}
+    /** The thread of a run, and the events that it has received. */
+    private record RunningThread(Thread thread, ReceivedEvents events) {}
 
     private boolean loading;
 
@@ -74,6 +73,11 @@
         return core.open();
     }
 
+    /** Returns for how long the open items of each service will hold a slot, in milliseconds; control thread only. */
+    Map<ServiceId, Double> slotTimeToGo() {
+        return core.slotTimeToGo();
+    }
+
     /** Begins to run batches; those that are open in the store are read first. */
     void activate() {
         if (!active) {
@@ -101,8 +105,8 @@
     /** Tells the core how far the runs have come; control thread only. */
     void reportProgress() {
         if (active && !runs.isEmpty()) {
-            Map<ItemRunId, Integer> progress = new HashMap<>();
-            runs.forEach((id, run) -> progress.put(id, run.events().get()));
+            Map<ItemRunId, List<Transcript.Event>> progress = new HashMap<>();
+            runs.forEach((id, run) -> progress.put(id, run.events().takeNew()));
             handle(new BatchInput.Progress(progress));
         }
     }
@@ -159,20 +163,16 @@
     }
 
     private void start(ItemRun run) {
-        AtomicInteger events = new AtomicInteger();
+        ReceivedEvents events = new ReceivedEvents();
         Thread thread = Thread.ofVirtual().name("item-run").unstarted(() -> run(run, events));
         runs.put(run.id(), new RunningThread(thread, events));
         thread.start();
     }
 
-    private void run(ItemRun run, AtomicInteger count) {
-        List<Transcript.Event> events = new ArrayList<>();
+    private void run(ItemRun run, ReceivedEvents events) {
         RunOutcome outcome;
         try {
-            outcome = engines.run(run, event -> {
-                events.add(event);
-                count.incrementAndGet();
-            });
+            outcome = engines.run(run, events::add);
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log(
                     "run of item %s failed unexpectedly", run.item().id());
@@ -181,7 +181,7 @@
         runs.remove(run.id());
         observe(run.endpoint(), outcome);
         RunOutcome result = outcome;
-        context.loop().post(() -> handle(new BatchInput.RunEnded(run.id(), result, events)));
+        context.loop().post(() -> handle(new BatchInput.RunEnded(run.id(), result, events.all())));
     }
 
     private void observe(Endpoint endpoint, RunOutcome outcome) {
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
@@ -0,0 +1,138 @@
+package org.magnoliabridge.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.magnoliabridge.external.EndpointOrder.Kind;
+import org.magnoliabridge.external.EndpointTotals.Place;
+import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.gateway.GatewayConfig;
+import org.magnoliabridge.gateway.GatewayService;
+import org.magnoliabridge.gateway.ScalingLimits;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.orders.CapacityPlan;
+import org.magnoliabridge.orders.EndpointTotalSender;
+import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.TotalsCore;
+import org.magnoliabridge.orders.TotalsEffect;
+import org.magnoliabridge.orders.TotalsInput;
+import org.magnoliabridge.orders.TotalsPlan;
+import org.magnoliabridge.telemetry.LogFields;
+
+/** Orders how many endpoints of each service run while this node holds the duties; the core on the control thread. */
+final class FleetSizing {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // The items of all open batches should be through their engines in this time, a fraction of what a step may take.
+    private static final double WORK_OFF_MS = 1_500;
+    // An engine in three may fail or turn slow before its replacement serves.
+    private static final double HEADROOM = 1.5;
+
+    private final GatewayContext context;
+    private final TotalsCore core;
+    private final LeaseDriver lease;
+    private final EndpointTotalSender sender;
+    // Used on the control thread only.
+    private final Map<ServiceId, Integer> slots = new HashMap<>();
+    private final Map<ServiceId, Set<DataCentre>> dcs = new HashMap<>();
+
+    FleetSizing(GatewayContext context, TotalsCore core, LeaseDriver lease, EndpointTotalSender sender) {
+        this.context = context;
+        this.core = core;
+        this.lease = lease;
+        this.sender = sender;
+    }
+
+    /** Takes the endpoints; control thread only. */
+    void fleetChanged(List<FleetEndpoint> fleet) {
+        Map<Place, Integer> serving = new HashMap<>();
+        List<Place> reclaimed = new ArrayList<>();
+        for (FleetEndpoint e : fleet) {
+            ServiceId service = e.endpoint().service();
+            Kind kind = e.reclaimable() ? Kind.RECLAIMABLE : Kind.STANDARD;
+            Place place = new Place(service, e.endpoint().dataCentre(), kind);
+            slots.merge(service, e.slots(), Math::max);
+            dcs.computeIfAbsent(service, s -> new HashSet<>()).add(place.dc());
+            if (!e.draining()) {
+                serving.merge(place, 1, Integer::sum);
+            } else if (e.leavesInMs().isPresent()) {
+                reclaimed.add(place);
+            }
+        }
+        handle(new TotalsInput.Fleet(serving, reclaimed));
+    }
+
+    /** Takes the limits of the services; control thread only. */
+    void configured(GatewayConfig config) {
+        List<TotalsPlan> plans = new ArrayList<>();
+        for (GatewayService service : config.services().values()) {
+            Set<DataCentre> places = dcs.getOrDefault(service.id(), Set.of());
+            if (service.scaling().isPresent() && !places.isEmpty()) {
+                plans.add(plan(service.id(), service.scaling().get(), places));
+            }
+        }
+        handle(new TotalsInput.Plans(plans));
+    }
+
+    /**
+     * Takes the work that waits for a service's engines; control thread only.
+     *
+     * @param slotMs time for which the open items will hold a slot
+     */
+    void demand(ServiceId service, double slotMs) {
+        handle(new TotalsInput.Demand(service, slotMs));
+    }
+
+    /** Takes the time; control thread only. */
+    void tick() {
+        handle(new TotalsInput.Tick());
+    }
+
+    private TotalsPlan plan(ServiceId service, ScalingLimits limits, Set<DataCentre> places) {
+        List<DataCentre> byPrice = places.stream()
+                .sorted(Comparator.comparingDouble(
+                                (DataCentre dc) -> limits.prices().getOrDefault(dc, 1.0))
+                        .thenComparing(DataCentre::value))
+                .toList();
+        CapacityPlan capacity = new CapacityPlan(
+                service,
+                true,
+                byPrice,
+                slots.get(service) * WORK_OFF_MS,
+                HEADROOM,
+                limits.startMs(),
+                1,
+                limits.reclaimablePrice(),
+                limits.min() * byPrice.size(),
+                limits.max() * byPrice.size());
+        return new TotalsPlan(capacity, limits.max());
+    }
+
+    private void handle(TotalsInput input) {
+        for (TotalsEffect effect : core.on(context.clock().nowMs(), lease.view(), input)) {
+            switch (effect) {
+                case TotalsEffect.Send send ->
+                    Thread.ofVirtual().name("total-order").start(() -> {
+                        OrderOutcome outcome = sender.send(send);
+                        context.loop().post(() -> sent(send, outcome));
+                    });
+            }
+        }
+    }
+
+    private void sent(TotalsEffect.Send send, OrderOutcome outcome) {
+        Place place = send.total().place();
+        LOG.atInfo()
+                .with(LogFields.SERVICE, place.service().value())
+                .with(LogFields.COUNT, (long) send.total().endpoints())
+                .with(LogFields.FENCING, send.fencing().value())
+                .log("order of %s endpoints in %s, %d serving: %s", place.kind(), place.dc(), send.serving(), outcome);
+        context.metrics().counter("totals.orders." + outcome).inc();
+        handle(new TotalsInput.Sent(send.total(), outcome));
+    }
+}
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.magnoliabridge.core.Closer;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MembershipCore;
@@ -68,6 +70,19 @@
         return peers;
     }
 
+    /** Returns whether a process is known to have ended, because its node has started again; control thread only. */
+    boolean hasEnded(String processName) {
+        int split = processName.lastIndexOf('-');
+        String node = processName.substring(0, Math.max(0, split));
+        Stream<Incarnation> current = Stream.concat(
+                membership.members().stream()
+                        .filter(m -> m.id().value().equals(node))
+                        .map(m -> m.standing().incarnation()),
+                Stream.of(context.joined().incarnation())
+                        .filter(i -> context.settings().nodeId().value().equals(node)));
+        return current.anyMatch(i -> i.value() > Long.parseLong(processName.substring(split + 1)));
+    }
+
     /** Takes the time; control thread only. */
     void tick() {
         membership.handle(new MembershipInput.Tick());
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -11,19 +11,24 @@
 import org.magnoliabridge.external.ObjectWatch;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.gateway.GatewayConfig;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseSettings;
+import org.magnoliabridge.orders.EndpointTotalSender;
 import org.magnoliabridge.orders.EngineLoadSender;
+import org.magnoliabridge.orders.TotalsCore;
 import org.magnoliabridge.orders.WeightsCore;
 import org.magnoliabridge.orders.WeightsSettings;
 import org.magnoliabridge.usage.UsageCore;
 import org.magnoliabridge.usage.UsageTimes;
 
 /**
- * The duties that one node at a time performs under one lease: weights, usage reports and emptied instances.
+ * The duties that one node at a time performs under one lease: weights, the number of endpoints, usage reports and
+ * emptied instances.
  *
  * <p>The node that runs the batches is the only candidate, so that weights follow the batches that need them.
  */
@@ -41,6 +46,7 @@
     private final LeaseDriver lease;
     private final WeightRollout weights;
     private final UsageDriver usage;
+    private final FleetSizing sizing;
     private Optional<List<ObjectWatch>> watches = Optional.empty();
 
     GatewayDuties(GatewayContext context, GatewayCluster cluster, KnownWeights known) {
@@ -64,6 +70,11 @@
                 new EngineLoadSender(context.platform().engineOrders(), context.clock()),
                 context.platform().engineReports(),
                 known);
+        sizing = new FleetSizing(
+                context,
+                new TotalsCore(),
+                lease,
+                new EndpointTotalSender(context.platform().endpointTotals(), context.clock()));
         UsageTimes times = UsageTimes.due(
                 settings.bounds().usageWindowMs(), settings.bounds().usageDueMs());
         usage = new UsageDriver(
@@ -97,6 +108,7 @@
     /** Takes the endpoints; control thread only. */
     void fleetChanged(List<FleetEndpoint> fleet) {
         weights.fleetChanged(fleet);
+        sizing.fleetChanged(fleet);
     }
 
     /**
@@ -104,8 +116,11 @@
      *
      * @param candidate whether this node may hold the duties
      * @param batches the open batches
+     * @param config the configuration in force, if one is known
+     * @param demand time for which the open items of each service will hold a slot, in milliseconds
      */
-    void tick(boolean candidate, List<BatchHead> batches) {
+    void tick(
+            boolean candidate, List<BatchHead> batches, Optional<GatewayConfig> config, Map<ServiceId, Double> demand) {
         lease.tick(candidate);
         follow(candidate || lease.view().held());
         for (BatchHead batch : batches) {
@@ -115,6 +130,9 @@
             }
         }
         weights.tick();
+        config.ifPresent(sizing::configured);
+        demand.forEach(sizing::demand);
+        sizing.tick();
     }
 
     /** Gives the duties back and hands the usage counts over; any thread may call. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -39,6 +39,7 @@
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.fleet.FleetEndpoint;
+import org.magnoliabridge.gateway.AdmissionPolicy;
 import org.magnoliabridge.gateway.CurrentPolicy;
 import org.magnoliabridge.gateway.EngineLimits;
 import org.magnoliabridge.gateway.GatewayConfig;
@@ -125,7 +126,7 @@
                         context.platform().objects(),
                         context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
-        BatchCore core = new BatchCore(context.processName(), context.wallClock());
+        BatchCore core = new BatchCore(context.processName(), context.wallClock(), cluster::hasEnded);
         scheduler = new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored);
         role = new BatchRole(
                 context.settings().nodeId(),
@@ -282,7 +283,11 @@
         if (!draining) {
             role.tick();
         }
-        duties.tick(role.isSelf() && !draining, scheduler.open());
+        duties.tick(
+                role.isSelf() && !draining,
+                scheduler.open(),
+                policy.get().map(AdmissionPolicy::config),
+                scheduler.slotTimeToGo());
         duties.newestWeights().forEach((model, version) -> scheduler.handle(new BatchInput.Newest(model, version)));
         scheduler.reportProgress();
         scheduler.handle(new BatchInput.Tick());
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.magnoliabridge.batch.Engines;
 import org.magnoliabridge.calls.StreamServices;
+import org.magnoliabridge.external.EndpointTotals;
 import org.magnoliabridge.external.EngineOrders;
 import org.magnoliabridge.external.EngineReports;
 import org.magnoliabridge.external.ObjectKey;
@@ -55,6 +56,9 @@
     /** Returns the interface that takes usage reports. */
     UsageReports usageReports();
 
+    /** Returns the interface that takes orders of endpoints. */
+    EndpointTotals endpointTotals();
+
     /** Returns how requests are put to endpoints. */
     StreamServices services();
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
@@ -108,7 +108,9 @@
     /** Returns a segment of the result log as JSON; the writer tells whose append it was. */
     public static byte[] segment(ResultSegment segment) {
         ObjectNode root = JSON.createObjectNode();
-        root.put("writer", segment.writer());
+        root.put("writer", segment.writer().process());
+        root.put("number", segment.writer().number());
+        root.put("claim", segment.claim());
         ArrayNode array = root.putArray("results");
         for (ItemResult result : segment.results()) {
             ObjectNode node = array.addObject();
@@ -118,9 +120,35 @@
             ArrayNode versions = node.putArray("versions");
             result.versions().forEach(v -> versions.add(v.value()));
         }
+        ArrayNode texts = root.putArray("texts");
+        segment.texts().forEach(t -> addText(texts, t));
         return bytes(root);
     }
 
+    private static void addText(ArrayNode texts, PartialText text) {
+        ObjectNode node = texts.addObject();
+        node.put("item", text.item().value());
+        node.put("first", text.events().getFirst().number());
+        ArrayNode data = node.putArray("data");
+        ArrayNode versions = node.putArray("versions");
+        for (Transcript.Event event : text.events()) {
+            data.add(event.data());
+            versions.add(event.version().value());
+        }
+    }
+
+    private static PartialText text(JsonNode node) throws MalformedBatchException {
+        List<Transcript.Event> events = new ArrayList<>();
+        JsonNode data = node.path("data");
+        for (int i = 0; i < data.size(); i++) {
+            WeightVersion version =
+                    new WeightVersion(node.path("versions").path(i).asLong());
+            events.add(new Transcript.Event(
+                    node.path("first").asLong() + i, data.get(i).asText(), version));
+        }
+        return new PartialText(new ItemId(text(node, "item")), events);
+    }
+
     /** Reads a segment of the result log. */
     public static ResultSegment segment(byte[] value) throws MalformedBatchException {
         return read(value, root -> {
@@ -134,7 +162,13 @@
                         text(node, "text"),
                         versions));
             }
-            return new ResultSegment(text(root, "writer"), results);
+            List<PartialText> texts = new ArrayList<>();
+            for (JsonNode node : root.path("texts")) {
+                texts.add(text(node));
+            }
+            ResultSegment.Writer writer = new ResultSegment.Writer(
+                    text(root, "writer"), root.path("number").asInt());
+            return new ResultSegment(writer, results, texts, root.path("claim").asBoolean());
         });
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -10,10 +10,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import org.magnoliabridge.external.StoreReply;
+import java.util.function.Predicate;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
+import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
 
 /**
@@ -37,12 +38,14 @@
 
     private final String runner;
     private final LongSupplier wallClock;
+    private final Predicate<String> hasEnded;
     private final TranscriptBank bank = new TranscriptBank();
     private final EnginePace pace = new EnginePace();
     private final EnginePauses pauses = new EnginePauses();
     private final Placement placement = new Placement(pace, pauses);
     private final BatchReads reads;
     private final Set<BatchMechanism> mechanisms;
+    private final Set<TextMechanism> textMechanisms;
     private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
     private final Map<Long, RunningBatch> requests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
@@ -57,12 +60,20 @@
      *
      * @param runner unique over all processes; part of each append to a log
      * @param wallClock milliseconds since the epoch
+     * @param hasEnded whether the process of another runner is known to have ended
      */
-    public BatchCore(String runner, LongSupplier wallClock) {
-        this(runner, wallClock, EnumSet.allOf(BatchMechanism.class));
+    public BatchCore(String runner, LongSupplier wallClock, Predicate<String> hasEnded) {
+        this(runner, wallClock, hasEnded, EnumSet.allOf(BatchMechanism.class), EnumSet.allOf(TextMechanism.class));
     }
 
-    BatchCore(String runner, LongSupplier wallClock, Set<BatchMechanism> mechanisms) {
+    BatchCore(
+            String runner,
+            LongSupplier wallClock,
+            Predicate<String> hasEnded,
+            Set<BatchMechanism> mechanisms,
+            Set<TextMechanism> textMechanisms) {
+        this.textMechanisms = textMechanisms;
+        this.hasEnded = Objects.requireNonNull(hasEnded);
         this.mechanisms = mechanisms;
         this.reads = new BatchReads(mechanisms.contains(BatchMechanism.CURRENT_CHECK));
         this.runner = Objects.requireNonNull(runner);
@@ -112,6 +123,24 @@
                 .toList();
     }
 
+    /**
+     * Returns for how long the open items of each service will hold a slot, in milliseconds; empty until the pace of
+     * the engines is known.
+     */
+    public Map<ServiceId, Double> slotTimeToGo() {
+        Map<ServiceId, Double> toGo = new HashMap<>();
+        if (pace.eventMs().isPresent()) {
+            for (RunningBatch batch : batches.values()) {
+                target(batch)
+                        .ifPresent(target -> toGo.merge(
+                                target.service(),
+                                batch.eventsLeft(target) * pace.eventMs().getAsDouble(),
+                                Double::sum));
+            }
+        }
+        return toGo;
+    }
+
     /** Returns the number of items at engines. */
     public int running() {
         return runs.size();
@@ -132,7 +161,8 @@
             return;
         }
         ResultLog log = new ResultLog(head.id(), runner, !open.fresh(), mechanisms);
-        RunningBatch batch = new RunningBatch(nowMs, head, open.items(), bank, log);
+        RunningBatch batch = new RunningBatch(
+                nowMs, head, open.items(), bank, log, new BatchTexts(runner, hasEnded, textMechanisms));
         batches.put(head.id(), batch);
         long started = batch.items().stream()
                 .filter(i -> !i.transcript.events().isEmpty())
@@ -249,7 +279,9 @@
     private void place(long nowMs) {
         for (RunningBatch batch : batches.values()) {
             Optional<BatchTarget> target = target(batch);
-            boolean open = !batch.head().ended() && !batch.log().loading();
+            boolean open = !batch.head().ended()
+                    && !batch.log().loading()
+                    && batch.texts().mayRun(nowMs, batch);
             if (open && target.isPresent() && placement.hasRoom(target.get())) {
                 place(nowMs, batch, target.get());
             }
@@ -297,11 +329,13 @@
 
     private void append(long nowMs) {
         for (RunningBatch batch : batches.values()) {
-            batch.log().next(nowMs, batch.flushDue(nowMs)).ifPresent(request -> {
-                long tag = ++lastRequest;
-                requests.put(tag, batch);
-                effects.add(new BatchEffect.Store(tag, request));
-            });
+            batch.log()
+                    .next(nowMs, batch.flushDue(nowMs), () -> batch.texts().due(nowMs, batch))
+                    .ifPresent(request -> {
+                        long tag = ++lastRequest;
+                        requests.put(tag, batch);
+                        effects.add(new BatchEffect.Store(tag, request));
+                    });
         }
     }
 
@@ -311,8 +345,8 @@
             return;
         }
         try {
-            StoreReply reply = replied.reply();
-            if (batch.log().reply(nowMs, reply)) {
+            boolean loading = batch.log().loading();
+            if (batch.log().reply(nowMs, replied.reply())) {
                 batch.followLog();
                 stopListed(batch);
                 log(new BatchEvent.Listed(
@@ -320,6 +354,13 @@
                         batch.log().listed().size(),
                         batch.head().items()));
             }
+            if (loading && !batch.log().loading()) {
+                takeOver(batch);
+            }
+            if (batch.texts().isLost(nowMs, batch)) {
+                stopRuns(batch);
+                log(new BatchEvent.TextsLost(batch.head().id()));
+            }
         } catch (MalformedBatchException e) {
             // No position after an unreadable segment can be known, so the batch is left to its end.
             log(new BatchEvent.Closed(
@@ -329,6 +370,13 @@
         }
     }
 
+    private void takeOver(RunningBatch batch) {
+        int taken = batch.texts().takeOver(batch);
+        if (taken > 0) {
+            log(new BatchEvent.TextsTaken(batch.head().id(), taken, batch.log().isClaiming()));
+        }
+    }
+
     // Another runner has listed an item that also runs here.
     private void stopListed(RunningBatch batch) {
         runs.of(batch).stream()
--- a/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
@@ -29,6 +29,12 @@
     /** An item was given up. */
     record GivenUp(BatchId batch, ItemId item, String reason) implements BatchEvent {}
 
+    /** Items go on with texts that an earlier runner has stored, at once or after a claim has kept that one off. */
+    record TextsTaken(BatchId batch, int items, boolean claimed) implements BatchEvent {}
+
+    /** Another runner has claimed the texts in progress, so the runs here are stopped. */
+    record TextsLost(BatchId batch) implements BatchEvent {}
+
     /** Results got their positions. */
     record Listed(BatchId batch, int listed, int items) implements BatchEvent {}
 }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -39,8 +39,8 @@
     /** The newest version of a model, which some of its engines may still have to load. */
     record Newest(ModelId model, WeightVersion version) implements BatchInput {}
 
-    /** The number of events that each run has brought so far; given several times a second. */
-    record Progress(Map<ItemRunId, Integer> events) implements BatchInput {
+    /** The events that each run has brought since the last input of this kind; given several times a second. */
+    record Progress(Map<ItemRunId, List<Transcript.Event>> events) implements BatchInput {
         public Progress {
             events = Map.copyOf(events);
         }
--- a/library/src/main/java/org/magnoliabridge/batch/EnginePace.java
+++ b/library/src/main/java/org/magnoliabridge/batch/EnginePace.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeSet;
 import org.magnoliabridge.ids.EndpointId;
@@ -72,6 +73,11 @@
         return new TreeSet<>(slowUntilMs.keySet());
     }
 
+    /** Returns the time that most engines take for an event of a text, in milliseconds, once it is known. */
+    OptionalDouble eventMs() {
+        return medianPace > 0 ? OptionalDouble.of(1 / medianPace) : OptionalDouble.empty();
+    }
+
     boolean isSlow(EndpointId engine) {
         return slowUntilMs.containsKey(engine);
     }
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.external.StoreRequest;
@@ -35,6 +36,11 @@
     private final List<ItemResult> listed = new ArrayList<>();
     private final Set<ItemId> listedItems = new HashSet<>();
     private final Map<ItemId, ItemResult> waiting = new LinkedHashMap<>();
+    private final StoredTexts texts = new StoredTexts();
+    private final Set<String> writers = new HashSet<>();
+    private Optional<String> claimant = Optional.empty();
+    private long claimedAtMs = Long.MAX_VALUE;
+    private boolean claiming;
     private int nextSegment;
     private boolean loading;
     // Segments are read until one is absent: at the start, after a conflict or a lost answer, and on request.
@@ -92,6 +98,37 @@
         return waiting.size() + append.map(a -> a.results().size()).orElse(0);
     }
 
+    /** Returns the texts in progress that the log holds. */
+    StoredTexts texts() {
+        return texts;
+    }
+
+    /** Takes the texts in progress over with the next segment. */
+    void claim() {
+        claiming = true;
+        claimedAtMs = Long.MAX_VALUE;
+    }
+
+    /** Returns whether a claim of this runner is not stored yet. */
+    boolean isClaiming() {
+        return claiming;
+    }
+
+    /** Returns the processes that have appended to the log. */
+    Set<String> writers() {
+        return writers;
+    }
+
+    /** Returns when this runner's claim to the texts in progress was stored; the largest value while it is not. */
+    long claimedAtMs() {
+        return claimedAtMs;
+    }
+
+    /** Returns whether the texts in progress belong to another runner by the last claim that is known. */
+    boolean isClaimedByAnother() {
+        return !claiming && claimant.filter(c -> !c.equals(writerPrefix)).isPresent();
+    }
+
     /** Adds a result to be appended; the first one of an item counts. */
     void add(ItemResult result) {
         boolean appending = append.stream()
@@ -106,8 +143,9 @@
      * Returns the request to make now, if any.
      *
      * @param flush whether results that wait for company are appended now
+     * @param inProgress the texts in progress as far as they are to be stored now; asked for a segment only
      */
-    Optional<StoreRequest> next(long nowMs, boolean flush) {
+    Optional<StoreRequest> next(long nowMs, boolean flush, Supplier<List<PartialText>> inProgress) {
         if (inFlight || nowMs < notBeforeMs) {
             return Optional.empty();
         }
@@ -115,8 +153,12 @@
             send(nowMs);
             return Optional.of(new StoreRequest.Read(BatchKeys.results(batch, nextSegment)));
         }
-        if (append.isEmpty() && flush && !waiting.isEmpty()) {
-            append = Optional.of(takeSegment());
+        if (append.isEmpty()) {
+            boolean due = claiming || (flush && !waiting.isEmpty());
+            List<PartialText> unsaved = inProgress.get();
+            if (due || !unsaved.isEmpty()) {
+                append = Optional.of(takeSegment(unsaved));
+            }
         }
         return append.map(segment -> {
             send(nowMs);
@@ -130,14 +172,12 @@
         inFlight = false;
         return switch (reply) {
             case StoreReply.Written written -> {
-                list(append.orElseThrow().results());
+                boolean listed = list(nowMs, append.orElseThrow());
                 currentAtMs = sentAtMs;
-                yield true;
-            }
-            case StoreReply.Found found -> {
-                list(BatchCodec.segment(found.object().value()).results());
-                yield true;
+                yield listed;
             }
+            case StoreReply.Found found ->
+                list(nowMs, BatchCodec.segment(found.object().value()));
             case StoreReply.NotFound absent -> {
                 // Nothing is listed beyond here, or the lost append has not taken effect so far.
                 loading = false;
@@ -151,8 +191,7 @@
             }
             case StoreReply.Unknown unknown -> {
                 if (append.isPresent() && !reading && !mechanisms.contains(BatchMechanism.READ_BACK)) {
-                    list(append.get().results());
-                    yield true;
+                    yield list(nowMs, append.get());
                 }
                 reading = true;
                 notBeforeMs = nowMs + RETRY_MS;
@@ -171,7 +210,7 @@
         sentAtMs = nowMs;
     }
 
-    private ResultSegment takeSegment() {
+    private ResultSegment takeSegment(List<PartialText> inProgress) {
         List<ItemResult> results = new ArrayList<>();
         int chars = 0;
         for (ItemResult result : List.copyOf(waiting.values())) {
@@ -182,13 +221,25 @@
             results.add(result);
             waiting.remove(result.item());
         }
-        return new ResultSegment(writerPrefix + "-" + nextSegment, results);
+        List<PartialText> parts = new ArrayList<>();
+        for (PartialText part : inProgress) {
+            chars += part.events().stream().mapToInt(e -> e.data().length()).sum();
+            if (chars <= MAX_SEGMENT_CHARS) {
+                parts.add(part);
+            }
+        }
+        return new ResultSegment(new ResultSegment.Writer(writerPrefix, nextSegment), results, parts, claiming);
     }
 
     // Results of an append that lost against another runner's segment go back and are filtered by what was listed.
-    private void list(List<ItemResult> results) {
+    private boolean list(long nowMs, ResultSegment segment) {
         nextSegment++;
-        for (ItemResult result : results) {
+        texts.add(segment);
+        writers.add(segment.writer().process());
+        if (segment.claim()) {
+            follow(nowMs, segment.writer().process());
+        }
+        for (ItemResult result : segment.results()) {
             if (listedItems.add(result.item())) {
                 listed.add(result);
             }
@@ -196,5 +247,14 @@
         append.ifPresent(lost -> lost.results().forEach(r -> waiting.putIfAbsent(r.item(), r)));
         append = Optional.empty();
         waiting.keySet().removeIf(this::isListed);
+        return !segment.results().isEmpty();
+    }
+
+    private void follow(long nowMs, String process) {
+        claimant = Optional.of(process);
+        if (process.equals(writerPrefix)) {
+            claiming = false;
+            claimedAtMs = nowMs;
+        }
     }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/RunBook.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunBook.java
@@ -65,6 +65,7 @@
         }
         placement.ended(run.engine, run.size);
         run.item.run = Optional.empty();
+        run.item.arrived.clear();
         return Optional.of(run);
     }
 
@@ -102,6 +103,7 @@
             if (fits) {
                 run.batch = batch;
                 item.transcript = run.item.transcript;
+                item.arrived.addAll(run.item.arrived);
                 item.run = Optional.of(run.id);
                 run.item = item;
                 effects.add(new BatchEffect.Decided(
@@ -112,20 +114,24 @@
         }
     }
 
-    /** Takes how many events each run has brought, and stops those that fall behind and have somewhere to go. */
-    void progress(long nowMs, Map<ItemRunId, Integer> events, Function<RunningBatch, Optional<BatchTarget>> targets) {
+    /** Takes the events that each run has brought since the last call, and stops those that fall behind and have somewhere to go. */
+    void progress(
+            long nowMs,
+            Map<ItemRunId, List<Transcript.Event>> events,
+            Function<RunningBatch, Optional<BatchTarget>> targets) {
         long elapsedMs = nowMs - lastProgressMs;
         lastProgressMs = nowMs;
         for (Run run : runs.values()) {
-            int now = events.getOrDefault(run.id, run.events);
+            List<Transcript.Event> news = events.getOrDefault(run.id, List.of());
+            run.item.arrived.addAll(news);
             boolean loading = isLoading(run.engine);
-            if (now > run.events || loading) {
+            if (!news.isEmpty() || loading) {
                 run.progressAtMs = nowMs;
             }
             if (!loading && run.events > 0) {
-                pace.observe(run.engine, now - run.events, elapsedMs);
+                pace.observe(run.engine, news.size(), elapsedMs);
             }
-            run.events = now;
+            run.events += news.size();
         }
         pace.decide(nowMs);
         for (Run run : new ArrayList<>(runs.values())) {
--- a/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
@@ -18,16 +18,24 @@
     private final Map<ItemId, RunningItem> items = new LinkedHashMap<>();
     private final Map<GroupId, Integer> unfinished = new HashMap<>();
     private final ResultLog log;
+    private final BatchTexts texts;
     private final long openedMs;
     private BatchHead head;
     private boolean groupCompleted;
     private long endedAtMs = Long.MAX_VALUE;
     private long firstWaitingAtMs = Long.MAX_VALUE;
 
-    RunningBatch(long nowMs, BatchHead head, List<BatchItem> batchItems, TranscriptBank bank, ResultLog log) {
+    RunningBatch(
+            long nowMs,
+            BatchHead head,
+            List<BatchItem> batchItems,
+            TranscriptBank bank,
+            ResultLog log,
+            BatchTexts texts) {
         this.openedMs = nowMs;
         this.head = head;
         this.log = log;
+        this.texts = texts;
         for (BatchItem item : batchItems) {
             items.put(item.id(), new RunningItem(item, items.size(), bank.knows(item), bank.find(head, item)));
             unfinished.merge(item.group(), 1, Integer::sum);
@@ -46,6 +54,10 @@
         return log;
     }
 
+    BatchTexts texts() {
+        return texts;
+    }
+
     Collection<RunningItem> items() {
         return items.values();
     }
@@ -101,6 +113,17 @@
         return log.listed().size() >= items.size();
     }
 
+    /** Returns the number of events that are still expected of all items; 0 once the batch has ended. */
+    long eventsLeft(BatchTarget target) {
+        if (head.ended()) {
+            return 0;
+        }
+        return items.values().stream()
+                .filter(i -> !i.finished)
+                .mapToLong(i -> i.eventsLeft(target))
+                .sum();
+    }
+
     private int unfinishedItems() {
         return unfinished.values().stream().mapToInt(Integer::intValue).sum();
     }
--- a/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
@@ -1,6 +1,8 @@
 package org.magnoliabridge.batch;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -15,6 +17,10 @@
     Optional<ItemRunId> run = Optional.empty();
     int failures;
     boolean finished;
+    // Goes on with the text of an earlier runner, once that one is known to have stopped.
+    boolean held;
+    // The events of the present run so far.
+    final List<Transcript.Event> arrived = new ArrayList<>();
     long notBeforeMs = Long.MIN_VALUE;
     // Engines at which the last runs did not succeed; the item goes elsewhere while there is another one.
     final Set<EndpointId> avoided = new HashSet<>();
@@ -34,7 +40,14 @@
     }
 
     boolean waits(long nowMs) {
-        return !finished && run.isEmpty() && nowMs >= notBeforeMs;
+        return !finished && !held && run.isEmpty() && nowMs >= notBeforeMs;
+    }
+
+    /** Returns all events that are known of the item, those of its present run included. */
+    List<Transcript.Event> text() {
+        List<Transcript.Event> all = new ArrayList<>(transcript.events());
+        all.addAll(arrived);
+        return all;
     }
 
     /** Returns the number of events that are still expected; an item that has passed the estimate may go on. */
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -62,7 +62,7 @@
         ResultLog log = new ResultLog(batch, "", true);
         while (log.loading()) {
             StoreRequest.Read next =
-                    (StoreRequest.Read) log.next(clock.nowMs(), false).orElseThrow();
+                    (StoreRequest.Read) log.next(clock.nowMs(), false, List::of).orElseThrow();
             Optional<StoredObject> found = store.read(next.key());
             StoreReply reply = found.<StoreReply>map(StoreReply.Found::new).orElseGet(StoreReply.NotFound::new);
             log.reply(clock.nowMs(), reply);
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -150,7 +150,7 @@
         rig.tell(new BatchInput.Read(7, new BatchId("b"), Batches.TEAM, 0, 0));
         assertThat(rig.isAnswered(7), is(false));
         ItemResult listed = new ItemResult(new ItemId("a-0"), true, "x", List.of(new WeightVersion(1)));
-        rig.storeReplies(new ResultSegment("n2-0", List.of(listed)));
+        rig.storeReplies(ResultSegment.of("n2-1", 0, List.of(listed)));
         assertThat(((ReadAnswer.Results) rig.answer(7)).results(), contains(listed));
     }
 
--- a/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
@@ -24,7 +24,7 @@
                 new ItemId("i"), completed, valid(text), List.of(new WeightVersion(2), new WeightVersion(3)));
         ReadAnswer answer = new ReadAnswer.Results(40, List.of(result));
         assertThat(BatchMessages.answer(BatchMessages.pack(answer)), is(answer));
-        ResultSegment segment = new ResultSegment("n1-0", List.of(result));
+        ResultSegment segment = ResultSegment.of("n1-1", 0, List.of(result));
         assertThat(BatchCodec.segment(BatchCodec.segment(segment)), is(segment));
     }
 
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchTextsTest.java
@@ -0,0 +1,152 @@
+package org.magnoliabridge.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class BatchTextsTest {
+    private static final Set<TextMechanism> ALL = EnumSet.allOf(TextMechanism.class);
+    private static final String LONG = "long";
+    private static final long EVENTS = 150;
+    // The time in which a trainer counts a group as in time.
+    private static final long DUE_MS = 8_200;
+    private static final long SEED = 31;
+
+    /** Guards against a long text that starts over at the next runner, and so misses the time of its step. */
+    @Test
+    void nextRunnerGoesOnAfterTheLastStoredEvent() {
+        RunnerPair pair = pair(ALL);
+        pair.open(0, head(), items(), true);
+        pair.play(4_000);
+        pair.kill(0);
+        pair.play(4_700);
+        pair.learnEndOf(0);
+        pair.open(1, head(), items(), false);
+        pair.play(10_000);
+        assertThat(pair.startedAfter(1, LONG).getFirst(), greaterThan(75L));
+        assertThat(pair.listedAtMs(LONG).orElseThrow(), lessThan(DUE_MS));
+        assertThat(pair.violations(), is(empty()));
+    }
+
+    /** Guards against two engines that work on one text, while both runners live and reach engines and store. */
+    @Test
+    void textsGoOnOnlyAfterTheEarlierRunnerHasStopped() {
+        assertThat(violationsOfTwoLiveRunners(ALL), is(empty()));
+        Set<TextMechanism> unfenced = EnumSet.complementOf(EnumSet.of(TextMechanism.TEXT_FENCE));
+        assertThat("without the fence", violationsOfTwoLiveRunners(unfenced), is(not(empty())));
+    }
+
+    /** Guards against a claim that keeps a text from going on for good when its owner died without a trace. */
+    @Test
+    void textsGoOnAfterTheFenceIfTheEarlierRunnerIsOnlyMissing() {
+        RunnerPair pair = pair(ALL);
+        pair.open(0, head(), items(), true);
+        pair.play(4_000);
+        pair.kill(0);
+        pair.play(4_700);
+        pair.open(1, head(), items(), false);
+        pair.play(4_700 + BatchTexts.FENCE_MS - RunnerPair.STEP_MS);
+        assertThat(pair.startedAfter(1, LONG), is(empty()));
+        pair.play(10_000);
+        assertThat(pair.startedAfter(1, LONG).getFirst(), greaterThan(75L));
+        assertThat(pair.listedAtMs(LONG).orElseThrow(), lessThan(10_000L));
+    }
+
+    /** Guards against a runner that lost a claim and never goes on, although the other one has died since. */
+    @Test
+    void runnerThatLostAClaimGoesOnWhenTheOtherOneIsGone() {
+        RunnerPair pair = pair(ALL);
+        pair.open(0, head(), items(), true);
+        pair.play(3_000);
+        pair.open(1, head(), items(), false);
+        pair.play(5_000);
+        pair.kill(1);
+        pair.play(20_000);
+        assertThat(pair.listedAtMs(LONG).isPresent(), is(true));
+        assertThat(pair.violations(), is(empty()));
+    }
+
+    /** Replays a step with a few long items through the death of its runner: more groups must be complete in time. */
+    @Test
+    void moreGroupsAreInTimeAfterADeathThanWithoutStoredTexts() {
+        long with = groupsInTime(ALL);
+        long without = groupsInTime(EnumSet.complementOf(EnumSet.of(TextMechanism.STORED_TEXTS)));
+        System.out.printf("groups in time after a death at 4 s, of 20: %d, without stored texts %d%n", with, without);
+        assertThat(with, greaterThan(without));
+        assertThat(with, greaterThanOrEqualTo(18L));
+    }
+
+    private static long groupsInTime(Set<TextMechanism> mechanisms) {
+        Random random = new Random(SEED);
+        Map<String, Long> lengths = new HashMap<>();
+        List<BatchItem> items = new ArrayList<>();
+        int perGroup = 8;
+        int groups = 20;
+        for (int i = 0; i < groups * perGroup; i++) {
+            boolean isLong = random.nextDouble() < 0.08;
+            long events = isLong ? 80 + random.nextInt(60) : 5 + random.nextInt(30);
+            lengths.put("i" + i, events);
+            items.add(Batches.item("i" + i, "g" + i / perGroup, events * Batches.TARGET.tokensPerEvent()));
+        }
+        RunnerPair pair = new RunnerPair(lengths, engines(8, 12), mechanisms);
+        BatchHead head = Batches.head("b1", items.size());
+        pair.open(0, head, items, true);
+        pair.play(4_000);
+        pair.kill(0);
+        pair.play(5_000);
+        pair.learnEndOf(0);
+        pair.open(1, head, items, false);
+        pair.play(20_000);
+        assertThat(pair.violations(), is(empty()));
+        long late = items.stream()
+                .filter(i -> pair.listedAtMs(i.id().value()).orElse(Long.MAX_VALUE) > DUE_MS)
+                .map(BatchItem::group)
+                .distinct()
+                .count();
+        return groups - late;
+    }
+
+    private static List<String> violationsOfTwoLiveRunners(Set<TextMechanism> mechanisms) {
+        RunnerPair pair = pair(mechanisms);
+        pair.open(0, head(), items(), true);
+        pair.play(2_600);
+        pair.open(1, head(), items(), false);
+        pair.play(20_000);
+        assertThat(pair.listedAtMs(LONG).isPresent(), is(true));
+        return pair.violations();
+    }
+
+    private static RunnerPair pair(Set<TextMechanism> mechanisms) {
+        return new RunnerPair(Map.of(LONG, EVENTS, "short", 20L), engines(2, 4), mechanisms);
+    }
+
+    private static BatchHead head() {
+        return Batches.head("b1", 2);
+    }
+
+    private static List<BatchItem> items() {
+        int tokens = Batches.TARGET.tokensPerEvent();
+        return List.of(Batches.item(LONG, "g0", EVENTS * tokens), Batches.item("short", "g0", 20L * tokens));
+    }
+
+    private static List<EngineState> engines(int count, int slots) {
+        List<EngineState> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(Batches.engine("e" + i, slots, 1));
+        }
+        return engines;
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/batch/BatchWorld.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchWorld.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.batch;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -205,7 +206,12 @@
         }
 
         private void start() {
-            core = new BatchCore("n" + number + "-" + starts++, () -> now, mechanisms);
+            core = new BatchCore(
+                    "n" + number + "-" + starts++,
+                    () -> now,
+                    process -> false,
+                    mechanisms,
+                    EnumSet.allOf(TextMechanism.class));
             running = false;
             tickets = new HashMap<>();
             host.every(200, this::tick);
--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
@@ -0,0 +1,234 @@
+package org.magnoliabridge.batch;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
+import org.magnoliabridge.ids.ItemId;
+
+/** Two runners over one store and the same engines, on a virtual clock, with engines that make events at a fixed pace. */
+final class RunnerPair {
+    static final long STEP_MS = 20;
+    private static final long EVENT_MS = 36;
+    private static final long TICK_MS = 100;
+
+    private final Map<ObjectKey, byte[]> store = new HashMap<>();
+    private final Map<String, Long> lengths;
+    private final List<EngineState> engines;
+    private final List<Runner> runners = new ArrayList<>();
+    private final Map<ItemId, Long> listedAtMs = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private long nowMs;
+
+    /**
+     * Creates a pair without batches.
+     *
+     * @param lengths number of events of each item
+     */
+    RunnerPair(Map<String, Long> lengths, List<EngineState> engines, Set<TextMechanism> mechanisms) {
+        this.lengths = Map.copyOf(lengths);
+        this.engines = List.copyOf(engines);
+        for (String name : List.of("n1-1", "n2-1")) {
+            Runner runner = new Runner(name, mechanisms);
+            runners.add(runner);
+            runner.tell(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
+            runner.tell(new BatchInput.Engines(engines));
+        }
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    void open(int runner, BatchHead head, List<BatchItem> items, boolean fresh) {
+        runners.get(runner).tell(new BatchInput.Open(head, items, fresh));
+    }
+
+    /** Ends the process of a runner and the runs that hang on its connections. */
+    void kill(int runner) {
+        runners.get(runner).alive = false;
+        runners.get(runner).runs.clear();
+    }
+
+    /** Lets both runners know that the process of one has ended. */
+    void learnEndOf(int runner) {
+        runners.forEach(r -> r.ended.add(runners.get(runner).name));
+    }
+
+    void play(long untilMs) {
+        for (; nowMs < untilMs; nowMs += STEP_MS) {
+            for (Runner runner : runners) {
+                if (runner.alive) {
+                    runner.step();
+                }
+            }
+            checkThatNothingRunsTwice();
+        }
+    }
+
+    /** Returns when an item got its position in a log. */
+    Optional<Long> listedAtMs(String item) {
+        return Optional.ofNullable(listedAtMs.get(new ItemId(item)));
+    }
+
+    /** Returns the events after which the runs of an item at a runner were started. */
+    List<Long> startedAfter(int runner, String item) {
+        return runners.get(runner).started.getOrDefault(item, List.of());
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    // A run that goes on after events of another one must be the only run of its item.
+    private void checkThatNothingRunsTwice() {
+        Map<String, List<Active>> byItem = new TreeMap<>();
+        runners.forEach(r -> r.runs.values()
+                .forEach(a -> byItem.computeIfAbsent(a.run.item().id().value(), i -> new ArrayList<>())
+                        .add(a)));
+        byItem.forEach((item, active) -> {
+            if (active.size() > 1 && active.stream().anyMatch(a -> a.run.lastEvent() > 0)) {
+                violations.add(nowMs + " ms: item " + item + " goes on while it still runs elsewhere");
+            }
+        });
+    }
+
+    private static final class Active {
+        final ItemRun run;
+        final long startedMs;
+        long sent;
+
+        Active(ItemRun run, long startedMs) {
+            this.run = run;
+            this.startedMs = startedMs;
+        }
+    }
+
+    private final class Runner {
+        final String name;
+        final BatchCore core;
+        final List<String> ended = new ArrayList<>();
+        final Map<ItemRunId, Active> runs = new LinkedHashMap<>();
+        final Map<String, List<Long>> started = new HashMap<>();
+        boolean alive = true;
+
+        Runner(String name, Set<TextMechanism> mechanisms) {
+            this.name = name;
+            core = new BatchCore(name, () -> nowMs, ended::contains, EnumSet.allOf(BatchMechanism.class), mechanisms);
+        }
+
+        void step() {
+            for (Active active : List.copyOf(runs.values())) {
+                if (made(active) >= length(active)) {
+                    runs.remove(active.run.id());
+                    tell(new BatchInput.RunEnded(
+                            active.run.id(), new RunOutcome.Completed(), events(active, 0, length(active))));
+                }
+            }
+            if (nowMs % TICK_MS == 0) {
+                Map<ItemRunId, List<Transcript.Event>> news = new HashMap<>();
+                for (Active active : runs.values()) {
+                    long made = made(active);
+                    news.put(active.run.id(), events(active, active.sent, made));
+                    active.sent = made;
+                }
+                tell(new BatchInput.Progress(news));
+                tell(new BatchInput.Engines(engines));
+                tell(new BatchInput.Tick());
+            }
+        }
+
+        void tell(BatchInput input) {
+            List<BatchEffect> effects = core.on(nowMs, input);
+            for (BatchEffect effect : effects) {
+                switch (effect) {
+                    case BatchEffect.StartRun start -> {
+                        runs.put(start.run().id(), new Active(start.run(), nowMs));
+                        started.computeIfAbsent(start.run().item().id().value(), i -> new ArrayList<>())
+                                .add(start.run().lastEvent());
+                    }
+                    case BatchEffect.StopRun stop -> {
+                        Active active = runs.remove(stop.run());
+                        if (active != null) {
+                            tell(new BatchInput.RunEnded(
+                                    stop.run(), new RunOutcome.Stopped(), events(active, 0, made(active))));
+                        }
+                    }
+                    case BatchEffect.Store request ->
+                        tell(new BatchInput.StoreReplied(request.tag(), perform(request.request())));
+                    case BatchEffect.Answer answer -> {}
+                    case BatchEffect.Decided decided -> {}
+                }
+            }
+        }
+
+        private long length(Active active) {
+            return lengths.get(active.run.item().id().value()) - active.run.lastEvent();
+        }
+
+        private long made(Active active) {
+            return Math.min(length(active), (nowMs - active.startedMs) / EVENT_MS);
+        }
+
+        private List<Transcript.Event> events(Active active, long from, long to) {
+            List<Transcript.Event> events = new ArrayList<>();
+            for (long n = from + 1; n <= to; n++) {
+                long number = active.run.lastEvent() + n;
+                events.add(Batches.event(number, text(active.run.item().id().value(), number), 1));
+            }
+            return events;
+        }
+    }
+
+    private static String text(String item, long event) {
+        return item + "#" + event;
+    }
+
+    private StoreReply perform(StoreRequest request) {
+        return switch (request) {
+            case StoreRequest.Read read -> {
+                byte[] value = store.get(read.key());
+                yield value == null
+                        ? new StoreReply.NotFound()
+                        : new StoreReply.Found(new StoredObject(read.key(), 1, value));
+            }
+            case StoreRequest.Write write -> {
+                if (write.expectedVersion() != ObjectStore.ABSENT || store.containsKey(write.key())) {
+                    yield new StoreReply.Conflict();
+                }
+                store.put(write.key(), write.value());
+                note(write.value());
+                yield new StoreReply.Written(1);
+            }
+            default -> throw new IllegalArgumentException("not a request of a log: " + request);
+        };
+    }
+
+    private void note(byte[] segment) {
+        try {
+            for (ItemResult result : BatchCodec.segment(segment).results()) {
+                listedAtMs.putIfAbsent(result.item(), nowMs);
+                String item = result.item().value();
+                StringBuilder whole = new StringBuilder();
+                for (long n = 1; n <= lengths.get(item); n++) {
+                    whole.append(n == 1 ? "" : "\n").append(text(item, n));
+                }
+                if (!result.text().contentEquals(whole)) {
+                    violations.add("the text of item " + item + " is not whole");
+                }
+            }
+        } catch (MalformedBatchException e) {
+            violations.add("a segment cannot be read: " + e.getMessage());
+        }
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerRig.java
@@ -12,10 +12,11 @@
 /** A batch core with one route on a virtual clock, and what it has asked for so far. */
 final class RunnerRig {
     private final List<BatchEffect> heard = new ArrayList<>();
-    private final Map<ItemRunId, Integer> progress = new HashMap<>();
+    private final Map<ItemRunId, Integer> made = new HashMap<>();
+    private final Map<ItemRunId, List<Transcript.Event>> news = new HashMap<>();
     private long nowMs = 1_000;
     private long lastTicket = 1_000;
-    private final BatchCore core = new BatchCore("n1-1", () -> nowMs);
+    private final BatchCore core = new BatchCore("n1-1", () -> nowMs, process -> false);
 
     RunnerRig() {
         tell(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
@@ -132,12 +133,16 @@
 
     /** Lets time pass in which a run makes some events. */
     void make(ItemRun run, int events) {
-        progress.merge(run.id(), events, Integer::sum);
+        for (int i = 0; i < events; i++) {
+            long number = run.lastEvent() + made.merge(run.id(), 1, Integer::sum);
+            news.computeIfAbsent(run.id(), r -> new ArrayList<>()).add(Batches.event(number, "e" + number, 1));
+        }
     }
 
     /** Reports what was made, after some time. */
     void report(long afterMs) {
         nowMs += afterMs;
-        tell(new BatchInput.Progress(Map.copyOf(progress)));
+        tell(new BatchInput.Progress(Map.copyOf(news)));
+        news.clear();
     }
 }
--- a/library/src/test/java/org/magnoliabridge/batch/StepPlanTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StepPlanTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -72,7 +73,13 @@
                 ITEMS.size(),
                 1,
                 false);
-        return new RunningBatch(0, head, ITEMS, bank, new ResultLog(head.id(), "n1", false));
+        return new RunningBatch(
+                0,
+                head,
+                ITEMS,
+                bank,
+                new ResultLog(head.id(), "n1", false),
+                new BatchTexts("n1", process -> false, EnumSet.allOf(TextMechanism.class)));
     }
 
     private static RunningItem item(RunningBatch batch, String id) {
