Leave a fleet of once to twice the demand alone

Change: totals of the standard kind only; what serves is wanted while it lies between the demand and twice the demand, and lost endpoints of such a fleet are ordered again. Process names have a type.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
@@ -30,8 +30,8 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // The items of all open batches should be through their engines in this time, a fraction of what a step may take.
     private static final double WORK_OFF_MS = 1_500;
-    // An engine in three may fail or turn slow before its replacement serves.
-    private static final double HEADROOM = 1.5;
+    // The core leaves a fleet of up to twice the demand alone, which is the reserve for engines that fail.
+    private static final double HEADROOM = 1;
 
     private final GatewayContext context;
     private final TotalsCore core;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -11,8 +11,8 @@
 import org.magnoliabridge.core.Closer;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
-import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MembershipCore;
 import org.magnoliabridge.membership.MembershipInput;
@@ -72,15 +72,12 @@
 
     /** Returns whether a process is known to have ended, because its node has started again; control thread only. */
     boolean hasEnded(String processName) {
-        int split = processName.lastIndexOf('-');
-        String node = processName.substring(0, Math.max(0, split));
-        Stream<Incarnation> current = Stream.concat(
+        Optional<ProcessName> process = ProcessName.parse(processName);
+        Stream<ProcessName> known = Stream.concat(
+                Stream.of(context.process()),
                 membership.members().stream()
-                        .filter(m -> m.id().value().equals(node))
-                        .map(m -> m.standing().incarnation()),
-                Stream.of(context.joined().incarnation())
-                        .filter(i -> context.settings().nodeId().value().equals(node)));
-        return current.anyMatch(i -> i.value() > Long.parseLong(processName.substring(split + 1)));
+                        .map(m -> new ProcessName(m.id(), m.standing().incarnation())));
+        return process.isPresent() && known.anyMatch(process.get()::isBefore);
     }
 
     /** Takes the time; control thread only. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
@@ -11,6 +11,7 @@
 import org.magnoliabridge.external.BudgetedStore;
 import org.magnoliabridge.external.StorePath;
 import org.magnoliabridge.external.StoreRunner;
+import org.magnoliabridge.ids.ProcessName;
 
 /**
  * What all parts of a gateway node share.
@@ -41,8 +42,8 @@
     private static final long MAX_BACKOFF_MS = 500;
 
     /** Returns the name of this process, which no other process of any node has. */
-    String processName() {
-        return settings.nodeId() + "-" + joined.incarnation();
+    ProcessName process() {
+        return new ProcessName(settings.nodeId(), joined.incarnation());
     }
 
     /** Returns a back-off for calls to the platform. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -126,7 +126,7 @@
                         context.platform().objects(),
                         context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
-        BatchCore core = new BatchCore(context.processName(), context.wallClock(), cluster::hasEnded);
+        BatchCore core = new BatchCore(context.process().toString(), context.wallClock(), cluster::hasEnded);
         scheduler = new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored);
         role = new BatchRole(
                 context.settings().nodeId(),
@@ -348,6 +348,6 @@
     }
 
     private RequestId nextRequestId() {
-        return new RequestId(context.processName() + "-" + lastRequest.incrementAndGet());
+        return new RequestId(context.process() + "-" + lastRequest.incrementAndGet());
     }
 }
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.external.EndpointTotals.Place;
@@ -18,12 +16,12 @@
 import org.magnoliabridge.lease.LeaseView;
 
 /**
- * Decides and orders, under a lease, how many endpoints of which kind serve where, on a platform that takes totals.
+ * Decides and orders, under a lease, how many endpoints serve where, on a platform that takes totals.
  *
- * <p>Load pattern: demand comes in bursts, a batch every few seconds, with nothing in between. The largest demand of a
- * hold time counts, so that the pause between two batches removes no endpoint. What is missing is ordered at once; what
- * is not needed is given up only after all that is ordered serves, and never below what served when this process took
- * over, until it has seen the demand for a whole hold time.
+ * <p>Load pattern: demand comes in bursts, a batch every few seconds, with nothing in between, and endpoints fail, are
+ * taken back or go for good. The largest demand of a hold time counts. A fleet between the demand and twice the demand
+ * is left as it is, because each endpoint that comes or goes costs loads of weights and connections; endpoints of such a
+ * fleet that are lost are replaced. Below that, more are ordered at once; above it, fewer, after a hold time.
  *
  * <pre>{@code
  * for (TotalsEffect effect : core.on(clock.nowMs(), lease.view(), new TotalsInput.Tick())) { ... }
@@ -34,32 +32,45 @@
     private static final long HOLD_MS = 15_000;
     // A place that had no endpoints, or took them back, is asked again after this time.
     private static final long CLOSED_MS = 10_000;
-    // An order whose endpoints do not serve this long after they should is sent again.
+    // An endpoint that is missing for this long beyond its start-up time does not come back by itself.
     private static final long OVERDUE_MS = 3_000;
     // An order that was not sent or has no answer is repeated after this time.
     private static final long RETRY_MS = 500;
+    // Beyond this multiple of the demand endpoints are given up; half of the fleet may fail below it.
+    private static final int MOST_OF_DEMAND = 2;
 
-    private final Map<ServiceId, TotalsPlan> plans = new TreeMap<>(Comparator.comparing(ServiceId::value));
+    private final Map<ServiceId, TotalsPlan> plans = new TreeMap<>();
     private final Map<ServiceId, Demand> demands = new HashMap<>();
-    private final Map<Place, Ordered> ordered = new HashMap<>();
-    private final Map<Place, SlidingMax> peaks = new HashMap<>();
+    private final Map<Place, Integer> targets = new TreeMap<>(PLACES);
+    private final Map<Place, Order> orders = new HashMap<>();
     private final Map<Place, Long> closedUntilMs = new HashMap<>();
-    private final Set<Place> sending = new HashSet<>();
     private Map<Place, Integer> serving = Map.of();
+    private final Map<Place, Long> shortSinceMs = new HashMap<>();
     private FencingToken epoch = LeaseView.NOT_HELD.fencing();
     private boolean listed;
 
+    private static final Comparator<Place> PLACES = Comparator.comparing(Place::service)
+            .thenComparing(Place::dc, Comparator.comparing(DataCentre::value))
+            .thenComparing(Place::kind);
+
     private static final class Demand {
         final long sinceMs;
-        final DemandForecast forecast = new DemandForecast();
+        final SlidingMax peak = new SlidingMax(HOLD_MS);
+        int endpoints;
 
         Demand(long sinceMs) {
             this.sinceMs = sinceMs;
         }
     }
 
-    /** The last order for a place that may have arrived. */
-    private record Ordered(int endpoints, boolean confirmed, long atMs) {}
+    /** The last order for a place: under way, confirmed, or possibly without effect. */
+    private record Order(int endpoints, State state, long atMs) {}
+
+    private enum State {
+        SENDING,
+        CONFIRMED,
+        UNCERTAIN
+    }
 
     /** Takes an input under the lease as it is now; returns what to do. */
     public List<TotalsEffect> on(long nowMs, LeaseView lease, TotalsInput input) {
@@ -68,10 +79,7 @@
             case TotalsInput.Tick tick -> closedUntilMs.values().removeIf(until -> until <= nowMs);
             case TotalsInput.Plans all ->
                 all.plans().forEach(p -> plans.put(p.capacity().service(), p));
-            case TotalsInput.Demand demand ->
-                demands.computeIfAbsent(demand.service(), s -> new Demand(nowMs))
-                        .forecast
-                        .add(nowMs, demand.units());
+            case TotalsInput.Demand demand -> demanded(nowMs, demand);
             case TotalsInput.Fleet fleet -> {
                 serving = fleet.serving();
                 fleet.reclaimed().forEach(p -> closedUntilMs.put(p, nowMs + CLOSED_MS));
@@ -81,32 +89,42 @@
         }
         List<TotalsEffect> effects = new ArrayList<>();
         if (listed && lease.maySend(nowMs)) {
-            plans.values().forEach(plan -> decide(nowMs, lease, plan, effects));
+            plans.values().stream()
+                    .filter(p -> demands.containsKey(p.capacity().service()))
+                    .forEach(p -> decide(nowMs, lease, p, effects));
         }
         return effects;
     }
 
-    // Another process may have ordered other totals meanwhile, and its view of the demand is not known here.
+    // Another process may have ordered other totals meanwhile, and the demand that it saw is not known here.
     private void follow(LeaseView lease) {
         if (lease.held() && !lease.fencing().equals(epoch)) {
             epoch = lease.fencing();
-            ordered.clear();
+            orders.clear();
             demands.clear();
-            peaks.clear();
+            targets.clear();
             closedUntilMs.clear();
-            sending.clear();
+            shortSinceMs.clear();
+        }
+    }
+
+    private void demanded(long nowMs, TotalsInput.Demand demand) {
+        TotalsPlan plan = plans.get(demand.service());
+        if (plan != null) {
+            Demand known = demands.computeIfAbsent(demand.service(), s -> new Demand(nowMs));
+            double units = demand.units() * plan.capacity().headroom();
+            known.endpoints = known.peak.add(nowMs, plan.capacity().endpointsFor(units));
         }
     }
 
     private void sent(long nowMs, TotalsInput.Sent sent) {
         Place place = sent.total().place();
-        sending.remove(place);
+        int endpoints = sent.total().endpoints();
         switch (sent.outcome()) {
-            case ACCEPTED -> ordered.put(place, new Ordered(sent.total().endpoints(), true, nowMs));
-            case UNKNOWN, NOT_SENT, STALE_FENCING ->
-                ordered.put(place, new Ordered(sent.total().endpoints(), false, nowMs));
+            case ACCEPTED -> orders.put(place, new Order(endpoints, State.CONFIRMED, nowMs));
+            case UNKNOWN, NOT_SENT, STALE_FENCING -> orders.put(place, new Order(endpoints, State.UNCERTAIN, nowMs));
             case REFUSED -> {
-                ordered.remove(place);
+                orders.remove(place);
                 closedUntilMs.put(place, nowMs + CLOSED_MS);
             }
         }
@@ -114,84 +132,109 @@
 
     private void decide(long nowMs, LeaseView lease, TotalsPlan plan, List<TotalsEffect> effects) {
         Demand demand = demands.get(plan.capacity().service());
-        if (demand == null) {
-            return;
+        int fewest = Math.max(plan.capacity().minStandard(), demand.endpoints);
+        int most = MOST_OF_DEMAND * fewest;
+        List<Place> places = places(plan);
+        adopt(places, most);
+        grow(plan, places, fewest);
+        if (nowMs - demand.sinceMs >= HOLD_MS) {
+            shrink(plan, places, most);
         }
-        boolean demandIsKnown = nowMs - demand.sinceMs >= HOLD_MS;
-        Map<Place, Integer> wanted = new LinkedHashMap<>();
-        mix(plan, demand).forEach((place, endpoints) -> {
-            int peak =
-                    peaks.computeIfAbsent(place, p -> new SlidingMax(HOLD_MS)).add(nowMs, endpoints);
-            wanted.put(place, demandIsKnown ? peak : Math.max(peak, serving(place)));
-        });
-        limit(plan, wanted);
-        boolean allServe = wanted.entrySet().stream().allMatch(e -> isClosed(e.getKey()) || serves(e));
-        wanted.forEach((place, endpoints) -> {
-            boolean fewer = endpoints < current(place);
-            if (!(fewer && !allServe) && isDue(nowMs, plan, place, endpoints)) {
-                sending.add(place);
-                effects.add(new TotalsEffect.Send(
-                        new Total(place, endpoints), serving(place), lease.fencing(), lease.sendUntilMs()));
-            }
-        });
-    }
-
-    private Map<Place, Integer> mix(TotalsPlan plan, Demand demand) {
-        CapacityPlan capacity = plan.capacity();
-        int needed = capacity.endpointsFor(demand.forecast.after(capacity.startMs()) * capacity.headroom());
-        Set<FleetMix.Place> closed = new HashSet<>();
-        Map<Place, Integer> mix = new LinkedHashMap<>();
-        for (DataCentre dc : capacity.dcs()) {
-            for (Kind kind : Kind.values()) {
-                Place place = new Place(capacity.service(), dc, kind);
-                mix.put(place, 0);
-                if (isClosed(place)) {
-                    closed.add(new FleetMix.Place(dc, kind));
-                }
+        boolean urgent = places.stream().mapToInt(this::serving).sum() < fewest;
+        for (Place place : places) {
+            if (isDue(nowMs, plan, place, urgent)) {
+                Total total = new Total(place, targets.get(place));
+                orders.put(place, new Order(total.endpoints(), State.SENDING, nowMs));
+                effects.add(new TotalsEffect.Send(total, serving(place), lease.fencing(), lease.sendUntilMs()));
             }
         }
-        FleetMix.choose(capacity, needed, closed)
-                .forEach((p, endpoints) -> mix.put(new Place(capacity.service(), p.dc(), p.kind()), endpoints));
-        return mix;
     }
 
-    // Reclaimable endpoints beside many standard ones could pass the limit of their data centre.
-    private static void limit(TotalsPlan plan, Map<Place, Integer> wanted) {
+    /** Returns the places of a service: the standard ones, cheapest first, and others at which endpoints serve. */
+    private List<Place> places(TotalsPlan plan) {
         ServiceId service = plan.capacity().service();
-        for (DataCentre dc : plan.capacity().dcs()) {
-            int standard = Math.min(plan.maxPerDc(), wanted.get(new Place(service, dc, Kind.STANDARD)));
-            wanted.put(new Place(service, dc, Kind.STANDARD), standard);
-            wanted.merge(new Place(service, dc, Kind.RECLAIMABLE), plan.maxPerDc() - standard, Math::min);
+        List<Place> places = new ArrayList<>();
+        plan.capacity().dcs().forEach(dc -> places.add(new Place(service, dc, Kind.STANDARD)));
+        serving.keySet().stream()
+                .filter(p -> p.service().equals(service) && !places.contains(p))
+                .sorted(PLACES)
+                .forEach(places::add);
+        return places;
+    }
+
+    // What serves is wanted, up to what may be too much; a place that has nothing to give is not counted on.
+    private void adopt(List<Place> places, int most) {
+        boolean tooMany = places.stream().mapToInt(this::serving).sum() > most;
+        for (Place place : places) {
+            int target = targets.getOrDefault(place, serving(place));
+            if (isClosed(place)) {
+                target = serving(place);
+            } else if (!tooMany) {
+                target = Math.max(target, serving(place));
+            }
+            targets.put(place, target);
         }
     }
 
-    private boolean isDue(long nowMs, TotalsPlan plan, Place place, int endpoints) {
-        if (sending.contains(place) || (isClosed(place) && endpoints > serving(place))) {
-            return false;
+    private void grow(TotalsPlan plan, List<Place> places, int fewest) {
+        while (total(places) < fewest) {
+            Optional<Place> smallest = places.stream()
+                    .filter(p -> p.kind() == Kind.STANDARD && !isClosed(p) && inDc(places, p) < plan.maxPerDc())
+                    .min(Comparator.comparingInt(p -> inDc(places, p)));
+            if (smallest.isEmpty()) {
+                return;
+            }
+            targets.merge(smallest.get(), 1, Integer::sum);
         }
-        Ordered last = ordered.get(place);
-        if (last == null) {
-            return endpoints != serving(place);
+    }
+
+    // The last of the largest places is the dearest of them.
+    private void shrink(TotalsPlan plan, List<Place> places, int most) {
+        int fewestPerDc = plan.capacity().minStandard() / plan.capacity().dcs().size();
+        while (total(places) > most) {
+            Optional<Place> largest = places.stream()
+                    .filter(p -> targets.get(p) > 0 && inDc(places, p) > fewestPerDc)
+                    .reduce((a, b) -> targets.get(b) >= targets.get(a) ? b : a);
+            if (largest.isEmpty()) {
+                return;
+            }
+            targets.merge(largest.get(), -1, Integer::sum);
         }
-        if (!last.confirmed()) {
-            return nowMs - last.atMs() >= RETRY_MS;
+    }
+
+    private boolean isDue(long nowMs, TotalsPlan plan, Place place, boolean urgent) {
+        int target = targets.get(place);
+        long overdueMs = plan.capacity().startMs() + OVERDUE_MS;
+        if (serving(place) >= target) {
+            shortSinceMs.remove(place);
+        } else {
+            shortSinceMs.putIfAbsent(place, nowMs);
         }
-        boolean overdue = serving(place) < endpoints
-                && nowMs - last.atMs() >= plan.capacity().startMs() + OVERDUE_MS;
-        return endpoints != last.endpoints() || overdue;
+        boolean missing = nowMs - shortSinceMs.getOrDefault(place, nowMs) >= overdueMs;
+        Order last = orders.get(place);
+        if (last == null) {
+            return target < serving(place) || missing || (target > serving(place) && urgent);
+        }
+        return switch (last.state()) {
+            case SENDING -> false;
+            case UNCERTAIN -> nowMs - last.atMs() >= RETRY_MS;
+            case CONFIRMED -> target != last.endpoints() || (missing && nowMs - last.atMs() >= overdueMs);
+        };
     }
 
-    private int current(Place place) {
-        Ordered last = ordered.get(place);
-        return last == null ? serving(place) : last.endpoints();
+    private int total(List<Place> places) {
+        return places.stream().mapToInt(targets::get).sum();
     }
 
-    private int serving(Place place) {
-        return serving.getOrDefault(place, 0);
+    private int inDc(List<Place> places, Place place) {
+        return places.stream()
+                .filter(p -> p.dc().equals(place.dc()))
+                .mapToInt(targets::get)
+                .sum();
     }
 
-    private boolean serves(Map.Entry<Place, Integer> wanted) {
-        return serving(wanted.getKey()) >= wanted.getValue();
+    private int serving(Place place) {
+        return serving.getOrDefault(place, 0);
     }
 
     private boolean isClosed(Place place) {
