--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -59,13 +59,7 @@
                         .with(LogFields.ITEM, e.item().value())
                         .log("item given up: %s", e.reason());
             }
-            case BatchEvent.TextsTaken e -> {
-                metrics.counter("batch.texts_taken").inc(e.items());
-                LOG.atInfo()
-                        .with(LogFields.BATCH, e.batch().value())
-                        .with(LogFields.COUNT, (long) e.items())
-                        .log("items go on with stored texts, claimed first %b", e.claimed());
-            }
+            case BatchEvent.TextsTaken e -> textsTaken(e);
             case BatchEvent.TextsLost e ->
                 LOG.atWarning()
                         .with(LogFields.BATCH, e.batch().value())
@@ -77,4 +71,12 @@
                         .log("results listed %d", e.listed());
         }
     }
+
+    private void textsTaken(BatchEvent.TextsTaken event) {
+        metrics.counter("batch.texts_taken").inc(event.items());
+        LOG.atInfo()
+                .with(LogFields.BATCH, event.batch().value())
+                .with(LogFields.COUNT, (long) event.items())
+                .log("items go on with stored texts, claimed first %b", event.claimed());
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchTexts.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchTexts.java
@@ -15,10 +15,9 @@
  * trainer comes late. So a long text is stored about once a second, in the batch's log, and the next runner goes on
  * after its last stored event.
  *
- * <p>An item must not go on at two engines at once. A runner therefore claims the texts with a segment of the log first.
- * Another runner that is still at work meets that segment with its next one, which is due within a second, and stops;
- * so a text goes on only a while after the claim, or as soon as the processes that wrote to the log are known to have
- * ended.
+ * <p>An item must not go on at two engines at once. A runner therefore claims the texts with a segment of the log
+ * first. Another runner that is still at work meets that segment with its next one, which is due within a second, and
+ * stops. So a text goes on only a while after the claim, or once the processes that wrote to the log have ended.
  */
 final class BatchTexts {
     /** A text of fewer events is generated anew in the time that it takes to store and read it. */
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -172,9 +172,8 @@
         inFlight = false;
         return switch (reply) {
             case StoreReply.Written written -> {
-                boolean listed = list(nowMs, append.orElseThrow());
                 currentAtMs = sentAtMs;
-                yield listed;
+                yield list(nowMs, append.orElseThrow());
             }
             case StoreReply.Found found ->
                 list(nowMs, BatchCodec.segment(found.object().value()));
--- a/library/src/main/java/org/magnoliabridge/batch/RunBook.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunBook.java
@@ -114,7 +114,7 @@
         }
     }
 
-    /** Takes the events that each run has brought since the last call, and stops those that fall behind and have somewhere to go. */
+    /** Takes the events since the last call, and stops the runs that fall behind and have somewhere to go. */
     void progress(
             long nowMs,
             Map<ItemRunId, List<Transcript.Event>> events,
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
@@ -20,8 +20,8 @@
  *
  * <p>Load pattern: demand comes in bursts, a batch every few seconds, with nothing in between, and endpoints fail, are
  * taken back or go for good. The largest demand of a hold time counts. A fleet between the demand and twice the demand
- * is left as it is, because each endpoint that comes or goes costs loads of weights and connections; endpoints of such a
- * fleet that are lost are replaced. Below that, more are ordered at once; above it, fewer, after a hold time.
+ * is left as it is, because each endpoint that comes or goes costs loads of weights and connections; endpoints of such
+ * a fleet that are lost are replaced. Below that, more are ordered at once; above it, fewer, after a hold time.
  *
  * <pre>{@code
  * for (TotalsEffect effect : core.on(clock.nowMs(), lease.view(), new TotalsInput.Tick())) { ... }
@@ -119,14 +119,12 @@
 
     private void sent(long nowMs, TotalsInput.Sent sent) {
         Place place = sent.total().place();
-        int endpoints = sent.total().endpoints();
-        switch (sent.outcome()) {
-            case ACCEPTED -> orders.put(place, new Order(endpoints, State.CONFIRMED, nowMs));
-            case UNKNOWN, NOT_SENT, STALE_FENCING -> orders.put(place, new Order(endpoints, State.UNCERTAIN, nowMs));
-            case REFUSED -> {
-                orders.remove(place);
-                closedUntilMs.put(place, nowMs + CLOSED_MS);
-            }
+        if (sent.outcome() == OrderOutcome.REFUSED) {
+            orders.remove(place);
+            closedUntilMs.put(place, nowMs + CLOSED_MS);
+        } else {
+            State state = sent.outcome() == OrderOutcome.ACCEPTED ? State.CONFIRMED : State.UNCERTAIN;
+            orders.put(place, new Order(sent.total().endpoints(), state, nowMs));
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsPlan.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsPlan.java
@@ -5,7 +5,7 @@
 /**
  * What {@link TotalsCore} knows about a service.
  *
- * @param capacity demand that an endpoint carries, prices and limits; its data centres stand in the order of their price
+ * @param capacity demand that an endpoint carries, prices and limits; its data centres stand in the order of price
  * @param maxPerDc most endpoints of both kinds in a data centre
  */
 public record TotalsPlan(CapacityPlan capacity, int maxPerDc) {
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
@@ -16,7 +16,7 @@
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.ItemId;
 
-/** Two runners over one store and the same engines, on a virtual clock, with engines that make events at a fixed pace. */
+/** Two runners over one store and the same engines, on a virtual clock; engines make events at a fixed pace. */
 final class RunnerPair {
     static final long STEP_MS = 20;
     private static final long EVENT_MS = 36;
