Tell every node the processor capacity of each member

The settings cpu_share and cpu_speed (optional) give the capacity in thousandths of a core; it travels with the location of a node. A node without them has capacity 0, unknown. Capacities follow after everything else in the bodies of pings and tables: nodes of an earlier release reject an update with ten fields, but ignore what follows a body, so both kinds run beside each other. A member that an earlier node reported first has capacity 0 until its own ping or a later report names it.

SettingsObjectTest gained a test of fractions, which SettingsObject already read.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -45,7 +45,8 @@
                 SocketAddresses.format(settings.listen().peers()),
                 SocketAddresses.format(settings.listen().callers()),
                 settings.dataCentre(),
-                settings.region());
+                settings.region(),
+                settings.capacityMillicores());
         MemberState state = new MemberState(joined.incarnation(), 0, MemberState.Liveness.ALIVE, false);
         MembershipCore core = new MembershipCore(
                 new Member(settings.nodeId(), state, location, 0),
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
@@ -25,6 +25,7 @@
  * @param objectApi the platform's object store
  * @param ordersApi the platform's interface for endpoint orders and usage reports
  * @param bounds times that the platform guarantees or requires
+ * @param capacityMillicores processor capacity in thousandths of a core, 0 if not known
  * @param logLevel lowest level that is logged
  */
 public record GatewaySettings(
@@ -35,7 +36,11 @@
         InetSocketAddress objectApi,
         InetSocketAddress ordersApi,
         Bounds bounds,
+        int capacityMillicores,
         Level logLevel) {
+    private static final double MIN_CPU = 0.001;
+    private static final double MAX_CPU = 1_000;
+    private static final int MILLICORES_PER_CORE = 1_000;
     private static final InetSocketAddress UNSET = new InetSocketAddress(0);
     private static final Map<String, Level> LEVELS =
             Map.of("debug", Level.FINE, "info", Level.INFO, "warning", Level.WARNING, "error", Level.SEVERE);
@@ -84,6 +89,7 @@
         InetSocketAddress objects = address(root, "object_api");
         InetSocketAddress orders = address(root, "orders_api");
         Bounds bounds = bounds(root);
+        int capacity = capacityMillicores(root);
         String name = root.optionalText("log_level").orElse("info").toLowerCase(Locale.ROOT);
         if (!LEVELS.containsKey(name)) {
             root.report(Kind.INVALID, "log_level", "debug, info, warning or error");
@@ -97,6 +103,7 @@
                 objects,
                 orders,
                 bounds,
+                capacity,
                 LEVELS.get(name));
     }
 
@@ -109,6 +116,12 @@
                 root.integer("usage_due_ms", 500, 3_600_000, 10_000));
     }
 
+    private static int capacityMillicores(SettingsObject root) {
+        double share = root.number("cpu_share", MIN_CPU, MAX_CPU, 0);
+        double speed = root.number("cpu_speed", MIN_CPU, MAX_CPU, 1);
+        return (int) Math.round(share * speed * MILLICORES_PER_CORE);
+    }
+
     private static InetSocketAddress address(SettingsObject root, String name) {
         return root.address(name).orElse(UNSET);
     }
--- a/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
@@ -103,16 +103,36 @@
         }
         MemberState merged = known.state().merge(update.state());
         if (merged.equals(known.state())) {
+            learnCapacity(known, update);
             return Optional.empty();
         }
         boolean restarted = !merged.incarnation().equals(known.state().incarnation());
         if (restarted && update.location().isEmpty()) {
             return Optional.empty();
         }
-        put(new Member(known.id(), merged, update.location().orElse(known.location()), known.loadPermille()), nowMs);
+        put(new Member(known.id(), merged, location(known, update, restarted), known.loadPermille()), nowMs);
         return Optional.of(new MemberUpdate(known.id(), merged, restarted ? update.location() : Optional.empty()));
     }
 
+    private static NodeLocation location(Member known, MemberUpdate update, boolean restarted) {
+        NodeLocation reported = update.location().orElse(known.location());
+        return restarted || reported.hasCapacity()
+                ? reported
+                : reported.withCapacity(known.location().capacityMillicores());
+    }
+
+    // A report that a node of an earlier release passed on carries no capacity, but the member's own pings do.
+    private void learnCapacity(Member known, MemberUpdate update) {
+        boolean sameStart = known.state().incarnation().equals(update.state().incarnation());
+        boolean learns =
+                !known.location().hasCapacity() && update.capacityMillicores() != NodeLocation.UNKNOWN_CAPACITY;
+        if (sameStart && learns) {
+            NodeLocation location = known.location().withCapacity(update.capacityMillicores());
+            members.put(known.id(), new Member(known.id(), known.state(), location, known.loadPermille()));
+            markChanged();
+        }
+    }
+
     private Optional<MemberUpdate> mergeSelf(MemberState reported) {
         Member me = self();
         MemberState mine = me.state();
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCodec.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCodec.java
@@ -16,12 +16,19 @@
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes and decodes the message bodies of the membership protocol. */
+/**
+ * Encodes and decodes the message bodies of the membership protocol.
+ *
+ * <p>Capacities of members follow after everything else in a body, because nodes without this field reject an update
+ * with more fields, but ignore what follows the body.
+ */
 final class MembershipCodec {
     private static final int MAX_TEXT_CHARS = 200;
     private static final int MAX_ELEMENTS = 10_000;
     private static final int FIELDS_WITHOUT_LOCATION = 5;
     private static final int FIELDS_WITH_LOCATION = 9;
+    private static final int PING_FIELDS = 9;
+    private static final int PING_FIELDS_WITHOUT_CAPACITIES = 8;
 
     private MembershipCodec() {}
 
@@ -60,7 +67,7 @@
 
     static byte[] pack(PingBody c) {
         return pack(p -> {
-            p.packArrayHeader(8);
+            p.packArrayHeader(PING_FIELDS);
             pack(p, c.sender());
             p.packArrayHeader(c.versions().size());
             for (long version : c.versions()) {
@@ -76,12 +83,13 @@
                 p.packString(item.name()).packLong(item.version());
                 p.packBinaryHeader(item.payload().length).writePayload(item.payload());
             }
+            packCapacities(p, withSender(c.sender(), c.updates()));
         });
     }
 
     static PingBody readPing(byte[] body) throws MalformedMessageException {
         return unpack(body, u -> {
-            u.unpackArrayHeader();
+            int fields = u.unpackArrayHeader();
             MemberUpdate sender = update(u);
             List<Long> versions = list(u, MessageUnpacker::unpackLong);
             long digest = u.unpackLong();
@@ -93,7 +101,12 @@
             if (sender.location().isEmpty() || versions.size() != Item.PINNED.size()) {
                 throw new IOException("expected the sender's location and one version for each pinned item");
             }
-            return new PingBody(sender, versions, digest, members, ageMs, load, updates, items);
+            List<MemberUpdate> all = withSender(sender, updates);
+            if (fields > PING_FIELDS_WITHOUT_CAPACITIES) {
+                all = withCapacities(all, list(u, MessageUnpacker::unpackInt));
+            }
+            return new PingBody(
+                    all.getFirst(), versions, digest, members, ageMs, load, all.subList(1, all.size()), items);
         });
     }
 
@@ -146,16 +159,52 @@
     }
 
     static byte[] packUpdates(List<MemberUpdate> updates) {
-        return pack(p -> pack(p, updates));
+        return pack(p -> {
+            pack(p, updates);
+            packCapacities(p, updates);
+        });
     }
 
     static List<MemberUpdate> readUpdates(byte[] body) throws MalformedMessageException {
-        return unpack(body, u -> list(u, MembershipCodec::update));
+        return unpack(body, u -> {
+            List<MemberUpdate> updates = list(u, MembershipCodec::update);
+            return u.hasNext() ? withCapacities(updates, list(u, MessageUnpacker::unpackInt)) : updates;
+        });
     }
 
     /** Returns the bytes that an update takes inside a ping. */
     static int size(MemberUpdate update) {
-        return pack(p -> pack(p, update)).length;
+        return pack(p -> {
+                    pack(p, update);
+                    p.packInt(update.capacityMillicores());
+                })
+                .length;
+    }
+
+    private static void packCapacities(MessagePacker p, List<MemberUpdate> updates) throws IOException {
+        p.packArrayHeader(updates.size());
+        for (MemberUpdate update : updates) {
+            p.packInt(update.capacityMillicores());
+        }
+    }
+
+    private static List<MemberUpdate> withCapacities(List<MemberUpdate> updates, List<Integer> capacities)
+            throws IOException {
+        if (capacities.size() != updates.size()) {
+            throw new IOException("expected " + updates.size() + " capacities, found " + capacities.size());
+        }
+        List<MemberUpdate> result = new ArrayList<>();
+        for (int i = 0; i < updates.size(); i++) {
+            result.add(updates.get(i).withCapacity(capacities.get(i)));
+        }
+        return result;
+    }
+
+    private static List<MemberUpdate> withSender(MemberUpdate sender, List<MemberUpdate> updates) {
+        List<MemberUpdate> result = new ArrayList<>();
+        result.add(sender);
+        result.addAll(updates);
+        return result;
     }
 
     private static void pack(MessagePacker p, List<MemberUpdate> updates) throws IOException {
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,7 @@
 class MembershipCoreTest {
     private static final List<Liveness> STATES = List.of(Liveness.ALIVE, Liveness.SUSPECT, Liveness.DEAD);
     private static final NodeId OTHER = new NodeId("other");
+    private static final MemberState ALIVE = new MemberState(new Incarnation(1), 0, Liveness.ALIVE, false);
 
     private static MemberState state(int bits) {
         return new MemberState(
@@ -46,9 +48,29 @@
         return new MembershipCore(new Member(new NodeId("self"), alive, location("self"), 0), List.of(), new Random(1));
     }
 
+    private static MemberUpdate report(String name, int capacity) {
+        return new MemberUpdate(
+                new NodeId(name), ALIVE, Optional.of(location(name).withCapacity(capacity)));
+    }
+
+    private static int capacity(MembershipCore core, String name) {
+        return core.members().stream()
+                .filter(m -> m.id().value().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .location()
+                .capacityMillicores();
+    }
+
     private static byte[] ping(MemberUpdate... updates) {
-        MemberState alive = new MemberState(new Incarnation(1), 0, Liveness.ALIVE, false);
-        MemberUpdate sender = new MemberUpdate(OTHER, alive, Optional.of(location("other")));
+        return pingOf(0, updates);
+    }
+
+    private static byte[] pingOf(int capacity, MemberUpdate... updates) {
+        return pingFrom(report("other", capacity), updates);
+    }
+
+    private static byte[] pingFrom(MemberUpdate sender, MemberUpdate... updates) {
         return MembershipCodec.pack(
                 new MembershipCodec.PingBody(sender, List.of(0L, 0L), 0, 1, -1, 0, List.of(updates), List.of()));
     }
@@ -102,6 +124,65 @@
         assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
     }
 
+    /** Guards against nodes that rank members differently because the capacity of some did not reach them. */
+    @Test
+    void capacitiesArriveWithPingsAndTables() throws MalformedMessageException {
+        MembershipCore core = core();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(1_500, report("third", 360))), 0);
+        assertThat(capacity(core, "other"), is(1_500));
+        assertThat(capacity(core, "third"), is(360));
+        List<MemberUpdate> table = List.of(report("a", 750), new MemberUpdate(OTHER, ALIVE, Optional.empty()));
+        assertThat(MembershipCodec.readUpdates(MembershipCodec.packUpdates(table)), equalTo(table));
+    }
+
+    /** Guards against a cluster that splits while nodes with and without capacities run beside each other. */
+    @Test
+    void nodesWithoutCapacitiesUnderstandAndAreUnderstood() throws MalformedMessageException {
+        byte[] current = pingOf(1_500, report("third", 360));
+        byte[] without = pingOf(0, report("third", 0));
+        int capacities = without.length - 3;
+        byte[] earlier = Arrays.copyOf(without, capacities);
+        // An earlier node reads eight fields whatever the header says, and ignores the rest.
+        assertThat(Arrays.copyOf(current, capacities), equalTo(earlier));
+        earlier[0] = (byte) 0x98;
+        assertThat(MembershipCodec.readPing(earlier).sender(), equalTo(report("other", 0)));
+        assertThat(MembershipCodec.readPing(earlier).updates(), equalTo(List.of(report("third", 0))));
+        byte[] table = MembershipCodec.packUpdates(List.of(report("third", 360)));
+        byte[] earlierTable = Arrays.copyOf(table, table.length - 4);
+        assertThat(MembershipCodec.readUpdates(earlierTable), equalTo(List.of(report("third", 0))));
+    }
+
+    /** Guards against a member that counts as small for good because an earlier node reported it first. */
+    @Test
+    void capacityIsLearnedAfterAReportWithoutIt() {
+        MembershipCore core = core();
+        NodeId third = new NodeId("third");
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(0, report("third", 0))), 0);
+        assertThat(capacity(core, "third"), is(0));
+        byte[] own = pingFrom(report("third", 360));
+        List<MembershipEffect> effects = core.handle(new MembershipInput.Received(third, FrameType.PING, 1, own), 0);
+        assertThat(capacity(core, "third"), is(360));
+        assertThat(effects.stream().anyMatch(MembershipEffect.Changed.class::isInstance), is(true));
+        MemberState suspected = ALIVE.with(Liveness.SUSPECT);
+        MemberUpdate report = new MemberUpdate(third, suspected, Optional.of(location("third")));
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(0, report)), 0);
+        assertThat(capacity(core, "third"), is(360));
+    }
+
+    /** Guards against capacities that are assigned to the wrong members, or are impossible. */
+    @Test
+    void reportsMalformedCapacities() {
+        byte[] missing = pingOf(0, report("third", 0));
+        missing[missing.length - 3] = (byte) 0x91;
+        byte[] negative = pingOf(0, report("third", 0));
+        negative[negative.length - 1] = (byte) 0xff;
+        for (byte[] body : List.of(missing, negative)) {
+            List<MembershipEffect> effects =
+                    core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, body), 0);
+            assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
+        }
+    }
+
     /** Guards against a live node that stays dead in the tables of the others. */
     @Test
     void refutesReportOfItsOwnDeath() {
--- a/library/src/test/java/org/magnoliabridge/settings/SettingsObjectTest.java
+++ b/library/src/test/java/org/magnoliabridge/settings/SettingsObjectTest.java
@@ -27,6 +27,23 @@
         root.finish();
     }
 
+    /** Guards against a fraction that is cut to a whole number, or a number in quotes that passes. */
+    @Test
+    void readsFractionsWithinTheirRange() throws SettingsException {
+        SettingsObject root = parse("{\"share\": 0.36, \"speed\": 2, \"high\": 1.01, \"text\": \"0.5\"}");
+        assertThat(root.number("share", 0.001, 1, 0), is(0.36));
+        assertThat(root.number("speed", 0.001, 10, 0), is(2.0));
+        assertThat(root.number("absent", 0.001, 1, 0.5), is(0.5));
+        assertThat(root.number("high", 0.001, 1, 0.5), is(0.5));
+        assertThat(root.number("text", 0.001, 1, 0.5), is(0.5));
+        SettingsException thrown = assertThrows(SettingsException.class, root::finish);
+        assertThat(
+                thrown.problems(),
+                contains(
+                        new Problem(Kind.OUT_OF_RANGE, "high", 1, "a number from 0.001 to 1.0"),
+                        new Problem(Kind.WRONG_TYPE, "text", 1, "a number from 0.001 to 1.0")));
+    }
+
     /** Guards against reporting only the first of several problems. */
     @Test
     void reportsEveryProblemWithFieldAndLine() throws SettingsException {
