Run the batches on the node with the most processor capacity

Cause: the runner was the first node in rendezvous order, whatever its size, and a runner stayed as long as it was alive.

Members now rank by capacity, those of equal capacity in rendezvous order. A runner hands over when the first member has strictly more capacity and has been seen for 2 s without a break or a restart: it stops its runs, then announces the successor with the next term, and again each second until the successor announces itself, so a lost message leaves no gap for good. An end of a batch that still reaches the earlier runner is passed on, because the successor may have read the batch as open. Nodes of equal or unknown capacity behave as before.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -1,11 +1,16 @@
 package org.magnoliabridge.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.magnoliabridge.batch.BatchMessages;
 import org.magnoliabridge.batch.BatchMessages.Announcement;
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.RunnerElection;
+import org.magnoliabridge.batch.RunnerElection.Candidate;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
@@ -24,6 +29,8 @@
     private final RunnerElection election;
     private final BatchScheduler scheduler;
     private final MonotonicClock clock;
+    private boolean membersChanged = true;
+    private List<Candidate> candidates = List.of();
     private long announcedAtMs;
     private volatile Optional<NodeId> runner = Optional.empty();
 
@@ -40,6 +47,7 @@
         this.election = election;
         this.scheduler = scheduler;
         this.clock = clock;
+        membership.addMemberListener(members -> membersChanged = true);
         peers.serve(PeerCalls.Method.ANNOUNCE_RUNNER, (from, body, answer) -> onAnnouncement(from, body));
     }
 
@@ -56,15 +64,20 @@
     /** Updates the election from the current members; called several times a second. */
     void tick() {
         long nowMs = clock.nowMs();
-        boolean elected = election.updateMembers(nowMs, membership.ranked(SCOPE));
-        if (elected) {
-            LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
-        }
-        if (election.isRunner() && (elected || nowMs - announcedAtMs >= ANNOUNCE_PERIOD_MS)) {
+        RunnerElection.Change change = election.updateMembers(nowMs, candidates());
+        logChange(change);
+        // Before the announcement, so that a node that hands over has stopped when its successor starts.
+        updateScheduler();
+        boolean due = nowMs - announcedAtMs >= ANNOUNCE_PERIOD_MS;
+        if (election.announces() && (due || change != RunnerElection.Change.NONE)) {
             announcedAtMs = nowMs;
             announce();
         }
-        updateScheduler();
+    }
+
+    /** Returns the node to which this node handed over, while that node is the runner; control thread only. */
+    Optional<NodeId> successor() {
+        return election.successor();
     }
 
     /** Gives up the role before the node stops. */
@@ -73,8 +86,35 @@
         updateScheduler();
     }
 
+    private List<Candidate> candidates() {
+        if (membersChanged) {
+            membersChanged = false;
+            Map<NodeId, Member> byId =
+                    membership.members().stream().collect(Collectors.toMap(Member::id, Function.identity()));
+            candidates = membership.ranked(SCOPE).stream()
+                    .map(byId::get)
+                    .map(m -> new Candidate(
+                            m.id(), m.state().incarnation(), m.location().capacityMillicores()))
+                    .toList();
+        }
+        return candidates;
+    }
+
+    private void logChange(RunnerElection.Change change) {
+        switch (change) {
+            case NONE -> {}
+            case ELECTED ->
+                LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
+            case HANDED_OVER ->
+                LOG.atInfo()
+                        .with(LogFields.PEER, election.runner().orElseThrow().value())
+                        .with(LogFields.VERSION, election.term())
+                        .log("batches handed over to a node with more processor capacity");
+        }
+    }
+
     private void announce() {
-        byte[] body = BatchMessages.pack(new Announcement(self, election.term()));
+        byte[] body = BatchMessages.pack(new Announcement(election.runner().orElseThrow(), election.term()));
         membership.members().stream()
                 .filter(Member::isAlive)
                 .map(Member::id)
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -275,7 +275,11 @@
 
     private void onEnd(byte[] body, Consumer<byte[]> answer) {
         try {
-            scheduler.handle(new BatchInput.End(BatchMessages.batch(body)));
+            BatchId batch = BatchMessages.batch(body);
+            scheduler.handle(new BatchInput.End(batch));
+            // The sender may not know yet that this node handed over, and the successor may have read the batch as
+            // open.
+            role.successor().ifPresent(s -> peers.sendOneWay(s, PeerCalls.Method.END_BATCH, BatchMessages.pack(batch)));
             answer.accept(ACKNOWLEDGEMENT);
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).log("malformed request from a peer to end a batch");
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -1,25 +1,61 @@
 package org.magnoliabridge.batch;
 
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 
 /**
  * Elects the node that runs the batches, without waiting for a lease to expire.
  *
- * <p>A node stays the runner while the others see it alive, so that its progress is not lost when another node joins.
- * When it is gone, the first live node in rendezvous order announces itself with the next term. Two runners at the same
- * time waste work but break no guarantee; the higher term wins, then the lower node id.
+ * <p>Nodes rank by processor capacity, those of equal capacity in rendezvous order. When there is no runner, the first
+ * live node announces itself with the next term. A runner hands over to the first node if that has more capacity, and
+ * else stays while the others see it alive, so that its progress is not lost when another node joins. Two runners at
+ * the same time waste work but break no guarantee; the higher term wins, then the lower node id.
  */
 public final class RunnerElection {
     // A node that has just started knows no other members, and would announce itself although there is a runner.
     private static final long SETTLE_MS = 800;
+    // After a common restart nodes appear at different times; a node that is seen only now and then must not take over.
+    private static final long HANDOVER_AFTER_MS = 2_000;
+    private static final Comparator<Candidate> BY_CAPACITY =
+            Comparator.comparingInt(Candidate::capacityMillicores).reversed();
 
     private final NodeId self;
     private final long startedMs;
+    private final Map<NodeId, Sighting> sightings = new HashMap<>();
     private long term;
     private Optional<NodeId> runner = Optional.empty();
+    private Optional<NodeId> successor = Optional.empty();
+    private boolean successorAnnounced;
+
+    /**
+     * A live member that accepts work.
+     *
+     * @param capacityMillicores processor capacity in thousandths of a core, 0 if not known
+     */
+    public record Candidate(NodeId node, Incarnation incarnation, int capacityMillicores) {
+        public Candidate {
+            Objects.requireNonNull(node);
+            Objects.requireNonNull(incarnation);
+        }
+    }
+
+    /** What an update of the members did to the role of this node. */
+    public enum Change {
+        NONE,
+        /** This node has become the runner. */
+        ELECTED,
+        /** This node is no longer the runner: {@link #runner} is, once it learns of it. */
+        HANDED_OVER
+    }
+
+    private record Sighting(Incarnation incarnation, long sinceMs) {}
 
     public RunnerElection(NodeId self, long nowMs) {
         this.self = Objects.requireNonNull(self);
@@ -41,31 +77,43 @@
         return term;
     }
 
+    /** Returns the node to which this node handed over, while that node is the runner. */
+    public Optional<NodeId> successor() {
+        return successor;
+    }
+
+    /** Returns whether this node announces the runner: as the runner, or until its successor does so. */
+    public boolean announces() {
+        return isRunner() || (successor.isPresent() && !successorAnnounced);
+    }
+
     /** Handles the announcement of another node; returns whether the runner changed. */
     public boolean onAnnouncement(NodeId node, long newTerm) {
         boolean wins = newTerm > term
                 || (newTerm == term && runner.map(r -> node.compareTo(r) < 0).orElse(true));
         boolean changed = wins && runner.filter(node::equals).isEmpty();
         if (wins) {
-            term = newTerm;
-            runner = Optional.of(node);
+            setRunner(node, newTerm);
+        } else if (newTerm == term && successor.filter(node::equals).isPresent()) {
+            successorAnnounced = true;
         }
         return changed;
     }
 
-    /**
-     * Updates the live members that accept work, given in rendezvous order; returns whether this node has become the
-     * runner and must announce it.
-     */
-    public boolean updateMembers(long nowMs, List<NodeId> ranked) {
-        boolean alive = runner.filter(ranked::contains).isPresent();
-        boolean first = !ranked.isEmpty() && ranked.getFirst().equals(self);
-        if (alive || !first || nowMs - startedMs < SETTLE_MS) {
-            return false;
+    /** Updates the candidates, given in rendezvous order; this node must announce any change to the others. */
+    public Change updateMembers(long nowMs, List<Candidate> candidates) {
+        recordSightings(nowMs, candidates);
+        Optional<Candidate> first = candidates.stream().sorted(BY_CAPACITY).findFirst();
+        if (isRunner()) {
+            return handOver(nowMs, first, candidates);
+        }
+        boolean alive = runner.flatMap(r -> find(r, candidates)).isPresent();
+        boolean mine = first.filter(c -> c.node().equals(self)).isPresent();
+        if (alive || !mine || nowMs - startedMs < SETTLE_MS) {
+            return Change.NONE;
         }
-        term++;
-        runner = Optional.of(self);
-        return true;
+        setRunner(self, term + 1);
+        return Change.ELECTED;
     }
 
     /** Resigns as the runner because this node is leaving; another node announces itself when it observes that. */
@@ -74,4 +122,39 @@
             runner = Optional.empty();
         }
     }
+
+    private Change handOver(long nowMs, Optional<Candidate> first, List<Candidate> candidates) {
+        Optional<Candidate> me = find(self, candidates);
+        if (me.isEmpty() || first.isEmpty() || BY_CAPACITY.compare(first.get(), me.get()) >= 0) {
+            return Change.NONE;
+        }
+        NodeId next = first.get().node();
+        if (nowMs - sightings.get(next).sinceMs() < HANDOVER_AFTER_MS) {
+            return Change.NONE;
+        }
+        setRunner(next, term + 1);
+        successor = Optional.of(next);
+        return Change.HANDED_OVER;
+    }
+
+    private void setRunner(NodeId node, long newTerm) {
+        term = newTerm;
+        runner = Optional.of(node);
+        successor = Optional.empty();
+        successorAnnounced = false;
+    }
+
+    private void recordSightings(long nowMs, List<Candidate> candidates) {
+        sightings.keySet().retainAll(candidates.stream().map(Candidate::node).collect(Collectors.toSet()));
+        for (Candidate c : candidates) {
+            Sighting seen = sightings.get(c.node());
+            if (seen == null || !seen.incarnation().equals(c.incarnation())) {
+                sightings.put(c.node(), new Sighting(c.incarnation(), nowMs));
+            }
+        }
+    }
+
+    private static Optional<Candidate> find(NodeId node, List<Candidate> candidates) {
+        return candidates.stream().filter(c -> c.node().equals(node)).findFirst();
+    }
 }
