Keep a batch runner that is alive but answers pings late

Cause: a member is suspect when it leaves one ping of any node unanswered for 400 ms, and a suspect member is no candidate, so the first node elected itself at once; the 1.5 s in which a suspect may refute did not count.

A suspect runner now keeps the role for 1 s; one that is dead or leaves is replaced at once, as before. Because a runner can restart within that time, its incarnation is followed: one that has restarted has forgotten its role and is replaced. A restarted runner that elects itself counts terms from one, so its later handover would have been ignored by all nodes: a node that announces with a lower term is now told the runner and the term.

RunnerElectionTest with the wait set to 0, and without the two checks: 4 of 13 tests fail (suspectRunnerHasTimeToAnswer: expected <NONE> but was <ELECTED>; restartedRunnerIsReplaced: expected <ELECTED> but was <NONE>; restartedRunnerIsToldTheTerm: expected <true> but was <false>). The time until a runner that is really gone is replaced was not measured on a cluster; by the settings it is about 0.4 s for the ping, the spreading of the suspicion, and 1 s.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.magnoliabridge.batch.BatchMessages;
@@ -14,6 +15,7 @@
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Tracks which node runs the batches, and announces this node when it is elected; control thread only. */
@@ -31,6 +33,7 @@
     private final MonotonicClock clock;
     private boolean membersChanged = true;
     private List<Candidate> candidates = List.of();
+    private Set<NodeId> suspects = Set.of();
     private long announcedAtMs;
     private volatile Optional<NodeId> runner = Optional.empty();
 
@@ -64,7 +67,8 @@
     /** Updates the election from the current members; called several times a second. */
     void tick() {
         long nowMs = clock.nowMs();
-        RunnerElection.Change change = election.updateMembers(nowMs, candidates());
+        refreshMembers();
+        RunnerElection.Change change = election.updateMembers(nowMs, candidates, suspects);
         logChange(change);
         // Before the announcement, so that a node that hands over has stopped when its successor starts.
         updateScheduler();
@@ -86,7 +90,7 @@
         updateScheduler();
     }
 
-    private List<Candidate> candidates() {
+    private void refreshMembers() {
         if (membersChanged) {
             membersChanged = false;
             Map<NodeId, Member> byId =
@@ -96,8 +100,12 @@
                     .map(m -> new Candidate(
                             m.id(), m.state().incarnation(), m.location().capacityMillicores()))
                     .toList();
+            suspects = membership.members().stream()
+                    .filter(m -> m.state().liveness() == Liveness.SUSPECT)
+                    .filter(m -> !m.state().leaving())
+                    .map(Member::id)
+                    .collect(Collectors.toSet());
         }
-        return candidates;
     }
 
     private void logChange(RunnerElection.Change change) {
@@ -113,8 +121,12 @@
         }
     }
 
+    private byte[] announcement() {
+        return BatchMessages.pack(new Announcement(election.runner().orElseThrow(), election.term()));
+    }
+
     private void announce() {
-        byte[] body = BatchMessages.pack(new Announcement(election.runner().orElseThrow(), election.term()));
+        byte[] body = announcement();
         membership.members().stream()
                 .filter(Member::isAlive)
                 .map(Member::id)
@@ -131,6 +143,9 @@
                         .with(LogFields.VERSION, announcement.term())
                         .log("node announced as the batch runner");
             }
+            if (election.isOutdated(announcement.term())) {
+                peers.sendOneWay(from, PeerCalls.Method.ANNOUNCE_RUNNER, announcement());
+            }
             updateScheduler();
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed batch runner announcement");
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
@@ -15,14 +16,19 @@
  *
  * <p>Nodes rank by processor capacity, those of equal capacity in rendezvous order. When there is no runner, the first
  * live node announces itself with the next term. A runner hands over to the first node if that has more capacity, and
- * else stays while the others see it alive, so that its progress is not lost when another node joins. Two runners at
- * the same time waste work but break no guarantee; the higher term wins, then the lower node id.
+ * else stays while the others see it alive, so that its progress is not lost when another node joins. A runner that
+ * becomes suspect has some time to answer. One that has restarted is replaced, because it has forgotten its role. Two
+ * runners at the same time waste work but break no guarantee; the higher term wins, then the lower node id.
  */
 public final class RunnerElection {
     // A node that has just started knows no other members, and would announce itself although there is a runner.
     private static final long SETTLE_MS = 800;
     // After a common restart nodes appear at different times; a node that is seen only now and then must not take over.
     private static final long HANDOVER_AFTER_MS = 2_000;
+    // A busy runner answers pings late. With the time until it is suspect, a runner that is gone is replaced within 2
+    // s.
+    private static final long SUSPECT_MS = 1_000;
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
     private static final Comparator<Candidate> BY_CAPACITY =
             Comparator.comparingInt(Candidate::capacityMillicores).reversed();
 
@@ -31,6 +37,8 @@
     private final Map<NodeId, Sighting> sightings = new HashMap<>();
     private long term;
     private Optional<NodeId> runner = Optional.empty();
+    private Optional<Incarnation> runnerIncarnation = Optional.empty();
+    private long suspectSinceMs = NEVER_MS;
     private Optional<NodeId> successor = Optional.empty();
     private boolean successorAnnounced;
 
@@ -92,6 +100,9 @@
         boolean wins = newTerm > term
                 || (newTerm == term && runner.map(r -> node.compareTo(r) < 0).orElse(true));
         boolean changed = wins && runner.filter(node::equals).isEmpty();
+        if (runner.filter(node::equals).isPresent()) {
+            runnerIncarnation = Optional.empty();
+        }
         if (wins) {
             setRunner(node, newTerm);
         } else if (newTerm == term && successor.filter(node::equals).isPresent()) {
@@ -100,14 +111,24 @@
         return changed;
     }
 
-    /** Updates the candidates, given in rendezvous order; this node must announce any change to the others. */
-    public Change updateMembers(long nowMs, List<Candidate> candidates) {
+    /** Returns whether a node that announces with this term has to be told the runner, because it knows less. */
+    public boolean isOutdated(long announcedTerm) {
+        return announcedTerm < term && runner.isPresent();
+    }
+
+    /**
+     * Updates the members; this node must announce any change to the others.
+     *
+     * @param candidates in rendezvous order
+     * @param suspects members that did not answer in time and may still be alive
+     */
+    public Change updateMembers(long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
         recordSightings(nowMs, candidates);
         Optional<Candidate> first = candidates.stream().sorted(BY_CAPACITY).findFirst();
         if (isRunner()) {
             return handOver(nowMs, first, candidates);
         }
-        boolean alive = runner.flatMap(r -> find(r, candidates)).isPresent();
+        boolean alive = runner.isPresent() && isAlive(runner.get(), nowMs, candidates, suspects);
         boolean mine = first.filter(c -> c.node().equals(self)).isPresent();
         if (alive || !mine || nowMs - startedMs < SETTLE_MS) {
             return Change.NONE;
@@ -123,6 +144,20 @@
         }
     }
 
+    private boolean isAlive(NodeId node, long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
+        Optional<Incarnation> seen = find(node, candidates).map(Candidate::incarnation);
+        if (seen.isPresent()) {
+            suspectSinceMs = NEVER_MS;
+            runnerIncarnation = runnerIncarnation.or(() -> seen);
+            return seen.equals(runnerIncarnation);
+        }
+        if (!suspects.contains(node)) {
+            return false;
+        }
+        suspectSinceMs = suspectSinceMs == NEVER_MS ? nowMs : suspectSinceMs;
+        return nowMs - suspectSinceMs < SUSPECT_MS;
+    }
+
     private Change handOver(long nowMs, Optional<Candidate> first, List<Candidate> candidates) {
         Optional<Candidate> me = find(self, candidates);
         if (me.isEmpty() || first.isEmpty() || BY_CAPACITY.compare(first.get(), me.get()) >= 0) {
@@ -140,6 +175,8 @@
     private void setRunner(NodeId node, long newTerm) {
         term = newTerm;
         runner = Optional.of(node);
+        runnerIncarnation = Optional.empty();
+        suspectSinceMs = NEVER_MS;
         successor = Optional.empty();
         successorAnnounced = false;
     }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -39,37 +40,91 @@
         return result;
     }
 
+    private static Change update(RunnerElection node, long nowMs, List<Candidate> candidates) {
+        return node.updateMembers(nowMs, candidates, Set.of());
+    }
+
     /** Guards against a node that announces itself before it can have learned of the current runner. */
     @Test
     void waitsAfterStartBeforeAnnouncingItself() {
-        assertThat(election.updateMembers(100, equal(B)), is(Change.NONE));
-        assertThat(election.updateMembers(1_000, equal(B)), is(Change.ELECTED));
+        assertThat(update(election, 100, equal(B)), is(Change.NONE));
+        assertThat(update(election, 1_000, equal(B)), is(Change.ELECTED));
         assertThat(election.isRunner(), is(true));
     }
 
     /** Guards against interrupting runs because a node of higher rank but no more capacity has joined. */
     @Test
     void runnerStaysWhileItIsAlive() {
-        election.updateMembers(1_000, equal(B));
+        update(election, 1_000, equal(B));
         for (long now = 2_000; now <= 20_000; now += 100) {
-            assertThat(election.updateMembers(now, equal(A, B)), is(Change.NONE));
+            assertThat(update(election, now, equal(A, B)), is(Change.NONE));
         }
         assertThat(election.runner(), is(Optional.of(B)));
     }
 
+    /** Guards against a second runner beside one that is alive but answers pings late. */
+    @Test
+    void suspectRunnerHasTimeToAnswer() {
+        election.onAnnouncement(A, 4);
+        assertThat(update(election, 2_000, equal(A, B)), is(Change.NONE));
+        for (long now = 2_100; now < 3_100; now += 100) {
+            assertThat(election.updateMembers(now, equal(B), Set.of(A)), is(Change.NONE));
+        }
+        assertThat(update(election, 3_050, equal(A, B)), is(Change.NONE));
+        assertThat(election.updateMembers(3_100, equal(B), Set.of(A)), is(Change.NONE));
+        assertThat(election.updateMembers(4_000, equal(B), Set.of(A)), is(Change.NONE));
+        assertThat(election.updateMembers(4_100, equal(B), Set.of(A)), is(Change.ELECTED));
+    }
+
+    /** Guards against the wait for a suspect being applied to a runner that is dead or leaves. */
+    @Test
+    void deadOrLeavingRunnerIsReplacedImmediately() {
+        election.onAnnouncement(A, 4);
+        update(election, 2_000, equal(A, B));
+        assertThat(election.updateMembers(2_100, equal(B), Set.of(A)), is(Change.NONE));
+        assertThat(election.updateMembers(2_200, equal(B), Set.of(C)), is(Change.ELECTED));
+    }
+
+    /** Guards against a role that nobody has after a runner restarted faster than the others noticed. */
+    @Test
+    void restartedRunnerIsReplaced() {
+        election.onAnnouncement(A, 4);
+        assertThat(update(election, 2_000, equal(B, A)), is(Change.NONE));
+        election.onAnnouncement(A, 4);
+        assertThat(update(election, 2_100, equal(B, A)), is(Change.NONE));
+        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(A, new Incarnation(2), SMALL));
+        assertThat(update(election, 2_200, restarted), is(Change.ELECTED));
+        assertThat(election.term(), is(5L));
+    }
+
+    /** Guards against handovers that all nodes ignore because a restarted runner counts terms anew. */
+    @Test
+    void restartedRunnerIsToldTheTerm() {
+        election.onAnnouncement(A, 4);
+        RunnerElection restarted = new RunnerElection(A, 0);
+        assertThat(update(restarted, 1_000, equal(A, B)), is(Change.ELECTED));
+        assertThat(election.onAnnouncement(A, restarted.term()), is(false));
+        assertThat(election.isOutdated(restarted.term()), is(true));
+        assertThat(restarted.isOutdated(election.term()), is(false));
+        assertThat(restarted.onAnnouncement(election.runner().orElseThrow(), election.term()), is(false));
+        assertThat(restarted.isRunner(), is(true));
+        assertThat(restarted.term(), is(4L));
+        assertThat(election.isOutdated(restarted.term()), is(false));
+    }
+
     /** Guards against batches that have no runner after theirs has failed. */
     @Test
     void firstLiveNodeReplacesAFailedRunner() {
         election.onAnnouncement(A, 4);
-        assertThat(election.updateMembers(2_000, equal(C, B)), is(Change.NONE));
-        assertThat(election.updateMembers(2_100, equal(B, C)), is(Change.ELECTED));
+        assertThat(update(election, 2_000, equal(C, B)), is(Change.NONE));
+        assertThat(update(election, 2_100, equal(B, C)), is(Change.ELECTED));
         assertThat(election.term(), is(5L));
     }
 
     /** Guards against a permanent disagreement: all nodes must agree on the same runner. */
     @Test
     void higherTermAndThenLowerNameWins() {
-        election.updateMembers(1_000, equal(B));
+        update(election, 1_000, equal(B));
         assertThat(election.onAnnouncement(C, 1), is(false));
         assertThat(election.onAnnouncement(A, 1), is(true));
         assertThat(election.onAnnouncement(C, 2), is(true));
@@ -80,26 +135,26 @@
     @Test
     void nodeWithMostCapacityIsElected() {
         List<Candidate> smallFirst = List.of(candidate(A, SMALL), candidate(B, LARGE), candidate(C, LARGE));
-        assertThat(election.updateMembers(1_000, smallFirst), is(Change.ELECTED));
+        assertThat(update(election, 1_000, smallFirst), is(Change.ELECTED));
         RunnerElection small = new RunnerElection(A, 0);
-        assertThat(small.updateMembers(1_000, smallFirst), is(Change.NONE));
+        assertThat(update(small, 1_000, smallFirst), is(Change.NONE));
         RunnerElection unknown = new RunnerElection(A, 0);
-        assertThat(unknown.updateMembers(1_000, List.of(candidate(A, 0), candidate(B, SMALL))), is(Change.NONE));
+        assertThat(update(unknown, 1_000, List.of(candidate(A, 0), candidate(B, SMALL))), is(Change.NONE));
     }
 
     /** Guards against a small node that keeps the batches because it came up first after a common kill. */
     @Test
     void handsOverToASettledNodeWithMoreCapacity() {
         List<Candidate> both = List.of(candidate(B, SMALL), candidate(C, LARGE));
-        assertThat(election.updateMembers(1_000, equal(B)), is(Change.ELECTED));
-        assertThat(election.updateMembers(1_100, both), is(Change.NONE));
-        assertThat(election.updateMembers(3_000, both), is(Change.NONE));
+        assertThat(update(election, 1_000, equal(B)), is(Change.ELECTED));
+        assertThat(update(election, 1_100, both), is(Change.NONE));
+        assertThat(update(election, 3_000, both), is(Change.NONE));
         assertThat(election.isRunner(), is(true));
-        assertThat(election.updateMembers(3_100, both), is(Change.HANDED_OVER));
+        assertThat(update(election, 3_100, both), is(Change.HANDED_OVER));
         assertThat(election.isRunner(), is(false));
         assertThat(election.runner(), is(Optional.of(C)));
         assertThat(election.term(), is(2L));
-        assertThat(election.updateMembers(3_200, both), is(Change.NONE));
+        assertThat(update(election, 3_200, both), is(Change.NONE));
     }
 
     /** Guards against a runner that hands over to a node which fails or restarts again and again. */
@@ -107,26 +162,26 @@
     void nodeThatWasAwayOrRestartedSettlesAnew() {
         List<Candidate> both = List.of(candidate(B, SMALL), candidate(C, LARGE));
         List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(C, new Incarnation(2), LARGE));
-        election.updateMembers(1_000, equal(B));
-        election.updateMembers(1_100, both);
-        election.updateMembers(3_000, equal(B));
-        assertThat(election.updateMembers(3_200, both), is(Change.NONE));
-        assertThat(election.updateMembers(5_100, restarted), is(Change.NONE));
-        assertThat(election.updateMembers(7_000, restarted), is(Change.NONE));
-        assertThat(election.updateMembers(7_100, restarted), is(Change.HANDED_OVER));
+        update(election, 1_000, equal(B));
+        update(election, 1_100, both);
+        update(election, 3_000, equal(B));
+        assertThat(update(election, 3_200, both), is(Change.NONE));
+        assertThat(update(election, 5_100, restarted), is(Change.NONE));
+        assertThat(update(election, 7_000, restarted), is(Change.NONE));
+        assertThat(update(election, 7_100, restarted), is(Change.HANDED_OVER));
     }
 
     /** Guards against a role that nobody has because the one message about a handover was lost. */
     @Test
     void announcesTheSuccessorUntilItAnnouncesItself() {
         List<Candidate> both = List.of(candidate(B, SMALL), candidate(C, LARGE));
-        election.updateMembers(1_000, both);
+        update(election, 1_000, both);
         election.onAnnouncement(A, 1);
         assertThat(election.announces(), is(false));
-        election.updateMembers(1_100, equal(B));
+        update(election, 1_100, equal(B));
         assertThat(election.announces(), is(true));
-        election.updateMembers(1_200, both);
-        assertThat(election.updateMembers(3_200, both), is(Change.HANDED_OVER));
+        update(election, 1_200, both);
+        assertThat(update(election, 3_200, both), is(Change.HANDED_OVER));
         assertThat(election.announces(), is(true));
         assertThat(election.onAnnouncement(B, election.term() - 1), is(false));
         assertThat(election.announces(), is(true));
@@ -142,10 +197,10 @@
     @Test
     void replacesASuccessorThatFailed() {
         List<Candidate> both = List.of(candidate(B, SMALL), candidate(C, LARGE));
-        election.updateMembers(1_000, equal(B));
-        election.updateMembers(1_100, both);
-        election.updateMembers(3_100, both);
-        assertThat(election.updateMembers(3_200, equal(B)), is(Change.ELECTED));
+        update(election, 1_000, equal(B));
+        update(election, 1_100, both);
+        update(election, 3_100, both);
+        assertThat(update(election, 3_200, equal(B)), is(Change.ELECTED));
         assertThat(election.term(), is(3L));
         assertThat(election.successor(), is(Optional.empty()));
     }
@@ -173,7 +228,7 @@
                     all.stream().filter(c -> startsMs.get(c.node()) <= at).toList();
             up.forEach(c -> nodes.computeIfAbsent(c.node(), n -> new RunnerElection(n, at)));
             for (RunnerElection node : nodes.values()) {
-                if (node.updateMembers(now, up) != Change.NONE) {
+                if (update(node, now, up) != Change.NONE) {
                     changedMs = now;
                 }
                 if (node.announces()) {
