Count no time against a member whose answers wait unread

Cause: a tick that runs late checks the pings in flight against the present time, while the answers that arrived since the tick was due wait behind it in the queue of the control thread. So a busy node suspects members that have answered in time, and tells all others.

A tick now counts at most 200 ms (the time until indirect pings) since the tick before. Ticks that are on time, each 100 ms, are not affected; a node that is always late detects a failed member some of its ticks later.

MembershipCoreTest.answersThatWaitWhileThisNodeIsBusyCount failed before: expected <ALIVE> but was <SUSPECT>. The two other new tests guard that a busy node still detects a failed member, and that a timely node detects it as fast as before; the second passed before, too.

--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -54,6 +54,7 @@
     private int loadPermille;
     private int nextUnknownNode;
     private long periodStartMs = NEVER_MS;
+    private long lastTickMs = NEVER_MS;
     private long lastRejoinMs = NEVER_MS;
     private long lastSyncMs = NEVER_MS;
 
@@ -117,13 +118,17 @@
     }
 
     private void tick(long nowMs, List<MembershipEffect> effects) {
-        for (Probe probe : probes.unanswered(nowMs, settings.indirectAfterMs())) {
+        // When a tick is late, answers that arrived in the meantime still wait behind it, so that time doesn't count
+        // yet.
+        long observedMs = lastTickMs == NEVER_MS ? nowMs : Math.min(nowMs, lastTickMs + settings.indirectAfterMs());
+        lastTickMs = nowMs;
+        for (Probe probe : probes.unanswered(observedMs, settings.indirectAfterMs())) {
             table.get(probe.target().orElseThrow()).ifPresent(m -> requestIndirectPings(m, probe, effects));
         }
-        for (Probe probe : probes.expired(nowMs, settings.periodMs())) {
+        for (Probe probe : probes.expired(observedMs, settings.periodMs())) {
             table.get(probe.target().orElseThrow()).ifPresent(m -> suspect(m, nowMs));
         }
-        table.expireSuspects(nowMs, settings.suspicionMs()).forEach(gossip::add);
+        table.expireSuspects(observedMs, settings.suspicionMs()).forEach(gossip::add);
         if (nowMs - periodStartMs >= settings.periodMs()) {
             periodStartMs = nowMs;
             period(nowMs, effects);
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -62,6 +62,33 @@
                 .capacityMillicores();
     }
 
+    private static MembershipCore fastCore() {
+        return new MembershipCore(
+                new Member(new NodeId("self"), ALIVE, location("self"), 0),
+                List.of(),
+                new Random(1),
+                MembershipSettings.FAST);
+    }
+
+    private static Liveness liveness(MembershipCore core) {
+        return core.members().stream()
+                .filter(m -> m.id().equals(OTHER))
+                .findFirst()
+                .orElseThrow()
+                .state()
+                .liveness();
+    }
+
+    private static List<Long> pingsToOther(List<MembershipEffect> effects) {
+        List<Long> result = new ArrayList<>();
+        for (MembershipEffect effect : effects) {
+            if (effect instanceof MembershipEffect.Send send && send.type() == FrameType.PING) {
+                result.add(send.requestId());
+            }
+        }
+        return result;
+    }
+
     private static byte[] ping(MemberUpdate... updates) {
         return pingOf(0, updates);
     }
@@ -183,6 +210,53 @@
         }
     }
 
+    /** Guards against a busy node that suspects members whose answers wait in its own queue. */
+    @Test
+    void answersThatWaitWhileThisNodeIsBusyCount() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        List<Long> pings = pingsToOther(core.handle(new MembershipInput.Tick(), 0));
+        assertThat(pings.isEmpty(), is(false));
+        for (long now = 1_000; now <= 20_000; now += 1_000) {
+            List<Long> next = pingsToOther(core.handle(new MembershipInput.Tick(), now));
+            assertThat(liveness(core), is(Liveness.ALIVE));
+            for (long id : pings) {
+                core.handle(new MembershipInput.Received(OTHER, FrameType.ACK, id, ping()), now);
+            }
+            pings = next;
+        }
+    }
+
+    /** Guards against a busy node that never detects a failed member. */
+    @Test
+    void busyNodeDetectsAMemberThatIsGone() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        for (long now = 0; now <= 2_000; now += 1_000) {
+            core.handle(new MembershipInput.Tick(), now);
+        }
+        assertThat(liveness(core), is(Liveness.SUSPECT));
+        core.handle(new MembershipInput.Tick(), 3_000);
+        core.handle(new MembershipInput.Tick(), 4_000);
+        core.handle(new MembershipInput.Tick(), 5_000);
+        assertThat(liveness(core), is(Liveness.DEAD));
+    }
+
+    /** Guards against a late detection of a failed member by a node that is not busy. */
+    @Test
+    void timelyNodeDetectsAMemberThatIsGone() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        for (long now = 0; now <= 400; now += 100) {
+            core.handle(new MembershipInput.Tick(), now);
+        }
+        assertThat(liveness(core), is(Liveness.SUSPECT));
+        for (long now = 500; now <= 1_900; now += 100) {
+            core.handle(new MembershipInput.Tick(), now);
+        }
+        assertThat(liveness(core), is(Liveness.DEAD));
+    }
+
     /** Guards against a live node that stays dead in the tables of the others. */
     @Test
     void refutesReportOfItsOwnDeath() {
