--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -109,15 +109,13 @@
     }
 
     private void logChange(RunnerElection.Change change) {
-        switch (change) {
-            case NONE -> {}
-            case ELECTED ->
-                LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
-            case HANDED_OVER ->
-                LOG.atInfo()
-                        .with(LogFields.PEER, election.runner().orElseThrow().value())
-                        .with(LogFields.VERSION, election.term())
-                        .log("batches handed over to a node with more processor capacity");
+        if (change == RunnerElection.Change.ELECTED) {
+            LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
+        } else if (change == RunnerElection.Change.HANDED_OVER) {
+            LOG.atInfo()
+                    .with(LogFields.PEER, election.runner().orElseThrow().value())
+                    .with(LogFields.VERSION, election.term())
+                    .log("batches handed over to a node with more processor capacity");
         }
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -277,8 +277,7 @@
         try {
             BatchId batch = BatchMessages.batch(body);
             scheduler.handle(new BatchInput.End(batch));
-            // The sender may not know yet that this node handed over, and the successor may have read the batch as
-            // open.
+            // The sender may not know of a handover yet, and the successor may have read the batch as open.
             role.successor().ifPresent(s -> peers.sendOneWay(s, PeerCalls.Method.END_BATCH, BatchMessages.pack(batch)));
             answer.accept(ACKNOWLEDGEMENT);
         } catch (MalformedBatchException e) {
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -25,8 +25,7 @@
     private static final long SETTLE_MS = 800;
     // After a common restart nodes appear at different times; a node that is seen only now and then must not take over.
     private static final long HANDOVER_AFTER_MS = 2_000;
-    // A busy runner answers pings late. With the time until it is suspect, a runner that is gone is replaced within 2
-    // s.
+    // A busy runner answers pings late; one that is gone must be replaced within about 2 s, detection included.
     private static final long SUSPECT_MS = 1_000;
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
     private static final Comparator<Candidate> BY_CAPACITY =
