--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -1,14 +1,21 @@
 package org.magnoliabridge.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.magnoliabridge.batch.BatchMessages;
 import org.magnoliabridge.batch.BatchMessages.Announcement;
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.RunnerElection;
+import org.magnoliabridge.batch.RunnerElection.Candidate;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Tracks which node runs the batches, and announces this node when it is elected; control thread only. */
@@ -24,6 +31,9 @@
     private final RunnerElection election;
     private final BatchScheduler scheduler;
     private final MonotonicClock clock;
+    private boolean membersChanged = true;
+    private List<Candidate> candidates = List.of();
+    private Set<NodeId> suspects = Set.of();
     private long announcedAtMs;
     private volatile Optional<NodeId> runner = Optional.empty();
 
@@ -40,6 +50,7 @@
         this.election = election;
         this.scheduler = scheduler;
         this.clock = clock;
+        membership.addMemberListener(members -> membersChanged = true);
         peers.serve(PeerCalls.Method.ANNOUNCE_RUNNER, (from, body, answer) -> onAnnouncement(from, body));
     }
 
@@ -56,15 +67,21 @@
     /** Updates the election from the current members; called several times a second. */
     void tick() {
         long nowMs = clock.nowMs();
-        boolean elected = election.updateMembers(nowMs, membership.ranked(SCOPE));
-        if (elected) {
-            LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
-        }
-        if (election.isRunner() && (elected || nowMs - announcedAtMs >= ANNOUNCE_PERIOD_MS)) {
+        refreshMembers();
+        RunnerElection.Change change = election.updateMembers(nowMs, candidates, suspects);
+        logChange(change);
+        // Before the announcement, so that a node that hands over has stopped when its successor starts.
+        updateScheduler();
+        boolean due = nowMs - announcedAtMs >= ANNOUNCE_PERIOD_MS;
+        if (election.announces() && (due || change != RunnerElection.Change.NONE)) {
             announcedAtMs = nowMs;
             announce();
         }
-        updateScheduler();
+    }
+
+    /** Returns the node to which this node handed over, while that node is the runner; control thread only. */
+    Optional<NodeId> successor() {
+        return election.successor();
     }
 
     /** Gives up the role before the node stops. */
@@ -73,8 +90,41 @@
         updateScheduler();
     }
 
+    private void refreshMembers() {
+        if (membersChanged) {
+            membersChanged = false;
+            Map<NodeId, Member> byId =
+                    membership.members().stream().collect(Collectors.toMap(Member::id, Function.identity()));
+            candidates = membership.ranked(SCOPE).stream()
+                    .map(byId::get)
+                    .map(m -> new Candidate(
+                            m.id(), m.state().incarnation(), m.location().capacityMillicores()))
+                    .toList();
+            suspects = membership.members().stream()
+                    .filter(m -> m.state().liveness() == Liveness.SUSPECT)
+                    .filter(m -> !m.state().leaving())
+                    .map(Member::id)
+                    .collect(Collectors.toSet());
+        }
+    }
+
+    private void logChange(RunnerElection.Change change) {
+        if (change == RunnerElection.Change.ELECTED) {
+            LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
+        } else if (change == RunnerElection.Change.HANDED_OVER) {
+            LOG.atInfo()
+                    .with(LogFields.PEER, election.runner().orElseThrow().value())
+                    .with(LogFields.VERSION, election.term())
+                    .log("batches handed over to a node with more processor capacity");
+        }
+    }
+
+    private byte[] announcement() {
+        return BatchMessages.pack(new Announcement(election.runner().orElseThrow(), election.term()));
+    }
+
     private void announce() {
-        byte[] body = BatchMessages.pack(new Announcement(self, election.term()));
+        byte[] body = announcement();
         membership.members().stream()
                 .filter(Member::isAlive)
                 .map(Member::id)
@@ -91,6 +141,9 @@
                         .with(LogFields.VERSION, announcement.term())
                         .log("node announced as the batch runner");
             }
+            if (election.isOutdated(announcement.term())) {
+                peers.sendOneWay(from, PeerCalls.Method.ANNOUNCE_RUNNER, announcement());
+            }
             updateScheduler();
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed batch runner announcement");
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,7 @@
 class MembershipCoreTest {
     private static final List<Liveness> STATES = List.of(Liveness.ALIVE, Liveness.SUSPECT, Liveness.DEAD);
     private static final NodeId OTHER = new NodeId("other");
+    private static final MemberState ALIVE = new MemberState(new Incarnation(1), 0, Liveness.ALIVE, false);
 
     private static MemberState state(int bits) {
         return new MemberState(
@@ -46,9 +48,56 @@
         return new MembershipCore(new Member(new NodeId("self"), alive, location("self"), 0), List.of(), new Random(1));
     }
 
+    private static MemberUpdate report(String name, int capacity) {
+        return new MemberUpdate(
+                new NodeId(name), ALIVE, Optional.of(location(name).withCapacity(capacity)));
+    }
+
+    private static int capacity(MembershipCore core, String name) {
+        return core.members().stream()
+                .filter(m -> m.id().value().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .location()
+                .capacityMillicores();
+    }
+
+    private static MembershipCore fastCore() {
+        return new MembershipCore(
+                new Member(new NodeId("self"), ALIVE, location("self"), 0),
+                List.of(),
+                new Random(1),
+                MembershipSettings.FAST);
+    }
+
+    private static Liveness liveness(MembershipCore core) {
+        return core.members().stream()
+                .filter(m -> m.id().equals(OTHER))
+                .findFirst()
+                .orElseThrow()
+                .state()
+                .liveness();
+    }
+
+    private static List<Long> pingsToOther(List<MembershipEffect> effects) {
+        List<Long> result = new ArrayList<>();
+        for (MembershipEffect effect : effects) {
+            if (effect instanceof MembershipEffect.Send send && send.type() == FrameType.PING) {
+                result.add(send.requestId());
+            }
+        }
+        return result;
+    }
+
     private static byte[] ping(MemberUpdate... updates) {
-        MemberState alive = new MemberState(new Incarnation(1), 0, Liveness.ALIVE, false);
-        MemberUpdate sender = new MemberUpdate(OTHER, alive, Optional.of(location("other")));
+        return pingOf(0, updates);
+    }
+
+    private static byte[] pingOf(int capacity, MemberUpdate... updates) {
+        return pingFrom(report("other", capacity), updates);
+    }
+
+    private static byte[] pingFrom(MemberUpdate sender, MemberUpdate... updates) {
         return MembershipCodec.pack(
                 new MembershipCodec.PingBody(sender, List.of(0L, 0L), 0, 1, -1, 0, List.of(updates), List.of()));
     }
@@ -102,6 +151,112 @@
         assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
     }
 
+    /** Guards against nodes that rank members differently because the capacity of some did not reach them. */
+    @Test
+    void capacitiesArriveWithPingsAndTables() throws MalformedMessageException {
+        MembershipCore core = core();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(1_500, report("third", 360))), 0);
+        assertThat(capacity(core, "other"), is(1_500));
+        assertThat(capacity(core, "third"), is(360));
+        List<MemberUpdate> table = List.of(report("a", 750), new MemberUpdate(OTHER, ALIVE, Optional.empty()));
+        assertThat(MembershipCodec.readUpdates(MembershipCodec.packUpdates(table)), equalTo(table));
+    }
+
+    /** Guards against a cluster that splits while nodes with and without capacities run beside each other. */
+    @Test
+    void nodesWithoutCapacitiesUnderstandAndAreUnderstood() throws MalformedMessageException {
+        byte[] current = pingOf(1_500, report("third", 360));
+        byte[] without = pingOf(0, report("third", 0));
+        int capacities = without.length - 3;
+        byte[] earlier = Arrays.copyOf(without, capacities);
+        // An earlier node reads eight fields whatever the header says, and ignores the rest.
+        assertThat(Arrays.copyOf(current, capacities), equalTo(earlier));
+        earlier[0] = (byte) 0x98;
+        assertThat(MembershipCodec.readPing(earlier).sender(), equalTo(report("other", 0)));
+        assertThat(MembershipCodec.readPing(earlier).updates(), equalTo(List.of(report("third", 0))));
+        byte[] table = MembershipCodec.packUpdates(List.of(report("third", 360)));
+        byte[] earlierTable = Arrays.copyOf(table, table.length - 4);
+        assertThat(MembershipCodec.readUpdates(earlierTable), equalTo(List.of(report("third", 0))));
+    }
+
+    /** Guards against a member that counts as small for good because an earlier node reported it first. */
+    @Test
+    void capacityIsLearnedAfterAReportWithoutIt() {
+        MembershipCore core = core();
+        NodeId third = new NodeId("third");
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(0, report("third", 0))), 0);
+        assertThat(capacity(core, "third"), is(0));
+        byte[] own = pingFrom(report("third", 360));
+        List<MembershipEffect> effects = core.handle(new MembershipInput.Received(third, FrameType.PING, 1, own), 0);
+        assertThat(capacity(core, "third"), is(360));
+        assertThat(effects.stream().anyMatch(MembershipEffect.Changed.class::isInstance), is(true));
+        MemberState suspected = ALIVE.with(Liveness.SUSPECT);
+        MemberUpdate report = new MemberUpdate(third, suspected, Optional.of(location("third")));
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(0, report)), 0);
+        assertThat(capacity(core, "third"), is(360));
+    }
+
+    /** Guards against capacities that are assigned to the wrong members, or are impossible. */
+    @Test
+    void reportsMalformedCapacities() {
+        byte[] missing = pingOf(0, report("third", 0));
+        missing[missing.length - 3] = (byte) 0x91;
+        byte[] negative = pingOf(0, report("third", 0));
+        negative[negative.length - 1] = (byte) 0xff;
+        for (byte[] body : List.of(missing, negative)) {
+            List<MembershipEffect> effects =
+                    core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, body), 0);
+            assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
+        }
+    }
+
+    /** Guards against a busy node that suspects members whose answers wait in its own queue. */
+    @Test
+    void answersThatWaitWhileThisNodeIsBusyCount() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        List<Long> pings = pingsToOther(core.handle(new MembershipInput.Tick(), 0));
+        assertThat(pings.isEmpty(), is(false));
+        for (long now = 1_000; now <= 20_000; now += 1_000) {
+            List<Long> next = pingsToOther(core.handle(new MembershipInput.Tick(), now));
+            assertThat(liveness(core), is(Liveness.ALIVE));
+            for (long id : pings) {
+                core.handle(new MembershipInput.Received(OTHER, FrameType.ACK, id, ping()), now);
+            }
+            pings = next;
+        }
+    }
+
+    /** Guards against a busy node that never detects a failed member. */
+    @Test
+    void busyNodeDetectsAMemberThatIsGone() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        for (long now = 0; now <= 2_000; now += 1_000) {
+            core.handle(new MembershipInput.Tick(), now);
+        }
+        assertThat(liveness(core), is(Liveness.SUSPECT));
+        core.handle(new MembershipInput.Tick(), 3_000);
+        core.handle(new MembershipInput.Tick(), 4_000);
+        core.handle(new MembershipInput.Tick(), 5_000);
+        assertThat(liveness(core), is(Liveness.DEAD));
+    }
+
+    /** Guards against a late detection of a failed member by a node that is not busy. */
+    @Test
+    void timelyNodeDetectsAMemberThatIsGone() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        for (long now = 0; now <= 400; now += 100) {
+            core.handle(new MembershipInput.Tick(), now);
+        }
+        assertThat(liveness(core), is(Liveness.SUSPECT));
+        for (long now = 500; now <= 1_900; now += 100) {
+            core.handle(new MembershipInput.Tick(), now);
+        }
+        assertThat(liveness(core), is(Liveness.DEAD));
+    }
+
     /** Guards against a live node that stays dead in the tables of the others. */
     @Test
     void refutesReportOfItsOwnDeath() {
