Ignore a batch that is opened after its end

Engines got items of a batch that its trainer had ended. A runner dropped the end of a batch that it did not know yet; an offer that arrived later (it is retried for up to 4 s), or a read of the store from before the end, then opened the batch, until the next read of the store. A dismissed runner forgot the ends of its batches as well.

Evidence: BatchCoreTest failed before. openThatArrivesAfterTheEndStartsNothing: expected a collection with size <0>, but collection size was <2>; openAfterDismissalAndEndStartsNothing: expected size <1>, but was <2>.

The core remembers the last 4,096 batches that ended, whether it ran them or not, and does not open them again. An end is final, so a remembered one is never wrong.

--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -47,6 +47,7 @@
     private final Set<BatchMechanism> mechanisms;
     private final Set<TextMechanism> textMechanisms;
     private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
+    private final EndedBatches endedBatches = new EndedBatches();
     private final Map<Long, RunningBatch> pendingRequests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
     private final RunTracker runs = new RunTracker(placement, detector, effects);
@@ -158,7 +159,8 @@
 
     private void open(long nowMs, BatchInput.Open open) {
         BatchHead head = open.head();
-        if (batches.containsKey(head.id())) {
+        // An offer, or a read of the store, may be overtaken by the end of its batch.
+        if (batches.containsKey(head.id()) || endedBatches.contains(head.id())) {
             return;
         }
         ResultLog log = new ResultLog(head.id(), runner, !open.newlyAccepted(), mechanisms);
@@ -179,6 +181,7 @@
     }
 
     private void end(long nowMs, BatchId id) {
+        endedBatches.add(id);
         RunningBatch batch = batches.get(id);
         if (batch == null || batch.head().ended()) {
             return;
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/EndedBatches.java
@@ -0,0 +1,26 @@
+package org.magnoliabridge.batch;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.magnoliabridge.ids.BatchId;
+
+/** The batches that are known to have ended most recently; a batch that has ended is never open again. */
+final class EndedBatches {
+    // At six trainers that end a batch every second, over ten minutes: far longer than an offer or a read may be late.
+    private static final int MAX_BATCHES = 4_096;
+
+    private final Set<BatchId> batches = new LinkedHashSet<>();
+
+    /** Adds a batch; returns false if it was known. */
+    boolean add(BatchId batch) {
+        boolean added = batches.add(batch);
+        if (batches.size() > MAX_BATCHES) {
+            batches.remove(batches.iterator().next());
+        }
+        return added;
+    }
+
+    boolean contains(BatchId batch) {
+        return batches.contains(batch);
+    }
+}
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -118,6 +118,27 @@
         assertThat(fixture.runs(), hasSize(3));
     }
 
+    /** Guards against items that run because an offer, or a read of the store, arrives after the end of its batch. */
+    @Test
+    void openThatArrivesAfterTheEndStartsNothing() {
+        fixture.engines(Batches.engine("e1", 2, 1));
+        fixture.handle(new BatchInput.End(new BatchId("b")));
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        assertThat(fixture.started(), hasSize(0));
+    }
+
+    /** Guards against a runner that is elected again and opens a batch that ended while it was dismissed. */
+    @Test
+    void openAfterDismissalAndEndStartsNothing() {
+        fixture.engines(Batches.engine("e1", 2, 1));
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        fixture.handle(new BatchInput.End(new BatchId("b")));
+        fixture.handle(new BatchInput.SteppedDown());
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), false);
+        fixture.advance(2_000);
+        assertThat(fixture.opened(), hasSize(1));
+    }
+
     /** Guards against reuse of an earlier batch's text whose weights are too old for the next batch. */
     @Test
     void textOfOldWeightsIsNotReused() {
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
@@ -105,6 +105,14 @@
                 .toList();
     }
 
+    /** Returns the batches that were opened, in order. */
+    List<BatchId> opened() {
+        return effects.stream()
+                .filter(e -> e instanceof BatchEffect.Log log && log.event() instanceof BatchEvent.Opened)
+                .map(e -> ((BatchEffect.Log) e).event().batch())
+                .toList();
+    }
+
     List<String> started() {
         return runs().stream().map(r -> r.item().id().value()).toList();
     }
