Look up the end of a batch just before an item is sent

Engines got items of a batch seconds after its end was confirmed. The end was sent to the runner once, one-way, and was handled on the control thread, behind all inputs that had come before; on an overloaded node that took seconds, during which the core went on to start items. An end that was lost, or that reached an earlier runner, was found at the next read of the store only. That read was started by the same thread, waited for it once per open batch, and passed the ends of all batches since the first to it each time.

Now the heads are read every second on a thread of their own. StoreCheck reports each end once, and StartGate remembers it. The thread of a run asks the gate last thing before it sends: it sends nothing of a batch that has ended, and nothing if the last read began over 2.5 s ago; it waits up to 0.4 s for a newer one and then returns Withheld, after which the item is placed again. So an end that the runner missed altogether stops new items within 2.5 s, of the 3 s allowed. A read that fails counts from its failure, so that batches go on while the store is unreachable. The end is told to the runner by a call that is repeated for 4 s; only an active runner acknowledges. An offer is now repeated for 4 s also while no runner is known, where eight attempts had passed within 160 ms.

StoreCheckTest, and BatchCoreTest.itemOfAWithheldRunIsRetriedAfterADelay, cover classes and an outcome that did not exist before, so they have no failing run on the earlier code. BatchCoreTest, StoreCheckTest, BatchFaultMatrixTest and PlatformNodeTest pass. The reads of the heads double, to one a second at one node.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -2,9 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.magnoliabridge.batch.BatchCore;
@@ -18,6 +20,8 @@
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.ReadAnswer;
 import org.magnoliabridge.batch.RunOutcome;
+import org.magnoliabridge.batch.StartGate;
+import org.magnoliabridge.batch.StoreCheck;
 import org.magnoliabridge.batch.StoredBatches;
 import org.magnoliabridge.batch.Transcript;
 import org.magnoliabridge.calls.EndpointSource.Observation;
@@ -30,28 +34,35 @@
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
 import org.magnoliabridge.routing.EndpointInput;
+import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs the batch core: decisions on the control thread, runs and store calls on virtual threads. */
-final class BatchScheduler {
+final class BatchScheduler implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // How long a run waits for a check of the store; shorter than the time after which a run has stalled.
+    private static final long MAX_HOLD_MS = 400;
+    private static final long HOLD_STEP_MS = 20;
 
     private final GatewayContext context;
     private final BatchCore core;
     private final Engines engines;
     private final Dispatcher dispatcher;
     private final StoredBatches stored;
+    private final StartGate gate = new StartGate();
+    private final StoreCheck check;
     private final BatchLog log;
     private final Map<ItemRunId, RunningThread> runs = new ConcurrentHashMap<>();
     // Reads by ticket; used on the control thread only.
     private final Map<Long, Consumer<ReadAnswer>> pendingReads = new HashMap<>();
     private long lastReadTicket;
+    // Batches whose items are being read from the store; used on the control thread only.
+    private final Set<BatchId> loading = new HashSet<>();
     private boolean active;
+    private volatile Optional<Thread> checks = Optional.empty();
 
     /** The thread of a run, and the events that it has received. */
     private record RunningThread(Thread thread, ReceivedEvents events) {}
 
-    private boolean loading;
-
     BatchScheduler(
             GatewayContext context, BatchCore core, Engines engines, Dispatcher dispatcher, StoredBatches stored) {
         this.context = context;
@@ -59,6 +70,17 @@
         this.engines = engines;
         this.dispatcher = dispatcher;
         this.stored = stored;
+        this.check = new StoreCheck(stored, gate, context.clock(), new StoreCheck.Receiver() {
+            @Override
+            public void ended(BatchId batch) {
+                context.loop().post(() -> handle(new BatchInput.End(batch)));
+            }
+
+            @Override
+            public void open(List<BatchHead> heads) {
+                context.loop().post(() -> load(heads));
+            }
+        });
         this.log = new BatchLog(context.metrics());
         context.metrics().gauge("batch.runs", () -> runs::size);
     }
@@ -82,7 +104,7 @@
     void activate() {
         if (!active) {
             active = true;
-            refresh();
+            checks = Optional.of(Thread.ofVirtual().name("batch-check").start(this::checkPeriodically));
         }
     }
 
@@ -90,15 +112,38 @@
     void deactivate() {
         if (active) {
             active = false;
+            checks.ifPresent(Thread::interrupt);
             handle(new BatchInput.SteppedDown());
         }
     }
 
-    /** Reads from the store which batches were opened or ended elsewhere; control thread only. */
+    /** Ends the checks of the store. */
+    @Override
+    public void close() {
+        checks.ifPresent(Thread::interrupt);
+    }
+
+    /** Reads from the store now which batches were opened or ended elsewhere. */
     void refresh() {
-        if (active && !loading) {
-            loading = true;
-            Thread.ofVirtual().name("batch-refresh").start(this::load);
+        Thread.ofVirtual().name("batch-refresh").start(check::run);
+    }
+
+    /** Ends a batch; control thread only. */
+    void end(BatchId batch) {
+        gate.end(batch);
+        handle(new BatchInput.End(batch));
+    }
+
+    // Does not depend on the control thread, which may be late.
+    private void checkPeriodically() {
+        try {
+            while (true) {
+                long nextMs = context.clock().nowMs() + StartGate.CHECK_PERIOD_MS;
+                check.run();
+                Thread.sleep(Math.max(0, nextMs - context.clock().nowMs()));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -172,7 +217,9 @@
     private void run(ItemRun run, ReceivedEvents events) {
         RunOutcome outcome;
         try {
-            outcome = engines.run(run, events::add);
+            outcome = maySend(run) ? engines.run(run, events::add) : new RunOutcome.Withheld();
+        } catch (InterruptedException e) {
+            outcome = new RunOutcome.Stopped();
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log(
                     "run of item %s failed unexpectedly", run.item().id());
@@ -184,6 +231,31 @@
         context.loop().post(() -> handle(new BatchInput.RunEnded(run.id(), result, events.all())));
     }
 
+    // The last decision before a run is sent; the run may have waited for its thread or for the control thread.
+    private boolean maySend(ItemRun run) throws InterruptedException {
+        long untilMs = context.clock().nowMs() + MAX_HOLD_MS;
+        while (true) {
+            long nowMs = context.clock().nowMs();
+            switch (gate.decide(nowMs, run.batch().id())) {
+                case SEND -> {
+                    return true;
+                }
+                case ENDED -> {
+                    context.metrics().counter("batch.withheld.ended").inc();
+                    return false;
+                }
+                case CHECK_FIRST -> {
+                    if (nowMs >= untilMs) {
+                        context.metrics().counter("batch.withheld.unchecked").inc();
+                        return false;
+                    }
+                }
+                default -> throw new IllegalStateException("unknown decision");
+            }
+            Thread.sleep(HOLD_STEP_MS);
+        }
+    }
+
     private void observe(Endpoint endpoint, RunOutcome outcome) {
         Optional<Observation> observation = switch (outcome) {
             case RunOutcome.Completed completed -> Optional.of(Observation.ANSWERED);
@@ -193,37 +265,33 @@
             case RunOutcome.Broken broken -> Optional.of(Observation.FAULTY_ANSWER);
             case RunOutcome.Refused refused -> refused.leaving() ? Optional.of(Observation.DRAINING) : Optional.empty();
             case RunOutcome.Stale stale -> Optional.empty();
+            case RunOutcome.Withheld withheld -> Optional.empty();
             case RunOutcome.Stopped stopped -> Optional.empty();
         };
         observation.ifPresent(observed -> dispatcher.post(
                 new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), observed))));
     }
 
-    private void load() {
-        try {
-            for (BatchHead head : stored.heads()) {
-                load(head);
+    private void load(List<BatchHead> heads) {
+        for (BatchHead head : heads) {
+            boolean expired = context.wallClock().getAsLong() >= head.giveUpAtMs();
+            if (active && !expired && !core.hasBatch(head.id()) && loading.add(head.id())) {
+                Thread.ofVirtual().name("batch-load").start(() -> load(head));
             }
-        } catch (PlatformException | MalformedBatchException e) {
-            LOG.atWarning().withCause(e).log("cannot read open batches from the store; retrying at the next refresh");
-        } finally {
-            context.loop().post(() -> loading = false);
         }
     }
 
-    private void load(BatchHead head) throws PlatformException, MalformedBatchException {
-        if (head.ended()) {
-            context.loop().post(() -> handle(new BatchInput.End(head.id())));
-            return;
-        }
-        boolean expired = context.wallClock().getAsLong() >= head.giveUpAtMs();
-        if (!expired && !isKnown(head.id())) {
+    private void load(BatchHead head) {
+        try {
             List<BatchItem> items = stored.items(head);
             context.loop().post(() -> handle(new BatchInput.Open(head, items, false)));
+        } catch (PlatformException | MalformedBatchException e) {
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.BATCH, head.id().value())
+                    .log("cannot read the items of a batch from the store; retrying after the next check");
+        } finally {
+            context.loop().post(() -> loading.remove(head.id()));
         }
     }
-
-    private boolean isKnown(BatchId batch) {
-        return context.loop().submit(() -> core.hasBatch(batch)).join();
-    }
 }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -34,8 +35,9 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // A peer frame holds at most 1 MiB; the runner reads the items of a larger batch from the store.
     private static final int MAX_OFFER_BYTES = 900_000;
-    private static final long OFFER_TIMEOUT_MS = 500;
-    private static final int MAX_OFFER_ATTEMPTS = 8;
+    private static final long TELL_TIMEOUT_MS = 500;
+    // How long a node tries to tell the runner about a batch or its end.
+    private static final long TELL_RUNNER_MS = 4_000;
     // A read from the runner times out after the requested wait plus this margin.
     private static final long READ_SLACK_MS = 300;
     private static final long RETRY_DELAY_MS = 20;
@@ -124,38 +126,59 @@
         }
     }
 
+    // If the runner does not acknowledge the end, it finds it at its next check of the store.
     private void notifyEnd(BatchId batch) {
-        context.loop().post(() -> {
-            scheduler.handle(new BatchInput.End(batch));
-            role.runner()
-                    .filter(r -> !isSelf(r))
-                    .ifPresent(r -> peers.sendOneWay(r, PeerCalls.Method.END_BATCH, BatchMessages.pack(batch)));
+        long confirmedAtMs = context.clock().nowMs();
+        // This node may be the runner, or become it.
+        context.loop().post(() -> scheduler.end(batch));
+        Thread.ofVirtual().name("batch-end").start(() -> {
+            boolean acknowledged = tellRunner(PeerCalls.Method.END_BATCH, BatchMessages.pack(batch), () -> {});
+            long tookMs = context.clock().nowMs() - confirmedAtMs;
+            context.metrics().histogram("batch.end_ack_ms").update(tookMs);
+            LOG.atInfo()
+                    .with(LogFields.BATCH, batch.value())
+                    .with(LogFields.AGE_MS, tookMs)
+                    .log("end of batch told to the runner, acknowledged %b", acknowledged);
         });
     }
 
-    // If all offers are lost, the runner finds the batch at its next periodic read of the store.
+    // If all offers are lost, the runner finds the batch at its next check of the store.
     private void offer(BatchHead head, List<BatchItem> items, boolean newlyAccepted) {
         byte[] withItems = BatchMessages.pack(new Offer(head, newlyAccepted, Optional.of(items)));
         byte[] body = withItems.length <= MAX_OFFER_BYTES
                 ? withItems
                 : BatchMessages.pack(new Offer(head, newlyAccepted, Optional.empty()));
+        Runnable own = () -> scheduler.handle(new BatchInput.Open(head, items, newlyAccepted));
+        if (!tellRunner(PeerCalls.Method.OFFER_BATCH, body, own)) {
+            LOG.atWarning().with(LogFields.BATCH, head.id().value()).log("no runner acknowledged the batch offer");
+        }
+    }
+
+    /**
+     * Calls the node that is the runner at the time until a runner acknowledges, or until the time for it is over.
+     *
+     * @param own run on the control thread if this node is the runner
+     */
+    private boolean tellRunner(PeerCalls.Method method, byte[] body, Runnable own) {
+        long endMs = context.clock().nowMs() + TELL_RUNNER_MS;
         try {
-            for (int i = 0; i < MAX_OFFER_ATTEMPTS; i++) {
+            while (context.clock().nowMs() < endMs) {
                 Optional<NodeId> runner = role.runner();
                 if (runner.isEmpty()) {
                     Thread.sleep(RETRY_DELAY_MS);
                 } else if (isSelf(runner.get())) {
-                    context.loop().post(() -> scheduler.handle(new BatchInput.Open(head, items, newlyAccepted)));
-                    return;
-                } else if (call(runner.get(), PeerCalls.Method.OFFER_BATCH, body, OFFER_TIMEOUT_MS)
-                        .isPresent()) {
-                    return;
+                    context.loop().submit(Executors.callable(own)).get();
+                    return true;
+                } else if (call(runner.get(), method, body, TELL_TIMEOUT_MS).isPresent()) {
+                    return true;
                 }
             }
-            LOG.atWarning().with(LogFields.BATCH, head.id().value()).log("no runner acknowledged the batch offer");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            LOG.atSevere().withCause(e).log("own runner failed to handle %s", method);
         }
+        return false;
     }
 
     private Optional<byte[]> call(NodeId to, PeerCalls.Method method, byte[] body, long timeoutMs)
@@ -275,8 +298,11 @@
 
     private void onEnd(byte[] body, Consumer<byte[]> answer) {
         try {
-            scheduler.handle(new BatchInput.End(BatchMessages.batch(body)));
-            answer.accept(ACKNOWLEDGEMENT);
+            scheduler.end(BatchMessages.batch(body));
+            // Only the runner acknowledges, so that an end that reaches an earlier runner is sent again.
+            if (scheduler.isActive()) {
+                answer.accept(ACKNOWLEDGEMENT);
+            }
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).log("malformed request from a peer to end a batch");
         }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -77,7 +77,6 @@
     private static final long TICK_MS = 100;
     // Callers accept at most this many addresses in an answer of the directory.
     private static final int MAX_ADDRESSES = 64;
-    private static final long REFRESH_MS = 2_000;
     // A dead connection is noticed when a poll does not end in time; a later change must be in force within 2 s of the
     // store's notification.
     private static final ObjectWatch.Times CONFIG_WATCH = new ObjectWatch.Times(3_000, 50, 500);
@@ -128,7 +127,8 @@
                         context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
         BatchCore core = new BatchCore(context.process().toString(), context.wallClock(), cluster::hasEnded);
-        scheduler = new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored);
+        scheduler = closer.register(
+                new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored));
         role = new BatchRole(
                 context.settings().nodeId(),
                 cluster.membership(),
@@ -275,7 +275,6 @@
                 fleet,
                 new Random(context.random().nextLong())));
         context.loop().postPeriodically(TICK_MS, this::tick);
-        context.loop().postPeriodically(REFRESH_MS, scheduler::refresh);
     }
 
     private void tick() {
--- a/library/src/main/java/org/magnoliabridge/batch/RunOutcome.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunOutcome.java
@@ -29,6 +29,9 @@
     /** The engine's weights are older than the batch allows. */
     record Stale(WeightVersion version) implements RunOutcome {}
 
+    /** The run was not sent, because its batch has ended or may have. */
+    record Withheld() implements RunOutcome {}
+
     /** The run was stopped by this node. */
     record Stopped() implements RunOutcome {}
 }
--- a/library/src/main/java/org/magnoliabridge/batch/RunOutcomeHandler.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunOutcomeHandler.java
@@ -11,6 +11,9 @@
     // Maximum retry delay of an item that no engine accepts.
     private static final long MAX_RETRY_MS = 1_000;
 
+    // A tenth of the interval between checks of the store.
+    private static final long WITHHELD_RETRY_MS = 100;
+
     private final RunTracker runs;
     private final List<BatchEffect> effects;
 
@@ -49,6 +52,7 @@
                     retry(nowMs, item, run.engine);
                 }
             }
+            case RunOutcome.Withheld withheld -> item.notBeforeMs = nowMs + WITHHELD_RETRY_MS;
             case RunOutcome.Stopped stopped -> {}
         }
     }
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -139,6 +139,17 @@
         assertThat(fixture.opened(), hasSize(1));
     }
 
+    /** Guards against an item that is not retried, or at once, after its run was not sent. */
+    @Test
+    void itemOfAWithheldRunIsRetriedAfterADelay() {
+        fixture.engines(Batches.engine("e1", 1, 1));
+        fixture.open(Batches.head("b", 1), Batches.items("a", 1), true);
+        fixture.end(fixture.runs().getFirst(), new RunOutcome.Withheld());
+        assertThat(fixture.runs(), hasSize(1));
+        fixture.advance(100);
+        assertThat(fixture.runs(), hasSize(2));
+    }
+
     /** Guards against reuse of an earlier batch's text whose weights are too old for the next batch. */
     @Test
     void textOfOldWeightsIsNotReused() {
