Measure how late the control thread is

When a node's control thread was late, nothing in its logs or metrics said so; it showed only at other nodes, as calls without an answer and as elections. The periodic task now records how late each start is in control.delay_ms, and logs `control thread is late` with the delay at most once a second when it exceeds 200 ms.

ControlDelayTest (2 tests) passes; the class is new, so it has no failing run on the earlier code.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -274,7 +274,15 @@
                 FLEET_WATCH,
                 fleet,
                 new Random(context.random().nextLong())));
-        context.loop().postPeriodically(TICK_MS, this::tick);
+        ControlDelay delay = new ControlDelay(TICK_MS, context.metrics());
+        context.loop().postPeriodically(TICK_MS, () -> {
+            delay.started(context.clock().nowMs());
+            try {
+                tick();
+            } finally {
+                delay.ended(context.clock().nowMs());
+            }
+        });
     }
 
     private void tick() {
