--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -79,11 +79,6 @@
         }
     }
 
-    /** Returns the node to which this node handed over, while that node is the runner; control thread only. */
-    Optional<NodeId> successor() {
-        return election.successor();
-    }
-
     /** Gives up the role before the node stops. */
     void resign() {
         election.resign();
