Limit the bytes of an answer that are neither head nor content

Seen by callers: a server that sends bytes without end in a head, in a chunk's extension, in a chunk size or in trailers filled the memory; the I/O thread read on after the call had ended, and calls to other servers got no answer meanwhile.

Cause: Undertow's client has no size limit for heads and trailers. It reads a head in a loop until the socket is empty, and after a call is given up within a body it reads on to the end of the body. Exchange.read also looped as long as bytes came.

Change: a conduit below the client counts the bytes since the last head or content and fails the read over 24 KB; it rejects folded header lines. The client then closes the connection. A body is read at most 16 times for each event of its socket. The conduit is added where the connection opens, by an XnioIoThread that only delegates, because the client keeps its connection to itself.

--- a/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
+++ b/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
@@ -52,8 +52,8 @@
     }
 
     /** Returns an idle connection, or a new one if none is idle or the call requires a new connection. */
-    ClientConnection connection(HttpCall call, UndertowHttpCaller.Deadline deadline) throws HttpFailure.NotSent {
-        ClientConnection pooled = call.freshConnection() ? null : takeIdle(call.target());
+    LimitedConnection connection(HttpCall call, UndertowHttpCaller.Deadline deadline) throws HttpFailure.NotSent {
+        LimitedConnection pooled = call.freshConnection() ? null : takeIdle(call.target());
         return pooled != null
                 ? pooled
                 : connect(call, deadline.atMost(call.limits().connectMs()));
@@ -64,7 +64,7 @@
      *
      * @param idleLimitMs how long the server keeps an idle connection open, if it announced that
      */
-    void release(InetSocketAddress target, ClientConnection connection, OptionalLong idleLimitMs) {
+    void release(InetSocketAddress target, LimitedConnection connection, OptionalLong idleLimitMs) {
         long keptMs = idleLimitMs.isPresent() ? idleLimitMs.getAsLong() - IDLE_MARGIN_MS : MAX_IDLE_MS;
         if (keptMs <= 0 || !connection.isOpen() || !keep(target, connection, keptMs)) {
             IoUtils.safeClose(connection);
@@ -92,7 +92,7 @@
         }
     }
 
-    private synchronized boolean keep(InetSocketAddress target, ClientConnection connection, long keptMs) {
+    private synchronized boolean keep(InetSocketAddress target, LimitedConnection connection, long keptMs) {
         Deque<Idle> queue = idle.computeIfAbsent(target, t -> new ArrayDeque<>());
         if (closed || queue.size() >= MAX_IDLE_PER_TARGET) {
             return false;
@@ -102,7 +102,7 @@
     }
 
     // Takes the most recently used connection, so that the others expire and are closed.
-    private synchronized ClientConnection takeIdle(InetSocketAddress target) {
+    private synchronized LimitedConnection takeIdle(InetSocketAddress target) {
         Deque<Idle> queue = idle.get(target);
         if (queue == null) {
             return null;
@@ -116,10 +116,12 @@
         return entry == null ? null : entry.connection;
     }
 
-    private ClientConnection connect(HttpCall call, long limitMs) throws HttpFailure.NotSent {
+    private LimitedConnection connect(HttpCall call, long limitMs) throws HttpFailure.NotSent {
         InetSocketAddress target = call.target();
         URI uri = URI.create("http://" + Exchange.hostHeader(target));
-        IoFuture<ClientConnection> future = UndertowClient.getInstance().connect(uri, worker, buffers, OptionMap.EMPTY);
+        LimitedConnector connector = new LimitedConnector(worker.getIoThread());
+        IoFuture<ClientConnection> future =
+                UndertowClient.getInstance().connect(uri, connector, buffers, OptionMap.EMPTY);
         IoFuture.Status status = future.await(limitMs, TimeUnit.MILLISECONDS);
         if (status == IoFuture.Status.WAITING) {
             future.addNotifier(ConnectionPool::closeAbandoned, null);
@@ -127,7 +129,7 @@
             throw new HttpFailure.NotSent("no connection to " + target + " within " + limitMs + " ms", null);
         }
         try {
-            return future.get();
+            return new LimitedConnection(future.get(), connector.limit());
         } catch (IOException | RuntimeException e) {
             throw new HttpFailure.NotSent("cannot connect to " + target, e);
         }
@@ -144,5 +146,5 @@
         }
     }
 
-    private record Idle(ClientConnection connection, long untilNanos) {}
+    private record Idle(LimitedConnection connection, long untilNanos) {}
 }
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -1,7 +1,6 @@
 package org.magnoliabridge.http;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -30,22 +29,29 @@
     private static final int READ_BYTES = 8 * 1024;
     private static final int MAX_QUEUED_PIECES = 64;
     private static final int RESUME_BELOW_PIECES = 16;
+    // Other calls share the I/O thread.
+    private static final int MAX_READS_PER_EVENT = 16;
 
-    private final ClientConnection connection;
+    private final LimitedConnection connection;
     private final HttpCall call;
     private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final AtomicInteger queuedPieces = new AtomicInteger();
     private volatile StreamSourceChannel source;
     private volatile boolean sent;
 
-    Exchange(ClientConnection connection, HttpCall call) {
+    Exchange(LimitedConnection connection, HttpCall call) {
         this.connection = connection;
         this.call = call;
     }
 
     /** Sends the request; from here on the server may execute the call. */
     void start() {
-        connection.getIoThread().execute(() -> connection.sendRequest(request(), callback(this::requestStarted)));
+        connection.client().getIoThread().execute(this::send);
+    }
+
+    private void send() {
+        connection.limit().expectHead();
+        connection.client().sendRequest(request(), callback(this::requestStarted));
     }
 
     /** Waits for the answer's status and headers. */
@@ -144,6 +150,7 @@
     }
 
     private void answerStarted(ClientExchange exchange) {
+        connection.limit().received();
         ClientResponse response = exchange.getResponse();
         events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
         if (!call.unframedAnswer() && !isFramed(response)) {
@@ -169,7 +176,8 @@
         ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
         try {
             int count = channel.read(buffer);
-            while (count > 0) {
+            for (int reads = 1; count > 0; reads++) {
+                connection.limit().received();
                 buffer.flip();
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
@@ -179,6 +187,10 @@
                     channel.suspendReads();
                     return;
                 }
+                if (reads == MAX_READS_PER_EVENT) {
+                    channel.resumeReads();
+                    return;
+                }
                 count = channel.read(buffer);
             }
             if (count < 0) {
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -1,6 +1,5 @@
 package org.magnoliabridge.http;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import java.io.ByteArrayOutputStream;
@@ -63,7 +62,7 @@
             HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
             throws HttpFailure {
         Deadline deadline = new Deadline(call.limits().totalMs());
-        ClientConnection connection = pool.connection(call, deadline);
+        LimitedConnection connection = pool.connection(call, deadline);
         Exchange exchange = new Exchange(connection, call);
         boolean reusable = false;
         OptionalLong idleLimitMs = OptionalLong.empty();
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -65,6 +66,22 @@
         assertThat(call(true).status(), is(201));
     }
 
+    /** Guards against a caller that waits until its deadline for a head that never ends. */
+    @Test
+    void movesAnIdempotentCallAwayFromAHeadWithoutEnd() throws CallException {
+        script = PlainCallerTest::headWithoutEnd;
+        assertThat(call(true).status(), is(201));
+    }
+
+    /** Guards I10: a head that never ends does not prove that the request did not run. */
+    @Test
+    void reportsAHeadWithoutEndAsUnknown() {
+        script = PlainCallerTest::headWithoutEnd;
+        CallException failed = assertThrows(CallException.class, () -> call(false));
+        assertThat(failed.executionStatus(), is(ExecutionStatus.UNKNOWN));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
     /** Guards I9: a body shorter than its Content-Length is not a complete response. */
     @Test
     void rejectsATruncatedResponse() {
@@ -107,6 +124,13 @@
         }
     }
 
+    private static boolean headWithoutEnd(FakeBackEnd.Request request, OutputStream out) throws IOException {
+        out.write("HTTP/1.1 200 OK\r\nX-A: ".getBytes(StandardCharsets.UTF_8));
+        while (true) {
+            out.write("a".repeat(8_192).getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
     private PlainAnswer call(boolean idempotent) throws CallException {
         PlainRequest request = new PlainRequest(
                 new ServiceId("benchdesk"),
--- a/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
@@ -49,6 +49,16 @@
         assertThat(got.header("x-thing").orElse(""), is("a"));
     }
 
+    /** Guards against a limit for endless heads that rejects heads of common sizes, or counts across answers. */
+    @Test
+    void acceptsLargeHeadsOnAReusedConnection() throws HttpFailure {
+        answer = OK + "X-Large: " + "a".repeat(16_000) + "\r\nContent-Length: 40000\r\n\r\n" + "b".repeat(40_000);
+        for (int i = 0; i < 5; i++) {
+            assertThat(caller.call(HttpCall.get(target(), "/")).body().length, is(40_000));
+        }
+        assertThat(connections.get(), is(1));
+    }
+
     @Test
     void reusesAnIdleConnection() throws HttpFailure {
         answer = OK + "Content-Length: 2\r\n\r\nok";
