Order waiting items only when an engine can run one

Callers saw too little served: the runner's control thread took longer than the 500 ms that other nodes wait for an answer.

Cause: BatchCore.on() ran the whole placement of each batch for every input. A free slot of any engine, also of one whose weights are too old, made it sort all waiting items and filter all engines for each of them.

The engines that may run an item of a batch are now determined once an input. Without one, or without a waiting item, nothing is computed for each item; an engine leaves the list with its last free slot, and the loop ends with the last engine. The choices are the same.

--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -288,23 +288,37 @@
             boolean open = !batch.head().ended()
                     && !batch.log().loading()
                     && batch.texts().mayRun(nowMs, batch);
-            if (open && target.isPresent() && placement.hasFreeSlot(target.get())) {
+            if (open && target.isPresent()) {
                 place(nowMs, batch, target.get());
             }
         }
     }
 
+    // Runs for every input: without an engine or a waiting item, nothing may be computed for each item.
     private void place(long nowMs, RunningBatch batch, BatchTarget target) {
+        List<EngineState> free = placement.candidates(target, batch.head());
+        if (free.isEmpty() || !batch.hasReadyItem(nowMs)) {
+            return;
+        }
+        boolean newestFirst = nowMs - batch.openedMs() < NEWEST_WAIT_MS;
+        List<EngineState> newest = new ArrayList<>(free);
+        newest.removeIf(e -> newestFirst && !isNewest(e, batch.head()));
         StartOrder plan = new StartOrder(batch, target);
         List<RunningItem> waiting = plan.waiting(nowMs);
         int remaining = waiting.size();
         for (RunningItem item : waiting) {
             remaining--;
-            boolean newestOnly = plan.prefersNewestWeights(item) && nowMs - batch.openedMs() < NEWEST_WAIT_MS;
-            Optional<EngineState> engine =
-                    placement.choose(target, batch.head(), item, e -> !newestOnly || isNewest(e, batch.head()));
-            if (engine.isPresent()) {
-                start(nowMs, batch, item, engine.get(), remaining);
+            List<EngineState> candidates = newestFirst && plan.prefersNewestWeights(item) ? newest : free;
+            if (!candidates.isEmpty()) {
+                EngineState engine = placement.choose(target, item, candidates);
+                start(nowMs, batch, item, engine, remaining);
+                if (!placement.isAvailable(engine)) {
+                    free.remove(engine);
+                    newest.remove(engine);
+                }
+            }
+            if (free.isEmpty()) {
+                return;
             }
         }
     }
--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -1,6 +1,6 @@
 package org.magnoliabridge.batch;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,37 +62,51 @@
         }
     }
 
-    /** Returns whether any engine of a target has a free slot. */
-    boolean hasFreeSlot(BatchTarget target) {
-        return engines.stream().anyMatch(e -> serves(e, target) && isAvailable(e));
+    /** Returns the engines with a free slot that may run the items of a batch. */
+    List<EngineState> candidates(BatchTarget target, BatchHead batch) {
+        List<EngineState> candidates = new ArrayList<>();
+        for (EngineState engine : engines) {
+            if (isAvailable(engine) && serves(engine, target) && !engine.tooOldFor(batch)) {
+                candidates.add(engine);
+            }
+        }
+        return candidates;
     }
 
-    /**
-     * Returns the engine for an item, or empty if none that may run it has a free slot.
-     *
-     * @param eligible further condition on the engine
-     */
-    Optional<EngineState> choose(
-            BatchTarget target, BatchHead batch, RunningItem item, Predicate<EngineState> eligible) {
-        List<EngineState> free = engines.stream()
-                .filter(e -> serves(e, target) && !e.tooOldFor(batch) && isAvailable(e))
-                .filter(eligible)
-                .toList();
-        List<EngineState> preferred = free.stream()
-                .filter(e -> !item.avoidedEngines.contains(e.endpoint().id()))
-                .toList();
-        List<EngineState> pool = preferred.isEmpty() ? free : preferred;
+    /** Returns which of several candidates gets an item; there must be at least one. */
+    EngineState choose(BatchTarget target, RunningItem item, List<EngineState> candidates) {
+        List<EngineState> preferred = preferred(
+                candidates, e -> !item.avoidedEngines.contains(e.endpoint().id()));
         List<EngineState> fast =
-                pool.stream().filter(e -> !detector.isSlow(e.endpoint().id())).toList();
-        return (fast.isEmpty() ? pool : fast)
-                .stream().min(Comparator.comparingDouble(e -> utilization(e, target, item.item.expectedTotalTokens())));
+                preferred(preferred, e -> !detector.isSlow(e.endpoint().id()));
+        EngineState best = fast.getFirst();
+        double lowest = Double.MAX_VALUE;
+        for (EngineState engine : fast) {
+            double utilization = utilization(engine, target, item.item.expectedTotalTokens());
+            if (utilization < lowest) {
+                lowest = utilization;
+                best = engine;
+            }
+        }
+        return best;
+    }
+
+    private static List<EngineState> preferred(List<EngineState> engines, Predicate<EngineState> preference) {
+        List<EngineState> preferred = new ArrayList<>();
+        for (EngineState engine : engines) {
+            if (preference.test(engine)) {
+                preferred.add(engine);
+            }
+        }
+        return preferred.isEmpty() ? engines : preferred;
     }
 
     private static boolean serves(EngineState engine, BatchTarget target) {
         return engine.endpoint().service().equals(target.service());
     }
 
-    private boolean isAvailable(EngineState engine) {
+    /** Returns whether an engine can take an item now. */
+    boolean isAvailable(EngineState engine) {
         EndpointId id = engine.endpoint().id();
         Load load = loads.get(id);
         boolean hasSlot = load == null || load.runs < engine.slots();
--- a/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
@@ -148,13 +148,8 @@
         if (run.stopping || isLoading(run.engine) || !(stalled || slow)) {
             return;
         }
-        boolean hasBetterEngine = placement
-                .choose(
-                        target,
-                        run.batch.head(),
-                        run.item,
-                        e -> isBetter(e.endpoint().id(), run))
-                .isPresent();
+        boolean hasBetterEngine = placement.candidates(target, run.batch.head()).stream()
+                .anyMatch(e -> isBetter(e.endpoint().id(), run));
         if (hasBetterEngine) {
             run.item.avoidedEngines.add(run.engine);
             effects.add(new BatchEffect.Log(new BatchEvent.Migrated(
--- a/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
@@ -65,6 +65,16 @@
         return items.values();
     }
 
+    /** Returns whether an item waits for an engine. */
+    boolean hasReadyItem(long nowMs) {
+        for (RunningItem item : items.values()) {
+            if (item.isReady(nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     Optional<RunningItem> item(ItemId id) {
         return Optional.ofNullable(items.get(id));
     }
