Look for texts to store ten times a second without copying the others

Callers saw too little served: the control thread of the node that runs the batches was late.

Cause: once a second had passed and no text was due, every input copied the events of all running items of each batch, because only a stored checkpoint restarted the interval.

Events are counted before they are copied, and a batch without a text that is due is examined again after 100 ms, the period in which runs report their events. A text may therefore be stored up to 100 ms later than before, but only if nothing was due in between; the interval between two segments, which the fence covers, is unchanged.

inputDoesNotCopyTextsThatAreNotDue before the change: Expected: a value less than <7680L> but: <84464L> was greater than <7680L>.

--- a/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
@@ -50,6 +50,11 @@
         return all;
     }
 
+    /** Returns the number of all known events of the item. */
+    int eventCount() {
+        return transcript.events().size() + runEvents.size();
+    }
+
     /** Returns the number of events that are still expected; at least 1, as an item may exceed its estimate. */
     long eventsLeft(BatchTarget target) {
         long done = transcript.lastEvent();
--- a/library/src/main/java/org/magnoliabridge/batch/TextCheckpoints.java
+++ b/library/src/main/java/org/magnoliabridge/batch/TextCheckpoints.java
@@ -28,6 +28,8 @@
     /** Covers the interval between two segments, one store call, and closing a connection to an engine. */
     static final long FENCE_MS = 1_500;
 
+    // Interval of looking for events to store while there are none; runs report their events as often.
+    private static final long CHECK_INTERVAL_MS = 100;
     // Regenerating fewer events takes no longer than waiting for the fence.
     private static final int MIN_EVENTS_TO_TAKE_OVER = 48;
     // How long no items are started after another runner's claim; an election completes within this time.
@@ -37,6 +39,7 @@
     private final Predicate<String> hasEnded;
     private final Set<TextMechanism> mechanisms;
     private long storedAtMs = Long.MIN_VALUE / 2;
+    private long checkedAtMs = Long.MIN_VALUE / 2;
     private Optional<Long> yieldedUntilMs = Optional.empty();
     private boolean awaitingFence;
 
@@ -55,15 +58,17 @@
     /** Returns the events to store now; empty until the store interval has passed. */
     List<PartialText> nextCheckpoint(long nowMs, RunningBatch batch) {
         boolean disabled = !mechanisms.contains(TextMechanism.STORED_TEXTS);
-        if (disabled || nowMs - storedAtMs < STORE_INTERVAL_MS || yieldedUntilMs.isPresent()) {
+        boolean early = nowMs - storedAtMs < STORE_INTERVAL_MS || nowMs - checkedAtMs < CHECK_INTERVAL_MS;
+        if (disabled || early || yieldedUntilMs.isPresent()) {
             return List.of();
         }
+        checkedAtMs = nowMs;
         List<PartialText> due = new ArrayList<>();
         for (RunningItem item : batch.items()) {
-            if (!item.finished && item.run.isPresent()) {
-                List<Transcript.Event> text = item.allEvents();
-                List<Transcript.Event> unstored = batch.log().texts().unstoredEvents(self, item.item.id(), text);
-                if (text.size() >= MIN_STORED_EVENTS && !unstored.isEmpty()) {
+            if (!item.finished && item.run.isPresent() && item.eventCount() >= MIN_STORED_EVENTS) {
+                List<Transcript.Event> unstored =
+                        batch.log().texts().unstoredEvents(self, item.item.id(), item.allEvents());
+                if (!unstored.isEmpty()) {
                     due.add(new PartialText(item.item.id(), unstored));
                 }
             }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerCostTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerCostTest.java
@@ -27,6 +27,14 @@
         assertThat("additional bytes", many - few, lessThan(BYTES_PER_ITEM * (MANY - FEW)));
     }
 
+    /** Guards against a runner that copies the texts of all running items at each input. */
+    @Test
+    void inputDoesNotCopyTextsThatAreNotDue() {
+        long few = bytesPerTickWithFreeSlots(FEW);
+        long many = bytesPerTickWithFreeSlots(MANY);
+        assertThat("additional bytes", many - few, lessThan(BYTES_PER_ITEM * (MANY - FEW)));
+    }
+
     /** Guards against a runner that looks for an engine for each item after the last free slot was taken. */
     @Test
     void itemsAfterTheLastFreeSlotAreOnlyOrdered() {
@@ -43,6 +51,14 @@
         return bytesPerInput(fixture);
     }
 
+    private static long bytesPerTickWithFreeSlots(int items) {
+        RunnerFixture fixture = new RunnerFixture();
+        fixture.engines(Batches.engine("e1", items + 1, 1));
+        fixture.open(Batches.head("b", items), Batches.items("a", items), true);
+        assertThat(fixture.runs(), hasSize(items));
+        return bytesPerInput(fixture);
+    }
+
     private static long bytesToFillOneSlot(int items) {
         RunnerFixture fixture = new RunnerFixture();
         fixture.engines(Batches.engine("e1", 1, 1));
