Look up whether an engine is loading instead of searching the list

Callers saw too little served: the control thread of the node that runs the batches was late.

Cause: each report of progress, ten a second, searched the list of engines twice for each run to find out whether its engine is loading weights.

The engines that are loading are now kept in a set, which is replaced together with the list. The decisions are the same.

progressDoesNotSearchTheEnginesForEachRun before the change: Expected: a value less than <96000L> but: <487185L> was greater than <96000L>.

--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -2,9 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.magnoliabridge.ids.EndpointId;
 
@@ -21,6 +22,7 @@
     private final Map<EndpointId, Load> loads = new HashMap<>();
     private final SlowEngineDetector detector;
     private final EngineBackoff backoff;
+    private final Set<EndpointId> loading = new HashSet<>();
     private long nowMs;
     private List<EngineState> engines = List.of();
 
@@ -41,10 +43,17 @@
 
     void replaceEngines(List<EngineState> current) {
         engines = List.copyOf(current);
+        loading.clear();
+        for (EngineState engine : engines) {
+            if (engine.loading()) {
+                loading.add(engine.endpoint().id());
+            }
+        }
     }
 
-    Optional<EngineState> engine(EndpointId id) {
-        return engines.stream().filter(e -> e.endpoint().id().equals(id)).findFirst();
+    /** Returns whether an engine is loading weights. */
+    boolean isLoading(EndpointId engine) {
+        return loading.contains(engine);
     }
 
     void runStarted(EndpointId engine, long tokens) {
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerCostTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerCostTest.java
@@ -6,6 +6,7 @@
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Counts the bytes that an input of the batch core allocates, as a measure of work that repeats. */
@@ -16,6 +17,8 @@
     private static final int MANY = 1_000;
     // Two entries of a list per item would exceed it.
     private static final long BYTES_PER_ITEM = 8;
+    // Enough to look up a batch's target; a search of the engines for each run would exceed it.
+    private static final long BYTES_PER_RUN = 100;
     // Enough to put an item and its group in order.
     private static final long BYTES_PER_ORDERED_ITEM = 300;
 
@@ -43,12 +46,20 @@
         assertThat("additional bytes", many - few, lessThan(BYTES_PER_ORDERED_ITEM * (MANY - FEW)));
     }
 
+    /** Guards against a report of progress that searches the list of engines for each run. */
+    @Test
+    void progressDoesNotSearchTheEnginesForEachRun() {
+        long few = bytesPerProgress(FEW);
+        long many = bytesPerProgress(MANY);
+        assertThat("additional bytes", many - few, lessThan(BYTES_PER_RUN * (MANY - FEW)));
+    }
+
     private static long bytesPerTickWithOldEngine(int items) {
         RunnerFixture fixture = new RunnerFixture();
         fixture.engines(Batches.engine("old", 8, 1));
         fixture.open(Batches.head("b", items, 2, false), Batches.items("a", items), true);
         assertThat(fixture.runs(), hasSize(0));
-        return bytesPerInput(fixture);
+        return bytesPerInput(fixture, new BatchInput.Tick());
     }
 
     private static long bytesPerTickWithFreeSlots(int items) {
@@ -56,7 +67,15 @@
         fixture.engines(Batches.engine("e1", items + 1, 1));
         fixture.open(Batches.head("b", items), Batches.items("a", items), true);
         assertThat(fixture.runs(), hasSize(items));
-        return bytesPerInput(fixture);
+        return bytesPerInput(fixture, new BatchInput.Tick());
+    }
+
+    private static long bytesPerProgress(int runs) {
+        RunnerFixture fixture = new RunnerFixture();
+        fixture.engines(Batches.engine("e1", runs, 1));
+        fixture.open(Batches.head("b", runs), Batches.items("a", runs), true);
+        assertThat(fixture.runs(), hasSize(runs));
+        return bytesPerInput(fixture, new BatchInput.Progress(Map.of()));
     }
 
     private static long bytesToFillOneSlot(int items) {
@@ -74,13 +93,13 @@
     }
 
     // Inputs at the same time, so that no timer acts.
-    private static long bytesPerInput(RunnerFixture fixture) {
+    private static long bytesPerInput(RunnerFixture fixture, BatchInput input) {
         for (int i = 0; i < REPETITIONS; i++) {
-            fixture.handle(new BatchInput.Tick());
+            fixture.handle(input);
         }
         long before = allocated();
         for (int i = 0; i < REPETITIONS; i++) {
-            fixture.handle(new BatchInput.Tick());
+            fixture.handle(input);
         }
         return (allocated() - before) / REPETITIONS;
     }
