--- a/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
@@ -124,7 +124,7 @@
         for (Run run : runs.values()) {
             List<Transcript.Event> newEvents = events.getOrDefault(run.id, List.of());
             run.item.runEvents.addAll(newEvents);
-            boolean loading = isLoading(run.engine);
+            boolean loading = placement.isLoading(run.engine);
             if (!newEvents.isEmpty() || loading) {
                 run.lastProgressMs = nowMs;
             }
@@ -145,16 +145,11 @@
             detector.markStalled(nowMs, run.engine);
         }
         boolean slow = detector.isSlow(run.engine) && run.eventsLeft(target) >= MIN_EVENTS_TO_MIGRATE;
-        if (run.stopping || isLoading(run.engine) || !(stalled || slow)) {
+        if (run.stopping || placement.isLoading(run.engine) || !(stalled || slow)) {
             return;
         }
-        boolean hasBetterEngine = placement
-                .choose(
-                        target,
-                        run.batch.head(),
-                        run.item,
-                        e -> isBetter(e.endpoint().id(), run))
-                .isPresent();
+        boolean hasBetterEngine = placement.candidates(target, run.batch.head()).stream()
+                .anyMatch(e -> isBetter(e.endpoint().id(), run));
         if (hasBetterEngine) {
             run.item.avoidedEngines.add(run.engine);
             effects.add(new BatchEffect.Log(new BatchEvent.Migrated(
@@ -169,8 +164,4 @@
     private boolean isBetter(EndpointId engine, Run run) {
         return !engine.equals(run.engine) && !detector.isSlow(engine);
     }
-
-    private boolean isLoading(EndpointId engine) {
-        return placement.engine(engine).map(EngineState::loading).orElse(false);
-    }
 }
