Bound the memory of the texts that a batch runner keeps

Cause: the runner keeps texts for a time (ended batches 30 s, items for a later batch 60 s) and up to a number of items, not up to a size. At 1,700 events a second that fills the heap of 96 MB, which was the same on every node.

Change: both are also bounded by the length of their texts, 8 M and 16 M characters; the oldest go first, and reads of an evicted batch are answered from the store, as after 30 s before.

--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.batch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -35,6 +36,8 @@
     private static final long NEWEST_WAIT_MS = 2_200;
     // How long reads of an ended batch are answered from memory.
     private static final long ENDED_RETENTION_MS = 30_000;
+    // Total length of the committed texts of ended batches; a fraction of the heap of the smallest node, about 90 MB.
+    static final long MAX_ENDED_CHARS = 8 << 20;
 
     private final String runner;
     private final LongSupplier wallClock;
@@ -280,9 +283,17 @@
 
     // Reads of an ended batch are rare, and can be answered from the store.
     private void evictEnded(long nowMs) {
-        batches.values()
-                .removeIf(b ->
-                        b.endedBefore(nowMs - ENDED_RETENTION_MS) && b.log().pending() == 0);
+        List<RunningBatch> ended = batches.values().stream()
+                .filter(b -> b.endedBefore(nowMs - LINGER_MS) && b.log().pending() == 0)
+                .sorted(Comparator.comparingLong(RunningBatch::endedAtMs))
+                .toList();
+        long chars = ended.stream().mapToLong(b -> b.log().committedChars()).sum();
+        for (RunningBatch batch : ended) {
+            if (batch.endedBefore(nowMs - ENDED_RETENTION_MS) || chars > MAX_ENDED_CHARS) {
+                batches.remove(batch.head().id());
+                chars -= batch.log().committedChars();
+            }
+        }
     }
 
     private void place(long nowMs) {
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -35,6 +35,7 @@
     private final Set<BatchMechanism> mechanisms;
     private final List<ItemResult> committed = new ArrayList<>();
     private final Set<ItemId> committedItems = new HashSet<>();
+    private long committedChars;
     private final Map<ItemId, ItemResult> pending = new LinkedHashMap<>();
     private final StoredTexts texts = new StoredTexts();
     private final Set<String> writers = new HashSet<>();
@@ -84,6 +85,11 @@
         return committed;
     }
 
+    /** Returns the total length of the committed texts. */
+    long committedChars() {
+        return committedChars;
+    }
+
     boolean isCommitted(ItemId item) {
         return committedItems.contains(item);
     }
@@ -244,6 +250,7 @@
         for (ItemResult result : segment.results()) {
             if (committedItems.add(result.item())) {
                 committed.add(result);
+                committedChars += result.text().length();
             }
         }
         append.ifPresent(rejected -> rejected.results().forEach(r -> pending.putIfAbsent(r.item(), r)));
--- a/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningBatch.java
@@ -95,6 +95,10 @@
         endedAtMs = nowMs;
     }
 
+    long endedAtMs() {
+        return endedAtMs;
+    }
+
     boolean endedBefore(long timeMs) {
         return endedAtMs < timeMs;
     }
--- a/library/src/main/java/org/magnoliabridge/batch/Transcript.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Transcript.java
@@ -37,6 +37,11 @@
         return events.isEmpty() ? 0 : events.getLast().number();
     }
 
+    /** Returns the total length of the events' texts. */
+    public long chars() {
+        return events.stream().mapToLong(e -> e.data().length()).sum();
+    }
+
     /** Returns this transcript extended by the events of a run that resumed after its last event. */
     public Transcript extended(List<Event> more, boolean ended) {
         if (more.isEmpty() && ended == complete) {
--- a/library/src/main/java/org/magnoliabridge/batch/TranscriptCache.java
+++ b/library/src/main/java/org/magnoliabridge/batch/TranscriptCache.java
@@ -15,25 +15,37 @@
     // A group is resubmitted with the next step or not at all; steps follow each other within seconds.
     private static final long TTL_MS = 60_000;
     private static final int MAX_ITEMS = 4_096;
+    // A fraction of the heap of the smallest node, about 90 MB.
+    static final long MAX_CHARS = 16 << 20;
 
     private final Map<ItemId, Entry> entries = new LinkedHashMap<>();
+    private long chars;
 
-    private record Entry(BatchItem item, Transcript transcript, long atMs) {}
+    private record Entry(BatchItem item, Transcript transcript, long atMs, long chars) {}
 
     /** Caches an item with its text so far, and evicts expired and excess entries. */
     void put(long nowMs, BatchItem item, Transcript transcript) {
-        entries.remove(item.id());
-        entries.put(item.id(), new Entry(item, transcript, nowMs));
-        Iterator<Entry> eldest = entries.values().iterator();
-        while (eldest.hasNext()) {
-            Entry entry = eldest.next();
-            if (entries.size() <= MAX_ITEMS && nowMs - entry.atMs() <= TTL_MS) {
+        Entry entry = new Entry(item, transcript, nowMs, transcript.chars());
+        Entry before = entries.remove(item.id());
+        entries.put(item.id(), entry);
+        chars += entry.chars() - (before == null ? 0 : before.chars());
+        Iterator<Entry> entriesByAge = entries.values().iterator();
+        while (entriesByAge.hasNext()) {
+            Entry eldest = entriesByAge.next();
+            boolean fits = entries.size() <= MAX_ITEMS && chars <= MAX_CHARS;
+            if (fits && nowMs - eldest.atMs() <= TTL_MS) {
                 return;
             }
-            eldest.remove();
+            entriesByAge.remove();
+            chars -= eldest.chars();
         }
     }
 
+    /** Returns the total length of the cached texts. */
+    long chars() {
+        return chars;
+    }
+
     /** Returns whether an item was part of an earlier batch. */
     boolean contains(BatchItem item) {
         Entry entry = entries.get(item.id());
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
@@ -83,9 +83,17 @@
     }
 
     List<ItemResult> read(String batch, int after) {
+        return ((ReadAnswer.Results) readAnswer(batch, after)).results();
+    }
+
+    ReadAnswer readAnswer(String batch, int after) {
         long ticket = ++lastTicket;
         handle(new BatchInput.Read(ticket, new BatchId(batch), Batches.TEAM, after, 0));
-        return ((ReadAnswer.Results) answer(ticket)).results();
+        return answer(ticket);
+    }
+
+    boolean hasBatch(String batch) {
+        return core.hasBatch(new BatchId(batch));
     }
 
     ReadAnswer answer(long ticket) {
