Reject items whose path or headers could hold another request

An item's path and headers come from JSON, where a string may hold a line break. The path was written to the engine as it was, so a path with a line break could have carried a second request to it, which no caller had sent.

BatchItem now accepts a path of visible ASCII characters with a leading slash, and header names and values as HTTP allows them.

--- a/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.Objects;
+import java.util.regex.Pattern;
 import org.magnoliabridge.ids.GroupId;
 import org.magnoliabridge.ids.ItemId;
 
@@ -10,7 +11,7 @@
  * One generation request of a batch.
  *
  * @param group items of a group share their prompt
- * @param path path that the item is posted to at an engine, with a leading slash
+ * @param path path that the item is posted to at an engine, with a leading slash and an optional query
  * @param headers request headers, sent unchanged
  * @param body request body; not copied
  * @param promptTokens tokens of the prompt
@@ -27,14 +28,25 @@
         long promptTokens,
         long maxTotalTokens,
         long expectedTokens) {
+    // A space or line break in a path or header would end it, and what follows would be sent as another request.
+    private static final Pattern PATH = Pattern.compile("/[\\x21-\\x7e]*");
+    private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+    private static final Pattern HEADER_VALUE = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
+
     public BatchItem {
         Objects.requireNonNull(id);
         Objects.requireNonNull(group);
         Objects.requireNonNull(body);
         headers = Map.copyOf(headers);
-        if (!path.startsWith("/")) {
-            throw new IllegalArgumentException("path must start with a slash: " + path);
+        if (!PATH.matcher(path).matches()) {
+            throw new IllegalArgumentException("path must start with a slash and hold visible ASCII only");
         }
+        headers.forEach((name, value) -> {
+            if (!HEADER_NAME.matcher(name).matches()
+                    || !HEADER_VALUE.matcher(value).matches()) {
+                throw new IllegalArgumentException("header name or value holds characters that HTTP does not allow");
+            }
+        });
     }
 
     /** Returns the number of tokens that the item is expected to hold in an engine's cache at its end. */
