--- a/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
@@ -26,7 +26,7 @@
     // The whole call's limit, and time for the tests' threads on a busy machine.
     private static final long CALL_MS = 3_000;
     // Callers give up an attempt that a node has not read within one second.
-    private static final long OTHER_CALL_MS = 1_000;
+    private static final long OTHER_CALLS_MS = 1_000;
     private static final int MAX_ANSWER_BYTES = 1 << 20;
     // Well above the kernel's buffers of one loopback connection (about 6 MB) and the caller's own limits.
     private static final long MAX_WRITTEN_BYTES = 12 << 20;
@@ -142,8 +142,10 @@
 
     private static List<String> othersMeanwhile(UndertowHttpCaller caller, EndlessServer other) throws HttpFailure {
         List<String> answers = new ArrayList<>();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OTHER_CALLS_MS);
         for (int i = 0; i < 5; i++) {
-            HttpCall call = HttpCall.get(other.address(), "/ok").withLimits(HttpLimits.total(OTHER_CALL_MS));
+            long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+            HttpCall call = HttpCall.get(other.address(), "/ok").withLimits(HttpLimits.total(leftMs));
             answers.add(caller.call(call).text());
         }
         return answers;
