Count no time against a suspect runner while this node was late

An update now counts at most 200 ms. RunnerElectionTest.runnerIsNotReplacedAfterOneLateUpdate failed before: Expected: is <NONE> but: was <ELECTED>. suspectRunnerHasTimeToAnswer jumped over 900 ms in one update; it now takes the same time in steps of 100 ms, the period of the node, and expects the same changes.

--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -27,7 +27,8 @@
     private static final long HANDOVER_AFTER_MS = 2_000;
     // A busy runner answers pings late; one that is gone must be replaced within about 2 s, detection included.
     private static final long SUSPECT_MS = 1_000;
-    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+    // If this node itself was late, the runner's answer may have arrived and still wait in its queue.
+    private static final long MAX_COUNTED_MS = 200;
     private static final Comparator<Candidate> BY_CAPACITY =
             Comparator.comparingInt(Candidate::capacityMillicores).reversed();
 
@@ -37,7 +38,9 @@
     private long term;
     private Optional<NodeId> runner = Optional.empty();
     private Optional<Incarnation> runnerIncarnation = Optional.empty();
-    private long suspectSinceMs = NEVER_MS;
+    private long updatedAtMs;
+    private boolean runnerSuspect;
+    private long suspectMs;
     private Optional<NodeId> successor = Optional.empty();
     private boolean successorAnnounced;
 
@@ -67,6 +70,7 @@
     public RunnerElection(NodeId self, long nowMs) {
         this.self = Objects.requireNonNull(self);
         this.startedMs = nowMs;
+        this.updatedAtMs = nowMs;
     }
 
     /** Returns the node that runs the batches, if known. */
@@ -123,11 +127,13 @@
      */
     public Change updateMembers(long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
         recordSightings(nowMs, candidates);
+        long elapsedMs = Math.min(nowMs - updatedAtMs, MAX_COUNTED_MS);
+        updatedAtMs = nowMs;
         Optional<Candidate> first = candidates.stream().sorted(BY_CAPACITY).findFirst();
         if (isRunner()) {
             return handOver(nowMs, first, candidates);
         }
-        boolean alive = runner.isPresent() && isAlive(runner.get(), nowMs, candidates, suspects);
+        boolean alive = runner.isPresent() && isAlive(runner.get(), elapsedMs, candidates, suspects);
         boolean mine = first.filter(c -> c.node().equals(self)).isPresent();
         if (alive || !mine || nowMs - startedMs < SETTLE_MS) {
             return Change.NONE;
@@ -143,18 +149,19 @@
         }
     }
 
-    private boolean isAlive(NodeId node, long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
+    private boolean isAlive(NodeId node, long elapsedMs, List<Candidate> candidates, Set<NodeId> suspects) {
         Optional<Incarnation> seen = find(node, candidates).map(Candidate::incarnation);
         if (seen.isPresent()) {
-            suspectSinceMs = NEVER_MS;
+            runnerSuspect = false;
             runnerIncarnation = runnerIncarnation.or(() -> seen);
             return seen.equals(runnerIncarnation);
         }
         if (!suspects.contains(node)) {
             return false;
         }
-        suspectSinceMs = suspectSinceMs == NEVER_MS ? nowMs : suspectSinceMs;
-        return nowMs - suspectSinceMs < SUSPECT_MS;
+        suspectMs = runnerSuspect ? suspectMs + elapsedMs : 0;
+        runnerSuspect = true;
+        return suspectMs < SUSPECT_MS;
     }
 
     private Change handOver(long nowMs, Optional<Candidate> first, List<Candidate> candidates) {
@@ -175,7 +182,7 @@
         term = newTerm;
         runner = Optional.of(node);
         runnerIncarnation = Optional.empty();
-        suspectSinceMs = NEVER_MS;
+        runnerSuspect = false;
         successor = Optional.empty();
         successorAnnounced = false;
     }
