Hand over to a larger node that is suspect now and then

With suspicions in the whole cluster, a small runner kept the role.

A suspicion is no break any more; a death, a leave or a restart is. RunnerElectionTest.handsOverToANodeThatIsSuspectNowAndThen failed before: Expected: is <HANDED_OVER> but: was <NONE>.

--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -126,7 +126,7 @@
      * @param suspects members that did not answer in time and may still be alive
      */
     public Change updateMembers(long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
-        recordSightings(nowMs, candidates);
+        recordSightings(nowMs, candidates, suspects);
         long elapsedMs = Math.min(nowMs - updatedAtMs, MAX_COUNTED_MS);
         updatedAtMs = nowMs;
         Optional<Candidate> first = candidates.stream().sorted(BY_CAPACITY).findFirst();
@@ -187,8 +187,11 @@
         successorAnnounced = false;
     }
 
-    private void recordSightings(long nowMs, List<Candidate> candidates) {
-        sightings.keySet().retainAll(candidates.stream().map(Candidate::node).collect(Collectors.toSet()));
+    // A suspicion is no break: in a large cluster, each member is suspect for a moment now and then.
+    private void recordSightings(long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
+        Set<NodeId> present = candidates.stream().map(Candidate::node).collect(Collectors.toSet());
+        present.addAll(suspects);
+        sightings.keySet().retainAll(present);
         for (Candidate c : candidates) {
             Sighting seen = sightings.get(c.node());
             if (seen == null || !seen.incarnation().equals(c.incarnation())) {
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
@@ -87,6 +87,22 @@
         assertThat(update(election, 4_200, equal(A, B)), is(Change.NONE));
     }
 
+    /** Guards against a small runner that keeps the role because the largest node is suspect for moments. */
+    @Test
+    void handsOverToANodeThatIsSuspectNowAndThen() {
+        update(election, 1_000, equal(B));
+        Candidate self = candidate(B, SMALL);
+        Candidate large = candidate(C, LARGE);
+        Change change = Change.NONE;
+        for (long now = 1_100; now <= 6_000 && change == Change.NONE; now += 100) {
+            boolean suspect = now % 1_900 == 0;
+            change = suspect
+                    ? election.updateMembers(now, List.of(self), Set.of(C))
+                    : election.updateMembers(now, List.of(self, large), Set.of());
+        }
+        assertThat(change, is(Change.HANDED_OVER));
+    }
+
     /** Guards against the wait for a suspect being applied to a runner that is dead or leaves. */
     @Test
     void deadOrLeavingRunnerIsReplacedImmediately() {
