Find the ends of batches beside a head that cannot be read

A malformed head is logged and left out. StoreCheckTest.endIsFoundBesideAnUnreadableHead failed before: Expected: is <ENDED> but: was <SEND>.

--- a/library/src/main/java/org/magnoliabridge/batch/StoreCheck.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoreCheck.java
@@ -52,7 +52,7 @@
             }
             gate.checked(startMs);
             receiver.open(open);
-        } catch (PlatformException | MalformedBatchException e) {
+        } catch (PlatformException e) {
             if (Thread.currentThread().isInterrupted()) {
                 return;
             }
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreReply;
@@ -26,18 +27,25 @@
         this.clock = Objects.requireNonNull(clock);
     }
 
-    /** Returns the heads of all batches. */
-    public List<BatchHead> heads() throws PlatformException, MalformedBatchException {
+    /** Returns the heads of all batches; one that cannot be decoded is logged and left out. */
+    public List<BatchHead> heads() throws PlatformException {
         List<BatchHead> heads = new ArrayList<>();
         for (ObjectStore.Entry entry : store.list(BatchKeys.HEADS).entries()) {
             Optional<StoredObject> object = entry.object().isPresent() ? entry.object() : store.read(entry.key());
-            if (object.isPresent()) {
-                heads.add(BatchCodec.head(object.get().value()));
-            }
+            object.flatMap(o -> decodeHead(entry.key(), o)).ifPresent(heads::add);
         }
         return heads;
     }
 
+    private static Optional<BatchHead> decodeHead(ObjectKey key, StoredObject object) {
+        try {
+            return Optional.of(BatchCodec.head(object.value()));
+        } catch (MalformedBatchException e) {
+            LOG.atWarning().withCause(e).log("stored batch head %s is malformed", key);
+            return Optional.empty();
+        }
+    }
+
     /** Returns the head of a batch, or empty if no such batch was accepted. */
     public Optional<BatchHead> head(BatchId batch) throws PlatformException, MalformedBatchException {
         Optional<StoredObject> object = store.read(BatchKeys.head(batch));
--- a/library/src/test/java/org/magnoliabridge/batch/StoreCheckTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoreCheckTest.java
@@ -105,6 +105,17 @@
         assertThat(ended, contains(BATCH));
     }
 
+    /** Guards against one unreadable entry that hides the ends of all batches. */
+    @Test
+    void endIsFoundBesideAnUnreadableHead() throws Exception {
+        memory.write(BatchKeys.head(new BatchId("a")), ObjectStore.ABSENT, new byte[] {'{'});
+        store(Batches.head("b", 1));
+        endInStore();
+        check.run();
+        assertThat(gate.decide(nowMs, BATCH), is(StartGate.Decision.ENDED));
+        assertThat(ended, contains(BATCH));
+    }
+
     private void store(BatchHead head) throws PlatformException {
         memory.write(BatchKeys.head(head.id()), ObjectStore.ABSENT, BatchCodec.head(head));
     }
