--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -35,6 +35,7 @@
     private List<Candidate> candidates = List.of();
     private Set<NodeId> suspects = Set.of();
     private long announcedAtMs;
+    private boolean resigned;
     private volatile Optional<NodeId> runner = Optional.empty();
 
     BatchRole(
@@ -81,7 +82,7 @@
 
     /** Gives up the role before the node stops. */
     void resign() {
-        election.resign();
+        resigned = true;
         updateScheduler();
     }
 
@@ -146,6 +147,10 @@
     }
 
     private void updateScheduler() {
+        // Another node may still hand over to this one while it is leaving.
+        if (resigned) {
+            election.resign();
+        }
         runner = election.runner();
         if (election.isRunner()) {
             scheduler.activate();
