--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -128,10 +128,10 @@
         Thread.ofVirtual().name("batch-refresh").start(check::run);
     }
 
-    /** Ends a batch; control thread only. */
+    /** Ends a batch; any thread may call. */
     void end(BatchId batch) {
         gate.end(batch);
-        handle(new BatchInput.End(batch));
+        context.loop().post(() -> handle(new BatchInput.End(batch)));
     }
 
     // Does not depend on the control thread, which may be late.
@@ -139,7 +139,7 @@
         try {
             while (true) {
                 long nextMs = context.clock().nowMs() + StartGate.CHECK_PERIOD_MS;
-                check.run();
+                check();
                 Thread.sleep(Math.max(0, nextMs - context.clock().nowMs()));
             }
         } catch (InterruptedException e) {
@@ -147,6 +147,15 @@
         }
     }
 
+    // Runs are withheld while there are no checks, so an unexpected failure must not end them.
+    private void check() {
+        try {
+            check.run();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("check of the store failed unexpectedly; retrying at the next check");
+        }
+    }
+
     /** Passes the events that runs received since the last call to the core; control thread only. */
     void reportProgress() {
         if (active && !runs.isEmpty()) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -130,7 +130,7 @@
     private void notifyEnd(BatchId batch) {
         long confirmedAtMs = context.clock().nowMs();
         // This node may be the runner, or become it.
-        context.loop().post(() -> scheduler.end(batch));
+        scheduler.end(batch);
         Thread.ofVirtual().name("batch-end").start(() -> {
             boolean acknowledged = tellRunner(PeerCalls.Method.END_BATCH, BatchMessages.pack(batch), () -> {});
             long tookMs = context.clock().nowMs() - confirmedAtMs;
