Correct the size of a small node's heap in two comments

With the heap as a share of the memory, an instance of 258 MB has 126 MB (java -XX:MaxRAM=258m -XX:+PrintFlagsFinal in the review), not 90 MB.

--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -36,7 +36,7 @@
     private static final long NEWEST_WAIT_MS = 2_200;
     // How long reads of an ended batch are answered from memory.
     private static final long ENDED_RETENTION_MS = 30_000;
-    // Total length of the committed texts of ended batches; a fraction of the heap of the smallest node, about 90 MB.
+    // Total length of the committed texts of ended batches; a fraction of the heap of a small node, about 120 MB.
     static final long MAX_ENDED_CHARS = 8 << 20;
 
     private final String runner;
--- a/library/src/main/java/org/magnoliabridge/batch/TranscriptCache.java
+++ b/library/src/main/java/org/magnoliabridge/batch/TranscriptCache.java
@@ -15,7 +15,7 @@
     // A group is resubmitted with the next step or not at all; steps follow each other within seconds.
     private static final long TTL_MS = 60_000;
     private static final int MAX_ITEMS = 4_096;
-    // A fraction of the heap of the smallest node, about 90 MB.
+    // A fraction of the heap of a small node, about 120 MB.
     static final long MAX_CHARS = 16 << 20;
 
     private final Map<ItemId, Entry> entries = new LinkedHashMap<>();
