--- a/library/src/main/java/org/magnoliabridge/batch/StartGate.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StartGate.java
@@ -6,7 +6,7 @@
  * Decides immediately before a run is sent whether its batch may still be open; thread-safe.
  *
  * <p>Load pattern: on an overloaded node the control thread handles the end of a batch seconds after it was confirmed.
- * The threads that send runs ask this gate instead, which is told of ends as soon as they are read. A runner that
+ * The threads that send runs ask this gate instead, which records ends as soon as they are read. A runner that
  * missed an end learns of it from its next check of the store. Without a recent check it sends nothing, so the time
  * between the confirmation of an end and the last run sent is at most {@link #MAX_CHECK_AGE_MS}.
  */
--- a/library/src/test/java/org/magnoliabridge/batch/BatchItemTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchItemTest.java
@@ -44,7 +44,7 @@
     /** Guards against proper items that are rejected. */
     @Test
     void properItemIsAccepted() {
-        Map<String, String> headers = Map.of("X-Model", "m0", "X-Prefix-Hash", "9c2e41:300, 5d:2", "x-empty", "");
+        Map<String, String> headers = Map.of("X-Kind", "m0", "X-List", "9c2e41:300, 5d:2", "x-empty", "");
         BatchItem item = item("/pufi791/3/91c4?x=%20a&y={1};z", headers);
         assertThat(item.headers(), is(headers));
         assertThat(item.path(), is("/pufi791/3/91c4?x=%20a&y={1};z"));
