Use one method for the end of a batch, and correct a comment of the gate

The receiver of the store check posted the end itself, beside BatchScheduler.end, which also records it with the gate; that it is recorded there already makes no difference. The comment said that no end can be confirmed while a check fails, which is not so when only this node cannot read the store. StoreCheckTest, BatchCoreTest and PlatformNodeTest pass.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -73,7 +73,7 @@
         this.check = new StoreCheck(stored, gate, context.clock(), new StoreCheck.Receiver() {
             @Override
             public void ended(BatchId batch) {
-                context.loop().post(() -> handle(new BatchInput.End(batch)));
+                end(batch);
             }
 
             @Override
--- a/library/src/main/java/org/magnoliabridge/batch/StartGate.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StartGate.java
@@ -36,8 +36,8 @@
     }
 
     /**
-     * Records that all batches that had ended before a time are known. While the store does not answer, no end can be
-     * confirmed there, so a check that fails counts for the time at which it failed.
+     * Records that all batches that had ended before a time are known. A check that fails counts for the time at which
+     * it failed, so that batches go on while this node cannot read the store; until then it may miss an end.
      *
      * @param asOfMs the start of a check that succeeded, or the end of a check that failed
      */
