Keep a request open until the usage of its answer is counted

Cause: the drain gate counted the end of a request when its exchange completed, that is when the answer was written. The handler counts the usage of the answer after that. A drain that waits for the gate and then hands over the usage counts could miss the last answers.

Change: OpenRequest exits the gate once the exchange has completed and the handler has returned. Tests of usage wait for the gate before they look, which also makes the checks that nothing was counted stricter.

--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -85,12 +85,13 @@
             refuse(exchange, start, new Failure.Draining());
             return;
         }
+        OpenRequest open = new OpenRequest(gate);
         exchange.addExchangeCompleteListener((ended, next) -> {
-            gate.exit();
+            open.release();
             timer.update(dependencies.clock().nowMs() - start.startMs(), TimeUnit.MILLISECONDS);
             next.proceed();
         });
-        readBody(exchange, start);
+        readBody(exchange, start, open);
     }
 
     private void sendHealth(HttpServerExchange exchange) {
@@ -100,7 +101,7 @@
         exchange.getResponseSender().send("{\"state\":\"" + state.name().toLowerCase(Locale.ROOT) + "\"}");
     }
 
-    private void readBody(HttpServerExchange exchange, RequestStart start) {
+    private void readBody(HttpServerExchange exchange, RequestStart start, OpenRequest open) {
         int maxBytes = dependencies
                 .config()
                 .get()
@@ -120,10 +121,25 @@
         BodyReader.read(
                 exchange,
                 maxBytes,
-                (ex, body, cancellation) -> serve(ex, new ReceivedRequest(start, body, limitMs), cancellation),
+                (ex, body, cancellation) ->
+                        serveIfOpen(ex, open, new ReceivedRequest(start, body, limitMs), cancellation),
                 (ex, failure) -> refuse(ex, start, failure));
     }
 
+    private void serveIfOpen(
+            HttpServerExchange exchange, OpenRequest open, ReceivedRequest received, Cancellation cancellation) {
+        if (!open.tryRetain()) {
+            // The caller closed the connection before the request was handled.
+            end(received.start(), "caller_gone");
+            return;
+        }
+        try {
+            serve(exchange, received, cancellation);
+        } finally {
+            open.release();
+        }
+    }
+
     private void serve(HttpServerExchange exchange, ReceivedRequest received, Cancellation cancellation) {
         RequestStart start = received.start();
         Reply reply = new Reply(exchange);
@@ -147,6 +163,10 @@
             cancellation.cancel(Cancellation.Reason.CALLER_GONE);
             IoUtils.safeClose(exchange.getConnection());
         }
+        end(start, outcome);
+    }
+
+    private void end(RequestStart start, String outcome) {
         dependencies.metrics().counter("edge.answers." + outcome).inc();
         start.span().end(outcome);
     }
@@ -233,8 +253,7 @@
 
     private void refuse(HttpServerExchange exchange, RequestStart start, Failure failure) {
         FailureAnswer answer = FailureAnswer.of(failure, ExecutionStatus.NOT_RUN);
-        dependencies.metrics().counter("edge.answers." + answer.type()).inc();
-        start.span().end(answer.type());
+        end(start, answer.type());
         exchange.setStatusCode(answer.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Reply.JSON_TYPE);
         exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
--- a/library/src/test/java/org/magnoliabridge/edge/CallerServerTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/CallerServerTest.java
@@ -55,9 +55,29 @@
         assertThat(answer.body(), containsString("\"weight_versions\":[{\"from\":0,\"to\":5,\"version\":7}]"));
         assertThat(answer.headers().firstValue("x-request-id").orElseThrow(), is("mine"));
         assertTrue(answer.headers().firstValue("traceparent").isPresent());
+        assertThat(f.server.gate().awaitIdle(5_000), is(0));
         assertThat(f.usage, contains(new UsageSink.Delivery(EdgeFixture.TEAM, new ServiceId("coachgen"), 1, 3, 5)));
     }
 
+    /** Guards against a drain that hands over the usage counts between an answer and the count of its usage. */
+    @Test
+    void aRequestIsOpenUntilItsUsageIsCounted() throws IOException, InterruptedException {
+        CountDownLatch counting = new CountDownLatch(1);
+        f.usageSink = delivery -> {
+            try {
+                counting.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            f.usage.add(delivery);
+        };
+        assertThat(f.post(f.keyed(EdgeFixture.CHAT), EdgeFixture.chat(false)).statusCode(), is(200));
+        assertThat(f.server.gate().awaitIdle(200), is(1));
+        counting.countDown();
+        assertThat(f.server.gate().awaitIdle(5_000), is(0));
+        assertThat(f.usage, hasSize(1));
+    }
+
     @Test
     void streamsAChatCompletion() throws IOException, InterruptedException {
         HttpResponse<String> answer = f.post(f.keyed(EdgeFixture.CHAT), EdgeFixture.chat(true));
@@ -74,6 +94,7 @@
         String body = f.post(f.keyed(EdgeFixture.CHAT), EdgeFixture.chat(true)).body();
         assertThat(body, containsString("\"error\":{\"type\":"));
         assertThat(body, not(containsString("[DONE]")));
+        assertThat(f.server.gate().awaitIdle(5_000), is(0));
         assertThat(f.usage, is(empty()));
     }
 
@@ -239,6 +260,7 @@
         assertThat(answer.statusCode(), is(503));
         assertThat(answer.body(), containsString("stale_configuration"));
         assertThat(f.send(f.request("/services/benchdesk/open")).statusCode(), is(200));
+        assertThat(f.server.gate().awaitIdle(5_000), is(0));
         assertThat(f.usage, is(empty()));
     }
 
--- a/library/src/test/java/org/magnoliabridge/edge/EdgeFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/EdgeFixture.java
@@ -52,6 +52,7 @@
     final TeamKey key = TeamKey.generate(new KeyId("k1"), new SecureRandom());
     final TeamKey stranger = TeamKey.generate(new KeyId("k2"), new SecureRandom());
     final List<UsageSink.Delivery> usage = new CopyOnWriteArrayList<>();
+    volatile UsageSink usageSink = usage::add;
     final List<String> idempotent = new CopyOnWriteArrayList<>();
     final List<String> rollouts = new CopyOnWriteArrayList<>();
     volatile ConfigSnapshot config;
@@ -84,7 +85,7 @@
                         (near, ip) -> new AddressSource.Addresses(
                                 List.of(new AddressSource.NodeAddress("127.0.0.1:1", new DataCentre("trent"), 1)),
                                 5_000),
-                        usage::add,
+                        delivery -> usageSink.delivered(delivery),
                         () -> new RequestId("caller-" + ids.incrementAndGet()),
                         t.clock(),
                         calls.metrics,
