Read the endpoint list from a neighbour in large data centres

Cause: heartbeats change the endpoint list all the time, so each node reads it once in 0.7 s.

Change: in a data centre of four nodes or more, one node reads the list from the store and the others ask it for the changes since their revision; heartbeats that change nothing else are left out. A neighbour that does not answer within 250 ms, or whose last read is older than 0.9 s, is not asked for 3 s, and the store is read as before. The node that runs the batches reads the list itself. A leaving endpoint is known at the latest after the reader's pause of 0.7 s, the follower's pause of 0.7 s and one call, within the 2 s that are allowed.

Load pattern: many nodes, endpoints that write heartbeats all the time.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -34,7 +34,9 @@
 import org.magnoliabridge.edge.DrainGate;
 import org.magnoliabridge.external.Backoff;
 import org.magnoliabridge.external.BudgetedStore;
+import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.ObjectWatch;
+import org.magnoliabridge.external.RecentChanges;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRouteSelector;
 import org.magnoliabridge.external.StoreRunner;
@@ -97,6 +99,7 @@
     private final DrainGate gate = new DrainGate();
     private final AdmissionCore admission;
     private final FleetDriver fleet;
+    private final NeighbourChoice fleetNeighbour;
     private final ConfigFollower config;
     private final GatewayCluster cluster;
     private final BatchScheduler scheduler;
@@ -116,6 +119,8 @@
         Dispatcher dispatcher = closer.register(
                 new Dispatcher(admission, context.loop(), context.clock(), context.metrics(), endpoint -> {}));
         fleet = new FleetDriver(context, dispatcher);
+        fleetNeighbour = new NeighbourChoice(
+                context.settings().nodeId(), context.settings().dataCentre());
         config = new ConfigFollower(context, policy);
         cluster = new GatewayCluster(context, closer);
         context.objects()
@@ -269,7 +274,7 @@
                 config,
                 new Random(context.random().nextLong())));
         closer.register(new ObjectWatch(
-                context.budget().at(Priority.STATUS),
+                fleetStore(),
                 context.platform().fleetPrefix(),
                 FLEET_WATCH,
                 fleet,
@@ -285,12 +290,29 @@
         });
     }
 
+    private ObjectStore fleetStore() {
+        // The same content means the same to routing, whatever heartbeats an entry shows.
+        RecentChanges recent = new RecentChanges(e -> context.platform().fleet(new ObjectStore.Listing(0, List.of(e))));
+        NeighbourReader reader = new NeighbourReader(
+                context.budget().at(Priority.STATUS),
+                (node, call, limitMs) -> cluster.peers()
+                        .call(node, PeerCalls.Method.READ_CHANGES, call, limitMs)
+                        .get(),
+                fleetNeighbour::neighbour,
+                recent,
+                context.clock(),
+                context.metrics());
+        cluster.peers().serve(PeerCalls.Method.READ_CHANGES, reader::answer);
+        return reader;
+    }
+
     private void tick() {
         fleet.tick();
         cluster.tick();
         if (!draining) {
             role.tick();
         }
+        fleetNeighbour.update(role.runner(), cluster.membership().members());
         duties.tick(
                 role.isSelf() && !draining,
                 scheduler.open(),
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourChoice.java
@@ -0,0 +1,63 @@
+package org.magnoliabridge.daemon;
+
+import java.util.List;
+import java.util.Optional;
+import org.magnoliabridge.ids.DataCentre;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MemberState.Liveness;
+import org.magnoliabridge.membership.Rendezvous;
+
+/**
+ * Chooses the node that reads the endpoint list for the other nodes of its data centre. Control thread only, but for
+ * {@link #neighbour}.
+ *
+ * <p>The node that runs the batches reads the list itself and for nobody else. A suspect node is not replaced: at worst
+ * it answers late, and then its neighbours read the store.
+ */
+final class NeighbourChoice {
+    private static final String SCOPE = "endpoint list";
+    // With fewer nodes there is little to save, and each node reads the list sooner by itself.
+    private static final int MIN_NODES = 4;
+
+    private final NodeId self;
+    private final DataCentre dc;
+    private List<Member> members = List.of();
+    private Optional<NodeId> runner = Optional.empty();
+    private volatile Optional<NodeId> neighbour = Optional.empty();
+
+    NeighbourChoice(NodeId self, DataCentre dc) {
+        this.self = self;
+        this.dc = dc;
+    }
+
+    /** Returns the node to read the list from; empty to read the store. Any thread may call. */
+    Optional<NodeId> neighbour() {
+        return neighbour;
+    }
+
+    /** Updates the choice; cheap if neither the runner nor the members changed. */
+    void update(Optional<NodeId> newRunner, List<Member> newMembers) {
+        if (newMembers.equals(members) && newRunner.equals(runner)) {
+            return;
+        }
+        members = newMembers;
+        runner = newRunner;
+        neighbour = choose();
+    }
+
+    private Optional<NodeId> choose() {
+        List<NodeId> nodes = members.stream()
+                .filter(m -> m.location().dataCentre().equals(dc))
+                .filter(m -> m.state().liveness() != Liveness.DEAD && !m.state().leaving())
+                .map(Member::id)
+                .toList();
+        if (nodes.size() < MIN_NODES || runner.equals(Optional.of(self))) {
+            return Optional.empty();
+        }
+        return Rendezvous.rank(SCOPE, nodes).stream()
+                .filter(id -> !runner.equals(Optional.of(id)))
+                .findFirst()
+                .filter(id -> !id.equals(self));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -0,0 +1,165 @@
+package org.magnoliabridge.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
+import org.magnoliabridge.external.RecentChanges;
+import org.magnoliabridge.external.StoreMessages;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoredObject;
+import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.telemetry.LogFields;
+
+/**
+ * An object store whose changes are read from a neighbour that reads them from the store, to save calls to the store.
+ *
+ * <p>If there is no neighbour, or it does not answer or has not read the store recently, the store itself is read, and
+ * the neighbour is not asked for some time.
+ */
+final class NeighbourReader implements ObjectStore {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // A neighbour in the same data centre answers within a few milliseconds unless it is overloaded.
+    private static final long ANSWER_LIMIT_MS = 250;
+    private static final long RETRY_NEIGHBOUR_MS = 3_000;
+    private static final long UNCHANGED_PAUSE_MS = 500;
+    // Nodes that nobody asks need not record what they read. Longer than the pause after a neighbour's failed answer.
+    private static final long RECORD_AFTER_CALL_MS = 10_000;
+    // Longer than the pause between two reads of the store; bounds the age of what a neighbour passes on.
+    private static final long MAX_AGE_MS = 900;
+
+    private final ObjectStore store;
+    private final Calls calls;
+    private final Supplier<Optional<NodeId>> neighbour;
+    private final RecentChanges recent;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
+    private volatile long askAgainAtMs = Long.MIN_VALUE;
+    private volatile long recordUntilMs = Long.MIN_VALUE;
+
+    /** Makes calls to a neighbour. */
+    interface Calls {
+        /** Returns the packed result of a packed watch call. */
+        byte[] call(NodeId neighbour, byte[] call, long timeoutMs) throws ExecutionException, InterruptedException;
+    }
+
+    /**
+     * Creates a reader.
+     *
+     * @param neighbour the node to read changes from; empty to read the store
+     * @param recent records what this node reads from the store itself
+     */
+    NeighbourReader(
+            ObjectStore store,
+            Calls calls,
+            Supplier<Optional<NodeId>> neighbour,
+            RecentChanges recent,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
+        this.store = store;
+        this.calls = calls;
+        this.neighbour = neighbour;
+        this.recent = recent;
+        this.clock = clock;
+        this.metrics = metrics;
+    }
+
+    /** Answers a neighbour's call with the changes that this node has read from the store. */
+    void answer(NodeId from, byte[] call, Consumer<byte[]> answer) {
+        recordUntilMs = clock.nowMs() + RECORD_AFTER_CALL_MS;
+        try {
+            if (StoreMessages.call(call) instanceof StoreMessages.Call.Watch watch) {
+                StoreReply reply = recent.since(clock.nowMs(), watch.sinceRevision(), MAX_AGE_MS)
+                        .<StoreReply>map(StoreReply.Listed::new)
+                        .orElseGet(StoreReply.Unavailable::new);
+                answer.accept(StoreMessages.pack(new StoreMessages.Result.Replied(reply)));
+                return;
+            }
+            LOG.atWarning().with(LogFields.PEER, from.value()).log("expected a watch call, found another store call");
+        } catch (PlatformException.Malformed e) {
+            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed watch call");
+        }
+    }
+
+    @Override
+    public Listing list(String prefix) throws PlatformException {
+        Listing all = store.list(prefix);
+        if (clock.nowMs() < recordUntilMs) {
+            recent.listed(clock.nowMs(), all);
+        }
+        return all;
+    }
+
+    @Override
+    public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
+        Optional<NodeId> node = clock.nowMs() < askAgainAtMs ? Optional.empty() : neighbour.get();
+        if (node.isPresent()) {
+            Optional<Listing> changes = ask(node.get(), prefix, sinceRevision);
+            if (changes.isPresent()) {
+                metrics.counter("store.watches.neighbour").inc();
+                pauseIfUnchanged(changes.get(), waitMs);
+                return changes.get();
+            }
+            metrics.counter("store.watches.neighbour_failures").inc();
+            askAgainAtMs = clock.nowMs() + RETRY_NEIGHBOUR_MS;
+        }
+        Listing changes = store.watch(prefix, sinceRevision, waitMs);
+        if (clock.nowMs() < recordUntilMs) {
+            recent.changed(clock.nowMs(), sinceRevision, changes);
+        }
+        return changes;
+    }
+
+    @Override
+    public Optional<StoredObject> read(ObjectKey key) throws PlatformException {
+        return store.read(key);
+    }
+
+    @Override
+    public long write(ObjectKey key, long expectedVersion, byte[] value) throws PlatformException {
+        return store.write(key, expectedVersion, value);
+    }
+
+    @Override
+    public void delete(ObjectKey key, long expectedVersion) throws PlatformException {
+        store.delete(key, expectedVersion);
+    }
+
+    private Optional<Listing> ask(NodeId node, String prefix, long sinceRevision) throws PlatformException {
+        byte[] call = StoreMessages.pack(new StoreMessages.Call.Watch(prefix, sinceRevision, 0));
+        try {
+            StoreMessages.Result result = StoreMessages.result(calls.call(node, call, ANSWER_LIMIT_MS));
+            return result instanceof StoreMessages.Result.Replied replied
+                            && replied.reply() instanceof StoreReply.Listed listed
+                    ? Optional.of(listed.listing())
+                    : Optional.empty();
+        } catch (ExecutionException | PlatformException.Malformed e) {
+            LOG.atInfo()
+                    .atMostEvery(1, TimeUnit.SECONDS)
+                    .withCause(e)
+                    .with(LogFields.PEER, node.value())
+                    .log("cannot read changes from a neighbour; reading the store");
+            return Optional.empty();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new PlatformException.Unavailable("interrupted while a neighbour is asked", e);
+        }
+    }
+
+    private static void pauseIfUnchanged(Listing changes, long waitMs) {
+        if (changes.entries().isEmpty()) {
+            try {
+                Thread.sleep(Math.min(waitMs, UNCHANGED_PAUSE_MS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
