Prefer nodes that the store serves for the batches

Cause: the election knew only capacity and liveness. A node that the store turns away could be elected or be handed the batches, and then made each store call through another node.

Change: a member reports with its record whether the store serves its own calls. The report is a counter that only the member raises, so that reports merge in any order; it follows the capacities in pings and tables and is left out while nobody reports, so that nodes without it understand and are understood. Among members of equal capacity the election prefers one that the store serves. A runner gives the batches to a larger member only if the store serves that one, or does not serve the runner either. A runner that has lost the store for 4 s hands over to a member of its own capacity that has reached it for 4 s, at most once in 10 s. Capacity goes first, because a small node cannot carry the batches while a large one can relay its calls, and because a runner that went to a small node would come back when the store does.

4 s is chosen so that an outage of the store for all nodes, which they notice up to 3 s apart, replaces no runner.

With the mechanism off (Candidate has a new component, so the tests do not compile on the code before): RunnerElectionTest.nodeThatTheStoreServesIsElected: Expected: is <ELECTED> but: was <NONE> RunnerElectionTest.handsOverToALargerNodeOnceTheStoreServesIt: Expected: is <NONE> but: was <HANDED_OVER> RunnerElectionTest.handsOverWhenTheStoreNoLongerServesIt: Expected: is <HANDED_OVER_FOR_STORE> but: was <NONE> RunnerElectionTest.newRunnerKeepsTheBatchesForAWhile: Expected: is <HANDED_OVER_FOR_STORE> but: was <NONE> MembershipCoreTest.latestReportAboutTheStoreCounts: Expected: is <false> but: was <true> MembershipCoreTest.reportAboutTheStoreDoesNotProlongASuspicion: Expected: is <DEAD> but: was <SUSPECT> The existing tests of the election name the new component; nothing else in them changed.

Run after, all passed: RunnerElectionTest, MembershipCoreTest, StoreAccessTest, MembershipSimulationTest, RelayedStoreTest, GatewaySettingsTest. Only comments were rewrapped after that run.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -94,7 +94,10 @@
             candidates = membership.ranked(SCOPE).stream()
                     .map(byId::get)
                     .map(m -> new Candidate(
-                            m.id(), m.state().incarnation(), m.location().capacityMillicores()))
+                            m.id(),
+                            m.state().incarnation(),
+                            m.location().capacityMillicores(),
+                            m.state().storeServes()))
                     .toList();
             suspects = membership.members().stream()
                     .filter(m -> m.state().liveness() == Liveness.SUSPECT)
@@ -108,13 +111,19 @@
         if (change == RunnerElection.Change.ELECTED) {
             LOG.atInfo().with(LogFields.VERSION, election.term()).log("this node was elected to run the batches");
         } else if (change == RunnerElection.Change.HANDED_OVER) {
-            LOG.atInfo()
-                    .with(LogFields.PEER, election.runner().orElseThrow().value())
-                    .with(LogFields.VERSION, election.term())
-                    .log("batches handed over to a node with more processor capacity");
+            logHandover("batches handed over to a node with more processor capacity");
+        } else if (change == RunnerElection.Change.HANDED_OVER_FOR_STORE) {
+            logHandover("batches handed over to a node that the store serves");
         }
     }
 
+    private void logHandover(String message) {
+        LOG.atInfo()
+                .with(LogFields.PEER, election.runner().orElseThrow().value())
+                .with(LogFields.VERSION, election.term())
+                .log("%s", message);
+    }
+
     private byte[] announcement() {
         return BatchMessages.pack(new Announcement(election.runner().orElseThrow(), election.term()));
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -19,6 +19,7 @@
 import org.magnoliabridge.membership.MembershipInput;
 import org.magnoliabridge.membership.MembershipSettings;
 import org.magnoliabridge.membership.NodeLocation;
+import org.magnoliabridge.membership.StoreAccess;
 import org.magnoliabridge.settings.SocketAddresses;
 import org.magnoliabridge.wire.ClusterSecrets;
 import org.magnoliabridge.wire.PeerConnections;
@@ -34,6 +35,7 @@
     private final GatewayContext context;
     private final MembershipDriver membership;
     private final PeerCalls peers;
+    private final StoreAccess storeAccess;
     private long registryReadAtMs;
 
     /** Opens the peer port and starts to join the cluster. */
@@ -60,6 +62,7 @@
         membership.connect(connections);
         closer.register(new PeerListener(settings.listen().peers(), connections));
         peers = new PeerCalls(membership, context.loop(), context.metrics());
+        storeAccess = new StoreAccess(context.clock().nowMs());
         registryReadAtMs = context.clock().nowMs();
         context.loop().post(() -> publishNodes(joined.peerAddresses()));
     }
@@ -84,6 +87,9 @@
 
     /** Handles a clock tick; control thread only. */
     void tick() {
+        boolean storeServes = storeAccess.update(
+                context.path().isStoreUnavailable(), context.clock().nowMs());
+        membership.handle(new MembershipInput.StoreServing(storeServes));
         membership.handle(new MembershipInput.Tick());
         if (context.clock().nowMs() - registryReadAtMs >= REGISTRY_PERIOD_MS) {
             registryReadAtMs = context.clock().nowMs();
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -14,10 +14,11 @@
 /**
  * Elects the node that runs the batches, without waiting for a lease to expire.
  *
- * <p>Nodes rank by processor capacity, those of equal capacity in rendezvous order. When there is no runner, the first
- * live node announces itself with the next term. A runner hands over to the first node if that has more capacity, and
- * else stays while the others see it alive, so that its progress is not lost when another node joins. A runner that
- * becomes suspect has some time to answer. One that has restarted is replaced, because it has forgotten its role. Two
+ * <p>Nodes rank by processor capacity, those of equal capacity by whether the store serves their own calls, and then in
+ * rendezvous order. When there is no runner, the first live node announces itself with the next term. A runner hands
+ * over to the first node if that has more capacity, or as much and the store serves it but not the runner. Else it
+ * stays while the others see it alive, so that its progress is not lost when another node joins. A runner that becomes
+ * suspect has some time to answer. One that has restarted is replaced, because it has forgotten its role. Two
  * runners at the same time waste work but break no guarantee; the higher term wins, then the lower node id.
  */
 public final class RunnerElection {
@@ -25,12 +26,18 @@
     private static final long SETTLE_MS = 800;
     // After a common restart nodes appear at different times; a node that is seen only now and then must not take over.
     private static final long HANDOVER_AFTER_MS = 2_000;
+    // Nodes notice an outage of the store, and its end, up to 3 s apart; if it serves no node there is nothing to gain.
+    private static final long STORE_HANDOVER_AFTER_MS = 4_000;
+    // Each handover interrupts all runs, so an unsteady store must not cause one after the other.
+    private static final long STORE_HANDOVER_PERIOD_MS = 10_000;
     // A busy runner answers pings late; one that is gone must be replaced within about 2 s, detection included.
     private static final long SUSPECT_MS = 1_000;
     // If this node itself was late, the runner's answer may have arrived and still wait in its queue.
     private static final long MAX_COUNTED_MS = 200;
     private static final Comparator<Candidate> BY_CAPACITY =
             Comparator.comparingInt(Candidate::capacityMillicores).reversed();
+    private static final Comparator<Candidate> BY_RANK =
+            BY_CAPACITY.thenComparing(Candidate::storeServes, Comparator.reverseOrder());
 
     private final NodeId self;
     private final long startedMs;
@@ -38,6 +45,8 @@
     private long term;
     private Optional<NodeId> runner = Optional.empty();
     private Optional<Incarnation> runnerIncarnation = Optional.empty();
+    private long heldTerm;
+    private long heldSinceMs;
     private long updatedAtMs;
     private boolean runnerSuspect;
     private long suspectMs;
@@ -48,8 +57,9 @@
      * A live member that accepts work.
      *
      * @param capacityMillicores processor capacity in thousandths of a core, 0 if not known
+     * @param storeServes whether the store serves the node's own calls, true if not known
      */
-    public record Candidate(NodeId node, Incarnation incarnation, int capacityMillicores) {
+    public record Candidate(NodeId node, Incarnation incarnation, int capacityMillicores, boolean storeServes) {
         public Candidate {
             Objects.requireNonNull(node);
             Objects.requireNonNull(incarnation);
@@ -61,11 +71,27 @@
         NONE,
         /** This node has become the runner. */
         ELECTED,
-        /** This node is no longer the runner: {@link #runner} is, once it learns of it. */
-        HANDED_OVER
+        /** This node is no longer the runner: {@link #runner}, which has more capacity, is once it learns of it. */
+        HANDED_OVER,
+        /** The same, but because the store serves the new runner and not this node. */
+        HANDED_OVER_FOR_STORE
     }
 
-    private record Sighting(Incarnation incarnation, long sinceMs) {}
+    private record Sighting(Incarnation incarnation, long sinceMs, boolean storeServes, long storeSinceMs) {
+        boolean isOf(Candidate c) {
+            return incarnation.equals(c.incarnation()) && storeServes == c.storeServes();
+        }
+
+        Sighting next(Candidate c, long nowMs) {
+            return incarnation.equals(c.incarnation())
+                    ? new Sighting(incarnation, sinceMs, c.storeServes(), nowMs)
+                    : first(c, nowMs);
+        }
+
+        static Sighting first(Candidate c, long nowMs) {
+            return new Sighting(c.incarnation(), nowMs, c.storeServes(), nowMs);
+        }
+    }
 
     public RunnerElection(NodeId self, long nowMs) {
         this.self = Objects.requireNonNull(self);
@@ -129,7 +155,7 @@
         recordSightings(nowMs, candidates, suspects);
         long elapsedMs = Math.min(nowMs - updatedAtMs, MAX_COUNTED_MS);
         updatedAtMs = nowMs;
-        Optional<Candidate> first = candidates.stream().sorted(BY_CAPACITY).findFirst();
+        Optional<Candidate> first = candidates.stream().sorted(BY_RANK).findFirst();
         if (isRunner()) {
             return handOver(nowMs, first, candidates);
         }
@@ -165,17 +191,34 @@
     }
 
     private Change handOver(long nowMs, Optional<Candidate> first, List<Candidate> candidates) {
+        if (heldTerm != term) {
+            heldTerm = term;
+            heldSinceMs = nowMs;
+        }
         Optional<Candidate> me = find(self, candidates);
-        if (me.isEmpty() || first.isEmpty() || BY_CAPACITY.compare(first.get(), me.get()) >= 0) {
+        if (me.isEmpty() || first.isEmpty() || BY_RANK.compare(first.get(), me.get()) >= 0) {
             return Change.NONE;
         }
-        NodeId next = first.get().node();
-        if (nowMs - sightings.get(next).sinceMs() < HANDOVER_AFTER_MS) {
+        boolean larger = BY_CAPACITY.compare(first.get(), me.get()) < 0;
+        if (larger ? !isSettled(nowMs, first.get(), me.get()) : !hasLostStore(nowMs, first.get(), me.get())) {
             return Change.NONE;
         }
+        NodeId next = first.get().node();
         setRunner(next, term + 1);
         successor = Optional.of(next);
-        return Change.HANDED_OVER;
+        return larger ? Change.HANDED_OVER : Change.HANDED_OVER_FOR_STORE;
+    }
+
+    private boolean isSettled(long nowMs, Candidate next, Candidate me) {
+        boolean keepsStore = next.storeServes() || !me.storeServes();
+        return keepsStore && nowMs - sightings.get(next.node()).sinceMs() >= HANDOVER_AFTER_MS;
+    }
+
+    private boolean hasLostStore(long nowMs, Candidate next, Candidate me) {
+        long lostSinceMs = sightings.get(me.node()).storeSinceMs();
+        long servesSinceMs = sightings.get(next.node()).storeSinceMs();
+        return nowMs - Math.max(lostSinceMs, servesSinceMs) >= STORE_HANDOVER_AFTER_MS
+                && nowMs - heldSinceMs >= STORE_HANDOVER_PERIOD_MS;
     }
 
     private void setRunner(NodeId node, long newTerm) {
@@ -194,8 +237,10 @@
         sightings.keySet().retainAll(present);
         for (Candidate c : candidates) {
             Sighting seen = sightings.get(c.node());
-            if (seen == null || !seen.incarnation().equals(c.incarnation())) {
-                sightings.put(c.node(), new Sighting(c.incarnation(), nowMs));
+            if (seen == null) {
+                sightings.put(c.node(), Sighting.first(c, nowMs));
+            } else if (!seen.isOf(c)) {
+                sightings.put(c.node(), seen.next(c, nowMs));
             }
         }
     }
--- a/library/src/main/java/org/magnoliabridge/membership/MemberState.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberState.java
@@ -9,11 +9,30 @@
  * @param incarnation identifies one start of the member; a later one replaces everything known of an earlier one
  * @param refutation counter that the member itself raises to refute a suspicion
  * @param leaving whether the member drains; stays true for the rest of this incarnation
+ * @param storeChanges counter that the member itself raises when the store begins or ceases to serve its own calls: odd
+ *     while it does, {@link #STORE_UNREPORTED} from a member that does not report it
  */
-public record MemberState(Incarnation incarnation, int refutation, Liveness liveness, boolean leaving) {
+public record MemberState(
+        Incarnation incarnation, int refutation, Liveness liveness, boolean leaving, int storeChanges) {
+    /** The store counter of a member that does not report whether the store serves it. */
+    static final int STORE_UNREPORTED = 0;
+
     public MemberState {
         Objects.requireNonNull(incarnation);
         Objects.requireNonNull(liveness);
+        if (storeChanges < 0) {
+            throw new IllegalArgumentException("store counter must not be negative, found " + storeChanges);
+        }
+    }
+
+    /** Creates the state of a member that does not report whether the store serves it. */
+    public MemberState(Incarnation incarnation, int refutation, Liveness liveness, boolean leaving) {
+        this(incarnation, refutation, liveness, leaving, STORE_UNREPORTED);
+    }
+
+    /** Returns whether the store serves the member's own calls; true if the member does not report it. */
+    public boolean storeServes() {
+        return storeChanges == STORE_UNREPORTED || storeChanges % 2 == 1;
     }
 
     /** Returns the merged state of both reports. */
@@ -22,11 +41,32 @@
             return other.incarnation.isAfter(incarnation) ? other : this;
         }
         MemberState newer = isNewer(other) ? other : this;
-        return new MemberState(incarnation, newer.refutation, newer.liveness, leaving || other.leaving);
+        return new MemberState(
+                incarnation,
+                newer.refutation,
+                newer.liveness,
+                leaving || other.leaving,
+                Math.max(storeChanges, other.storeChanges));
     }
 
     MemberState with(Liveness other) {
-        return new MemberState(incarnation, refutation, other, leaving);
+        return new MemberState(incarnation, refutation, other, leaving, storeChanges);
+    }
+
+    MemberState withStoreChanges(int changes) {
+        return new MemberState(incarnation, refutation, liveness, leaving, changes);
+    }
+
+    MemberState withLeaving() {
+        return new MemberState(incarnation, refutation, liveness, true, storeChanges);
+    }
+
+    /** Returns this state with a report whether the store serves this member; the same if it is reported already. */
+    MemberState withStoreServing(boolean serves) {
+        int odd = serves ? 1 : 0;
+        return storeChanges != STORE_UNREPORTED && storeServes() == serves
+                ? this
+                : withStoreChanges(storeChanges + (storeChanges % 2 == odd ? 2 : 1));
     }
 
     private boolean isNewer(MemberState other) {
--- a/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
@@ -110,7 +110,14 @@
         if (restarted && update.location().isEmpty()) {
             return Optional.empty();
         }
-        put(new Member(known.id(), merged, location(known, update, restarted), known.loadPermille()), nowMs);
+        Member next = new Member(known.id(), merged, location(known, update, restarted), known.loadPermille());
+        if (merged.equals(known.state().withStoreChanges(merged.storeChanges()))) {
+            // The time that a suspect has to answer goes on.
+            members.put(known.id(), next);
+            markChanged();
+        } else {
+            put(next, nowMs);
+        }
         return Optional.of(new MemberUpdate(known.id(), merged, restarted ? update.location() : Optional.empty()));
     }
 
@@ -139,8 +146,12 @@
         if (mine.merge(reported).equals(mine) || reported.incarnation().isAfter(mine.incarnation())) {
             return Optional.empty();
         }
-        return Optional.of(setSelf(
-                new MemberState(mine.incarnation(), reported.refutation() + 1, Liveness.ALIVE, mine.leaving())));
+        return Optional.of(setSelf(new MemberState(
+                mine.incarnation(),
+                reported.refutation() + 1,
+                Liveness.ALIVE,
+                mine.leaving(),
+                Math.max(mine.storeChanges(), reported.storeChanges()))));
     }
 
     /** Changes this node's own state and returns the update to gossip. */
--- a/library/src/main/java/org/magnoliabridge/membership/MemberUpdate.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberUpdate.java
@@ -14,4 +14,9 @@
     MemberUpdate withCapacity(int millicores) {
         return new MemberUpdate(id, state, location.map(l -> l.withCapacity(millicores)));
     }
+
+    /** Returns this report with another store counter. */
+    MemberUpdate withStoreChanges(int changes) {
+        return new MemberUpdate(id, state.withStoreChanges(changes), location);
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCodec.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.InvalidIdException;
@@ -19,8 +20,8 @@
 /**
  * Encodes and decodes the message bodies of the membership protocol.
  *
- * <p>Capacities of members follow after everything else in a body, because nodes without this field reject an update
- * with more fields, but ignore what follows the body.
+ * <p>Capacities of members, and then their store counters if any is reported, follow after everything else in a body,
+ * because nodes without these fields reject an update with more fields, but ignore what follows the body.
  */
 final class MembershipCodec {
     private static final int MAX_TEXT_CHARS = 200;
@@ -83,7 +84,7 @@
                 p.packString(item.name()).packLong(item.version());
                 p.packBinaryHeader(item.payload().length).writePayload(item.payload());
             }
-            packCapacities(p, withSender(c.sender(), c.updates()));
+            packReports(p, withSender(c.sender(), c.updates()));
         });
     }
 
@@ -103,7 +104,7 @@
             }
             List<MemberUpdate> all = withSender(sender, updates);
             if (fields > PING_FIELDS_WITHOUT_CAPACITIES) {
-                all = withCapacities(all, list(u, MessageUnpacker::unpackInt));
+                all = withReports(all, u);
             }
             return new PingBody(
                     all.getFirst(), versions, digest, members, ageMs, load, all.subList(1, all.size()), items);
@@ -161,14 +162,14 @@
     static byte[] packUpdates(List<MemberUpdate> updates) {
         return pack(p -> {
             pack(p, updates);
-            packCapacities(p, updates);
+            packReports(p, updates);
         });
     }
 
     static List<MemberUpdate> readUpdates(byte[] body) throws MalformedMessageException {
         return unpack(body, u -> {
             List<MemberUpdate> updates = list(u, MembershipCodec::update);
-            return u.hasNext() ? withCapacities(updates, list(u, MessageUnpacker::unpackInt)) : updates;
+            return u.hasNext() ? withReports(updates, u) : updates;
         });
     }
 
@@ -177,25 +178,40 @@
         return pack(p -> {
                     pack(p, update);
                     p.packInt(update.capacityMillicores());
+                    p.packInt(update.state().storeChanges());
                 })
                 .length;
     }
 
-    private static void packCapacities(MessagePacker p, List<MemberUpdate> updates) throws IOException {
+    private static void packReports(MessagePacker p, List<MemberUpdate> updates) throws IOException {
         p.packArrayHeader(updates.size());
         for (MemberUpdate update : updates) {
             p.packInt(update.capacityMillicores());
         }
+        if (updates.stream().anyMatch(u -> u.state().storeChanges() != MemberState.STORE_UNREPORTED)) {
+            p.packArrayHeader(updates.size());
+            for (MemberUpdate update : updates) {
+                p.packInt(update.state().storeChanges());
+            }
+        }
+    }
+
+    private static List<MemberUpdate> withReports(List<MemberUpdate> updates, MessageUnpacker u)
+            throws IOException, InvalidIdException {
+        List<MemberUpdate> result = withEach(updates, u, MemberUpdate::withCapacity);
+        return u.hasNext() ? withEach(result, u, MemberUpdate::withStoreChanges) : result;
     }
 
-    private static List<MemberUpdate> withCapacities(List<MemberUpdate> updates, List<Integer> capacities)
-            throws IOException {
-        if (capacities.size() != updates.size()) {
-            throw new IOException("expected " + updates.size() + " capacities, found " + capacities.size());
+    private static List<MemberUpdate> withEach(
+            List<MemberUpdate> updates, MessageUnpacker u, BiFunction<MemberUpdate, Integer, MemberUpdate> with)
+            throws IOException, InvalidIdException {
+        List<Integer> values = list(u, MessageUnpacker::unpackInt);
+        if (values.size() != updates.size()) {
+            throw new IOException("expected " + updates.size() + " values, found " + values.size());
         }
         List<MemberUpdate> result = new ArrayList<>();
         for (int i = 0; i < updates.size(); i++) {
-            result.add(updates.get(i).withCapacity(capacities.get(i)));
+            result.add(with.apply(updates.get(i), values.get(i)));
         }
         return result;
     }
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -109,6 +109,7 @@
                 table.removeDead(nowMs, true);
             }
             case MembershipInput.AwaitVersion a -> awaitedVersions.merge(a.name(), a.version(), Math::max);
+            case MembershipInput.StoreServing store -> storeServing(store.serves());
             case MembershipInput.Leave leave -> leave(effects);
         }
         if (table.takeChanged()) {
@@ -357,10 +358,16 @@
         }
     }
 
-    private void leave(List<MembershipEffect> effects) {
+    private void storeServing(boolean serves) {
         MemberState mine = table.self().state();
-        MemberUpdate update =
-                table.setSelf(new MemberState(mine.incarnation(), mine.refutation(), mine.liveness(), true));
+        MemberState next = mine.withStoreServing(serves);
+        if (!next.equals(mine)) {
+            gossip.add(table.setSelf(next));
+        }
+    }
+
+    private void leave(List<MembershipEffect> effects) {
+        MemberUpdate update = table.setSelf(table.self().state().withLeaving());
         gossip.add(update);
         byte[] body = MembershipCodec.packUpdates(List.of(update));
         for (Member m : probes.randomAlive(ItemDisseminator.MAX_DIRECT_PUSHES, table, update.id())) {
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipInput.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipInput.java
@@ -39,6 +39,9 @@
     /** Ping the members that have not reported this version of a pinned item, each period until all have. */
     record AwaitVersion(String name, long version) implements MembershipInput {}
 
+    /** Whether the store serves this node's own calls. */
+    record StoreServing(boolean serves) implements MembershipInput {}
+
     /** This node starts to drain. */
     record Leave() implements MembershipInput {}
 }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
@@ -29,7 +29,11 @@
     private final RunnerElection election = new RunnerElection(B, 0);
 
     private static Candidate candidate(NodeId node, int capacity) {
-        return new Candidate(node, new Incarnation(1), capacity);
+        return new Candidate(node, new Incarnation(1), capacity, true);
+    }
+
+    private static Candidate withoutStore(NodeId node, int capacity) {
+        return new Candidate(node, new Incarnation(1), capacity, false);
     }
 
     private static List<Candidate> equal(NodeId... nodes) {
@@ -119,7 +123,7 @@
         assertThat(update(election, 2_000, equal(B, A)), is(Change.NONE));
         election.onAnnouncement(A, 4);
         assertThat(update(election, 2_100, equal(B, A)), is(Change.NONE));
-        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(A, new Incarnation(2), SMALL));
+        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(A, new Incarnation(2), SMALL, true));
         assertThat(update(election, 2_200, restarted), is(Change.ELECTED));
         assertThat(election.term(), is(5L));
     }
@@ -188,7 +192,7 @@
     @Test
     void nodeThatWasAwayOrRestartedSettlesAnew() {
         List<Candidate> both = List.of(candidate(B, SMALL), candidate(C, LARGE));
-        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(C, new Incarnation(2), LARGE));
+        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(C, new Incarnation(2), LARGE, true));
         update(election, 1_000, equal(B));
         update(election, 1_100, both);
         update(election, 3_000, equal(B));
@@ -198,6 +202,93 @@
         assertThat(update(election, 7_100, restarted), is(Change.HANDED_OVER));
     }
 
+    /** Guards against a runner whose store calls all go through another node, while others reach the store. */
+    @Test
+    void nodeThatTheStoreServesIsElected() {
+        List<Candidate> firstIsTurnedAway = List.of(withoutStore(A, SMALL), candidate(B, SMALL), candidate(C, SMALL));
+        assertThat(update(election, 1_000, firstIsTurnedAway), is(Change.ELECTED));
+        RunnerElection turnedAway = new RunnerElection(A, 0);
+        assertThat(update(turnedAway, 1_000, firstIsTurnedAway), is(Change.NONE));
+    }
+
+    /** Guards against batches without a runner, or on a node that is too slow, while the store serves few nodes. */
+    @Test
+    void capacityCountsMoreThanTheStore() {
+        assertThat(update(election, 1_000, List.of(withoutStore(B, SMALL))), is(Change.ELECTED));
+        RunnerElection large = new RunnerElection(C, 0);
+        List<Candidate> smallReaches = List.of(candidate(A, SMALL), withoutStore(C, LARGE));
+        assertThat(update(large, 1_000, smallReaches), is(Change.ELECTED));
+        for (long now = 1_100; now <= 30_000; now += 100) {
+            assertThat(update(large, now, smallReaches), is(Change.NONE));
+        }
+    }
+
+    /** Guards against batches that are handed to a node which the store turns away. */
+    @Test
+    void handsOverToALargerNodeOnceTheStoreServesIt() {
+        List<Candidate> away = List.of(candidate(B, SMALL), withoutStore(C, LARGE));
+        update(election, 1_000, equal(B));
+        for (long now = 1_100; now <= 9_000; now += 100) {
+            assertThat(update(election, now, away), is(Change.NONE));
+        }
+        List<Candidate> served = List.of(candidate(B, SMALL), candidate(C, LARGE));
+        assertThat(update(election, 9_100, served), is(Change.HANDED_OVER));
+        RunnerElection neither = new RunnerElection(B, 0);
+        List<Candidate> none = List.of(withoutStore(B, SMALL), withoutStore(C, LARGE));
+        update(neither, 1_000, equal(B));
+        update(neither, 1_100, none);
+        assertThat(update(neither, 3_100, none), is(Change.HANDED_OVER));
+    }
+
+    /** Guards against a runner that keeps the batches for as long as the store turns it away. */
+    @Test
+    void handsOverWhenTheStoreNoLongerServesIt() {
+        update(election, 1_000, equal(B, C));
+        List<Candidate> lost = List.of(withoutStore(B, SMALL), candidate(C, SMALL));
+        for (long now = 1_100; now <= 20_000; now += 100) {
+            update(election, now, equal(B, C));
+        }
+        for (long now = 20_100; now < 24_100; now += 100) {
+            assertThat(update(election, now, lost), is(Change.NONE));
+        }
+        assertThat(update(election, 24_100, lost), is(Change.HANDED_OVER_FOR_STORE));
+        assertThat(election.runner(), is(Optional.of(C)));
+        assertThat(election.term(), is(2L));
+    }
+
+    /** Guards against a series of replacements when the store serves no node, and nodes notice that at other times. */
+    @Test
+    void runnerStaysDuringAnOutageOfTheStore() {
+        update(election, 1_000, equal(B, C));
+        for (long now = 1_100; now <= 60_000; now += 100) {
+            // An outage of 9 s in each 20 s. The other node notices its begin 3 s later; this one its end 2 s later.
+            long phase = now % 20_000;
+            boolean own = phase >= 11_000;
+            boolean other = phase < 3_000 || phase >= 9_000;
+            List<Candidate> both = List.of(
+                    new Candidate(B, new Incarnation(1), SMALL, own),
+                    new Candidate(C, new Incarnation(1), SMALL, other));
+            assertThat(update(election, now, both), is(Change.NONE));
+        }
+    }
+
+    /** Guards against one replacement after the other while the store turns away one node, then another. */
+    @Test
+    void newRunnerKeepsTheBatchesForAWhile() {
+        List<Candidate> served = equal(B, C);
+        List<Candidate> lost = List.of(withoutStore(B, SMALL), candidate(C, SMALL));
+        update(election, 1_000, served);
+        for (long now = 1_100; now < 11_100; now += 100) {
+            assertThat(update(election, now, lost), is(Change.NONE));
+        }
+        assertThat(update(election, 11_100, lost), is(Change.HANDED_OVER_FOR_STORE));
+        assertThat(election.onAnnouncement(B, 3), is(true));
+        for (long now = 11_200; now < 21_200; now += 100) {
+            assertThat(update(election, now, lost), is(Change.NONE));
+        }
+        assertThat(update(election, 21_200, lost), is(Change.HANDED_OVER_FOR_STORE));
+    }
+
     /** Guards against a role that nobody has because the one message about a handover was lost. */
     @Test
     void announcesTheSuccessorUntilItAnnouncesItself() {
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -62,6 +62,15 @@
                 .capacityMillicores();
     }
 
+    private static boolean storeServes(MembershipCore core, String name) {
+        return core.members().stream()
+                .filter(m -> m.id().value().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .state()
+                .storeServes();
+    }
+
     private static MembershipCore fastCore() {
         return new MembershipCore(
                 new Member(new NodeId("self"), ALIVE, location("self"), 0),
@@ -210,6 +219,89 @@
         }
     }
 
+    /** Guards against a node that is taken to reach the store, or not to, because reports arrive in another order. */
+    @Test
+    void latestReportAboutTheStoreCounts() throws MalformedMessageException {
+        MembershipCore core = core();
+        MemberUpdate lost = report("third", 360).withStoreChanges(2);
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(report("third", 360))), 0);
+        assertThat("not reported", storeServes(core, "third"), is(true));
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(lost)), 0);
+        assertThat(storeServes(core, "third"), is(false));
+        for (int changes : new int[] {0, 1}) {
+            MemberUpdate older = report("third", 360).withStoreChanges(changes);
+            core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(older)), 0);
+            assertThat(storeServes(core, "third"), is(false));
+        }
+        byte[] again = ping(new MemberUpdate(new NodeId("third"), ALIVE.withStoreChanges(3), Optional.empty()));
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, again), 0);
+        assertThat(storeServes(core, "third"), is(true));
+        assertThat(MembershipCodec.readUpdates(MembershipCodec.packUpdates(List.of(lost))), equalTo(List.of(lost)));
+    }
+
+    /** Guards against a node whose loss of the store the others learn late or never. */
+    @Test
+    void ownLossOfTheStoreIsGossiped() throws MalformedMessageException {
+        MembershipCore core = core();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        boolean expected = true;
+        for (boolean serves : new boolean[] {true, false, false, true, false}) {
+            core.handle(new MembershipInput.StoreServing(serves), 0);
+            expected = serves;
+            assertThat(storeServes(core, "self"), is(expected));
+            List<MembershipEffect> effects =
+                    core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+            MembershipEffect.Send ack = (MembershipEffect.Send) effects.getFirst();
+            assertThat(MembershipCodec.readPing(ack.body()).sender().state().storeServes(), is(expected));
+        }
+        int refutation = core.members().getLast().state().refutation();
+        core.handle(new MembershipInput.Leave(), 0);
+        assertThat(storeServes(core, "self"), is(false));
+        assertThat(core.members().getLast().state().refutation(), is(refutation));
+    }
+
+    /** Guards against a cluster that splits while some of its nodes report nothing about the store. */
+    @Test
+    void nodesThatReportNothingAboutTheStoreUnderstandAndAreUnderstood() throws MalformedMessageException {
+        MemberUpdate third = report("third", 360);
+        byte[] without = pingFrom(report("other", 1_500), third);
+        byte[] current = pingFrom(report("other", 1_500).withStoreChanges(1), third.withStoreChanges(4));
+        // A node without these reports reads the same body and ignores what follows.
+        assertThat(Arrays.copyOf(current, without.length), equalTo(without));
+        assertThat(current.length, is(without.length + 3));
+        assertThat(MembershipCodec.readPing(without).updates(), equalTo(List.of(third)));
+        byte[] table = MembershipCodec.packUpdates(List.of(third.withStoreChanges(4)));
+        assertThat(MembershipCodec.readUpdates(Arrays.copyOf(table, table.length - 2)), equalTo(List.of(third)));
+    }
+
+    /** Guards against a suspect that is never dead because it reports about the store meanwhile. */
+    @Test
+    void reportAboutTheStoreDoesNotProlongASuspicion() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        for (long now = 0; now <= 1_900; now += 100) {
+            core.handle(new MembershipInput.Tick(), now);
+            MemberState state = ALIVE.with(Liveness.SUSPECT).withStoreChanges((int) (now / 100));
+            byte[] body = pingFrom(report("third", 0), new MemberUpdate(OTHER, state, Optional.empty()));
+            core.handle(new MembershipInput.Received(new NodeId("third"), FrameType.PING, 1, body), now);
+        }
+        assertThat(liveness(core), is(Liveness.DEAD));
+    }
+
+    /** Guards against reports about the store that are assigned to the wrong members, or are impossible. */
+    @Test
+    void reportsMalformedReportsAboutTheStore() {
+        byte[] missing = pingFrom(report("other", 0).withStoreChanges(1), report("third", 0));
+        missing[missing.length - 3] = (byte) 0x91;
+        byte[] negative = pingFrom(report("other", 0).withStoreChanges(1), report("third", 0));
+        negative[negative.length - 1] = (byte) 0xff;
+        for (byte[] body : List.of(missing, negative)) {
+            List<MembershipEffect> effects =
+                    core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, body), 0);
+            assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
+        }
+    }
+
     /** Guards against a busy node that suspects members whose answers wait in its own queue. */
     @Test
     void answersThatWaitWhileThisNodeIsBusyCount() {
