Keep an end that the store has not confirmed, and stop its batch

Cause: the node that was asked to end a batch told the runner only once the store had confirmed the end, and forgot the end when its caller's deadline passed first. The items of the batch were then sent until its give-up time. The same held for an end that came before the submission was stored.

BatchEnds runs it apart from the caller and goes on after the caller has been answered. An own runner that is not active no longer counts as having taken an offer. RunnerCalls holds the calls to the runner.

StoredBatches.end is replaced by Ending; StoreCheckTest ends its batch through it, its checks are unchanged.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -134,6 +134,19 @@
         context.loop().post(() -> handle(new BatchInput.End(batch)));
     }
 
+    /**
+     * Ends a batch whose end may not be stored yet; control thread only.
+     *
+     * @return whether this node runs the batch and is the runner, so that nothing more of it is started
+     */
+    boolean stop(BatchId batch, TeamId team) {
+        Optional<TeamId> owner = core.team(batch);
+        if (owner.equals(Optional.of(team))) {
+            end(batch);
+        }
+        return active && owner.isPresent();
+    }
+
     // Does not depend on the control thread, which may be late.
     private void checkPeriodically() {
         try {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -3,9 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -35,29 +35,24 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // A peer frame holds at most 1 MiB; the runner reads the items of a larger batch from the store.
     private static final int MAX_OFFER_BYTES = 900_000;
-    private static final long TELL_TIMEOUT_MS = 500;
-    // How long a node tries to tell the runner about a batch or its end.
-    private static final long TELL_RUNNER_MS = 4_000;
     // A read from the runner times out after the requested wait plus this margin.
     private static final long READ_SLACK_MS = 300;
     private static final long RETRY_DELAY_MS = 20;
-    private static final byte[] ACKNOWLEDGEMENT = {1};
 
     private final GatewayContext context;
-    private final PeerCalls peers;
-    private final BatchRole role;
+    private final RunnerCalls runner;
     private final BatchScheduler scheduler;
     private final StoredBatches stored;
+    private final BatchEnds ends;
 
     ClusterBatchService(
             GatewayContext context, PeerCalls peers, BatchRole role, BatchScheduler scheduler, StoredBatches stored) {
         this.context = context;
-        this.peers = peers;
-        this.role = role;
+        this.runner = new RunnerCalls(context, peers, role);
         this.scheduler = scheduler;
         this.stored = stored;
+        this.ends = new BatchEnds(context, peers, scheduler, stored, runner);
         peers.serve(PeerCalls.Method.OFFER_BATCH, (from, body, answer) -> onOffer(body, answer));
-        peers.serve(PeerCalls.Method.END_BATCH, (from, body, answer) -> onEnd(body, answer));
         peers.serve(PeerCalls.Method.READ_BATCH, (from, body, answer) -> onRead(body, answer));
     }
 
@@ -102,44 +97,7 @@
 
     @Override
     public ReadAnswer end(BatchId batch, TeamId team, long deadlineMs) throws InterruptedException {
-        while (true) {
-            try {
-                Optional<BatchHead> head = stored.head(batch);
-                if (head.isEmpty() || !head.get().team().equals(team)) {
-                    return new ReadAnswer.Missing();
-                }
-                if (!head.get().ended()) {
-                    stored.end(batch);
-                }
-                notifyEnd(batch);
-                return new ReadAnswer.Results(head.get().items(), List.of());
-            } catch (PlatformException | MalformedBatchException e) {
-                LOG.atWarning()
-                        .withCause(e)
-                        .with(LogFields.BATCH, batch.value())
-                        .log("end of batch could not be confirmed in the store");
-            }
-            if (context.clock().nowMs() >= deadlineMs) {
-                return new ReadAnswer.Unsure();
-            }
-            Thread.sleep(RETRY_DELAY_MS);
-        }
-    }
-
-    // If the runner does not acknowledge the end, it finds it at its next check of the store.
-    private void notifyEnd(BatchId batch) {
-        long confirmedAtMs = context.clock().nowMs();
-        // This node may be the runner, or become it.
-        scheduler.end(batch);
-        Thread.ofVirtual().name("batch-end").start(() -> {
-            boolean acknowledged = tellRunner(PeerCalls.Method.END_BATCH, BatchMessages.pack(batch), () -> {});
-            long tookMs = context.clock().nowMs() - confirmedAtMs;
-            context.metrics().histogram("batch.end_ack_ms").update(tookMs);
-            LOG.atInfo()
-                    .with(LogFields.BATCH, batch.value())
-                    .with(LogFields.AGE_MS, tookMs)
-                    .log("end of batch told to the runner, acknowledged %b", acknowledged);
-        });
+        return ends.end(batch, team, deadlineMs);
     }
 
     // If all offers are lost, the runner finds the batch at its next check of the store.
@@ -148,65 +106,25 @@
         byte[] body = withItems.length <= MAX_OFFER_BYTES
                 ? withItems
                 : BatchMessages.pack(new Offer(head, newlyAccepted, Optional.empty()));
-        Runnable own = () -> scheduler.handle(new BatchInput.Open(head, items, newlyAccepted));
-        if (!tellRunner(PeerCalls.Method.OFFER_BATCH, body, own)) {
+        Callable<Boolean> own = () -> {
+            scheduler.handle(new BatchInput.Open(head, items, newlyAccepted));
+            return scheduler.isActive();
+        };
+        if (!runner.tell(PeerCalls.Method.OFFER_BATCH, body, own)) {
             LOG.atWarning().with(LogFields.BATCH, head.id().value()).log("no runner acknowledged the batch offer");
         }
     }
 
-    /**
-     * Calls the node that is the runner at the time until a runner acknowledges, or until the time for it is over.
-     *
-     * @param own run on the control thread if this node is the runner
-     */
-    private boolean tellRunner(PeerCalls.Method method, byte[] body, Runnable own) {
-        long endMs = context.clock().nowMs() + TELL_RUNNER_MS;
-        try {
-            while (context.clock().nowMs() < endMs) {
-                Optional<NodeId> runner = role.runner();
-                if (runner.isEmpty()) {
-                    Thread.sleep(RETRY_DELAY_MS);
-                } else if (isSelf(runner.get())) {
-                    context.loop().submit(Executors.callable(own)).get();
-                    return true;
-                } else if (call(runner.get(), method, body, TELL_TIMEOUT_MS).isPresent()) {
-                    return true;
-                }
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException e) {
-            LOG.atSevere().withCause(e).log("own runner failed to handle %s", method);
-        }
-        return false;
-    }
-
-    private Optional<byte[]> call(NodeId to, PeerCalls.Method method, byte[] body, long timeoutMs)
-            throws InterruptedException {
-        try {
-            return Optional.of(peers.call(to, method, body, timeoutMs).get());
-        } catch (ExecutionException e) {
-            LOG.atInfo()
-                    .withCause(e.getCause())
-                    .with(LogFields.PEER, to.value())
-                    .log("peer call %s failed", method);
-            return Optional.empty();
-        }
-    }
-
     private ReadAnswer askRunner(ReadRequest request) throws InterruptedException {
-        Optional<NodeId> runner = role.runner();
-        if (runner.isEmpty()) {
+        Optional<NodeId> node = runner.runner();
+        if (node.isEmpty()) {
             return new ReadAnswer.Unsure();
         }
-        if (isSelf(runner.get())) {
+        if (runner.isSelf(node.get())) {
             return askOwnRunner(request);
         }
-        Optional<byte[]> answer = call(
-                runner.get(),
-                PeerCalls.Method.READ_BATCH,
-                BatchMessages.pack(request),
-                request.waitMs() + READ_SLACK_MS);
+        Optional<byte[]> answer = runner.call(
+                node.get(), PeerCalls.Method.READ_BATCH, BatchMessages.pack(request), request.waitMs() + READ_SLACK_MS);
         try {
             return answer.isEmpty() ? new ReadAnswer.Unsure() : BatchMessages.answer(answer.get());
         } catch (MalformedBatchException e) {
@@ -290,24 +208,12 @@
             } else {
                 scheduler.refresh();
             }
-            answer.accept(ACKNOWLEDGEMENT);
+            answer.accept(RunnerCalls.acknowledgement(true));
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).log("malformed batch offer from a peer");
         }
     }
 
-    private void onEnd(byte[] body, Consumer<byte[]> answer) {
-        try {
-            scheduler.end(BatchMessages.batch(body));
-            // Only the runner acknowledges, so that an end that reaches an earlier runner is sent again.
-            if (scheduler.isActive()) {
-                answer.accept(ACKNOWLEDGEMENT);
-            }
-        } catch (MalformedBatchException e) {
-            LOG.atWarning().withCause(e).log("malformed request from a peer to end a batch");
-        }
-    }
-
     private void onRead(byte[] body, Consumer<byte[]> answer) {
         try {
             serve(BatchMessages.read(body), result -> answer.accept(BatchMessages.pack(result)));
@@ -315,8 +221,4 @@
             LOG.atWarning().withCause(e).log("malformed batch read from a peer");
         }
     }
-
-    private boolean isSelf(NodeId node) {
-        return node.equals(context.settings().nodeId());
-    }
 }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -29,7 +29,8 @@
         END_BATCH(2),
         READ_BATCH(3),
         ANNOUNCE_RUNNER(4),
-        STORE_CALL(5);
+        STORE_CALL(5),
+        STOP_BATCH(6);
 
         private final int number;
 
--- a/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
@@ -17,7 +17,7 @@
  * the batch is accepted once its head is stored. If the outcome of the write of the head is unknown, the head is read
  * until the outcome is known. Until then the caller must not be told that the batch was not accepted.
  */
-public final class Acceptance {
+public final class Acceptance implements StoreTask {
     private static final long RETRY_MS = 50;
     // A stored object, including its metadata, is limited to 1 MiB.
     private static final long MAX_PART_BYTES = 700_000;
@@ -59,7 +59,7 @@
         return headMayExist && accepted.isEmpty() && mechanisms.contains(BatchMechanism.UNDECIDED);
     }
 
-    /** Returns the next store request; empty during a retry delay or once the batch is accepted. */
+    @Override
     public Optional<StoreRequest> next(long nowMs) {
         if (accepted.isPresent() || nowMs < notBeforeMs) {
             return Optional.empty();
@@ -74,7 +74,7 @@
                         : new StoreRequest.Write(BatchKeys.head(head.id()), ObjectStore.ABSENT, BatchCodec.head(head)));
     }
 
-    /** Handles the reply to the last request. */
+    @Override
     public void reply(long nowMs, StoreReply reply) throws MalformedBatchException {
         if (writtenParts < parts.size()) {
             handlePartReply(nowMs, reply);
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -16,6 +16,7 @@
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
 
 /**
@@ -119,6 +120,11 @@
         return batches.containsKey(batch);
     }
 
+    /** Returns the team of a batch that this node runs. */
+    public Optional<TeamId> team(BatchId batch) {
+        return Optional.ofNullable(batches.get(batch)).map(b -> b.head().team());
+    }
+
     /** Returns the batches that are open at this node. */
     public List<BatchHead> open() {
         return batches.values().stream()
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -37,6 +37,9 @@
     /** A request for results or, if an item is given, for its body. */
     public record ReadRequest(BatchId batch, TeamId team, int after, long waitMs, Optional<ItemId> item) {}
 
+    /** A request of a batch's team to end it. */
+    public record EndRequest(BatchId batch, TeamId team) {}
+
     /** A node's announcement that it is the runner. */
     public record Announcement(NodeId runner, long term) {}
 
@@ -82,6 +85,17 @@
         return unpacked(body, reader -> BatchId.parse(reader.text()));
     }
 
+    /** Packs a request to end a batch. */
+    public static byte[] pack(EndRequest request) {
+        return packed(packer -> packer.packString(request.batch().value())
+                .packString(request.team().value()));
+    }
+
+    /** Unpacks a request to end a batch. */
+    public static EndRequest endRequest(byte[] body) throws MalformedBatchException {
+        return unpacked(body, reader -> new EndRequest(BatchId.parse(reader.text()), TeamId.parse(reader.text())));
+    }
+
     /** Packs an announcement. */
     public static byte[] pack(Announcement announcement) {
         return packed(packer -> packer.packString(announcement.runner().value()).packLong(announcement.term()));
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -80,40 +80,16 @@
     }
 
     /**
-     * Performs the next store request of an acceptance.
+     * Performs the next store request of a task.
      *
-     * @return false if there is none now, because of a retry delay or because the batch is accepted
+     * @return false if there is none now, because of a retry delay or because nothing is left to do
      */
-    public boolean advance(Acceptance acceptance) throws MalformedBatchException {
-        Optional<StoreRequest> request = acceptance.next(clock.nowMs());
+    public boolean advance(StoreTask task) throws MalformedBatchException {
+        Optional<StoreRequest> request = task.next(clock.nowMs());
         if (request.isEmpty()) {
             return false;
         }
-        acceptance.reply(clock.nowMs(), StoreRunner.perform(store, request.get()));
+        task.reply(clock.nowMs(), StoreRunner.perform(store, request.get()));
         return true;
     }
-
-    /**
-     * Ends a batch; idempotent.
-     *
-     * @return the head after the end, or empty if no such batch was accepted
-     */
-    public Optional<BatchHead> end(BatchId batch) throws PlatformException, MalformedBatchException {
-        while (true) {
-            Optional<StoredObject> object = store.read(BatchKeys.head(batch));
-            if (object.isEmpty()) {
-                return Optional.empty();
-            }
-            BatchHead head = BatchCodec.head(object.get().value());
-            if (head.ended()) {
-                return Optional.of(head);
-            }
-            try {
-                store.write(BatchKeys.head(batch), object.get().version(), BatchCodec.head(head.end()));
-                return Optional.of(head.end());
-            } catch (PlatformException.VersionConflict e) {
-                LOG.atFine().log("head of batch %s was changed by another node; reading it again", batch);
-            }
-        }
-    }
 }
--- a/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.batch.BatchMessages.EndRequest;
 import org.magnoliabridge.batch.BatchMessages.Offer;
 import org.magnoliabridge.batch.BatchMessages.ReadRequest;
 import org.magnoliabridge.ids.BatchId;
@@ -35,6 +36,7 @@
         assertThrowsOrReads(() -> BatchMessages.offer(bytes));
         assertThrowsOrReads(() -> BatchMessages.read(bytes));
         assertThrowsOrReads(() -> BatchMessages.announcement(bytes));
+        assertThrowsOrReads(() -> BatchMessages.endRequest(bytes));
         assertThrowsOrReads(() -> BatchCodec.head(bytes));
         assertThrowsOrReads(() -> BatchCodec.items(bytes));
     }
@@ -68,6 +70,13 @@
         assertThrows(MalformedBatchException.class, () -> BatchMessages.read(cut));
     }
 
+    /** Guards against an end that stops the batch of another team. */
+    @Test
+    void endRequestRoundTrips() throws MalformedBatchException {
+        EndRequest request = new EndRequest(new BatchId("b"), Batches.TEAM);
+        assertThat(BatchMessages.endRequest(BatchMessages.pack(request)), is(request));
+    }
+
     // A text that is not valid Unicode cannot come from an engine, whose bytes are decoded first.
     private static String valid(String text) {
         return new String(
--- a/library/src/test/java/org/magnoliabridge/batch/Batches.java
+++ b/library/src/test/java/org/magnoliabridge/batch/Batches.java
@@ -71,6 +71,14 @@
                 expectedTokens);
     }
 
+    /** Ends a batch in a store that serves every request. */
+    static void end(StoredBatches stored, BatchId batch) throws MalformedBatchException {
+        Ending ending = new Ending(batch, TEAM, 0);
+        while (stored.advance(ending)) {
+            // Each call performs one request.
+        }
+    }
+
     static EngineState engine(String id, int slots, long version) {
         return new EngineState(endpoint(id), slots, Map.of(MODEL, new WeightVersion(version)), false);
     }
--- a/library/src/test/java/org/magnoliabridge/batch/StoreCheckTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoreCheckTest.java
@@ -121,7 +121,7 @@
     }
 
     private void endInStore() throws Exception {
-        new StoredBatches(memory, () -> nowMs).end(BATCH);
+        Batches.end(new StoredBatches(memory, () -> nowMs), BATCH);
     }
 
     private ObjectStore store() {
