Count a failed check of the store only if other nodes fail too

Cause: a check of the store that failed counted as current. That is right while the store serves nobody, since it then confirms no end. A runner whose own calls time out, on a busy node say, sent items of an ended batch for as long as they did.

Change: StoreRelay tells whether the nodes that it asked replied that they cannot reach the store either, or whether there are no other nodes; only then does a failed check count. A node that does not reply tells nothing.

The decision in StoreRelay has no test of its own.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
@@ -15,6 +15,7 @@
 import org.magnoliabridge.external.StoreRouteSelector;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
+import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Relays store calls of this node through other nodes, and makes store calls for other nodes. */
@@ -51,7 +52,9 @@
     @Override
     public StoreMessages.Result call(StoreMessages.Call call, long waitMs) throws PlatformException {
         byte[] body = StoreMessages.pack(call);
-        for (NodeId node : relayCandidates()) {
+        List<NodeId> candidates = relayCandidates();
+        boolean allReplied = true;
+        for (NodeId node : candidates) {
             try {
                 byte[] answer = peers.call(node, PeerCalls.Method.STORE_CALL, body, waitMs + PEER_CALL_TIMEOUT_MS)
                         .get();
@@ -62,6 +65,7 @@
                     return result;
                 }
             } catch (ExecutionException e) {
+                allReplied = false;
                 LOG.atInfo()
                         .withCause(e.getCause())
                         .with(LogFields.PEER, node.value())
@@ -74,7 +78,10 @@
                 throw new PlatformException.OutcomeUnknown("interrupted while another node makes the call", e);
             }
         }
-        throw new PlatformException.Unavailable("no other node reaches the store", null);
+        if (allReplied && (!candidates.isEmpty() || isAlone())) {
+            throw PlatformException.Unavailable.atOtherNodes("no other node reaches the store");
+        }
+        throw new PlatformException.Unavailable("no other node replies to the call", null);
     }
 
     private static boolean mayChangeStore(StoreMessages.Call call) {
@@ -83,6 +90,12 @@
                         || request.request() instanceof StoreRequest.Delete);
     }
 
+    // Without other nodes, callers reach the store through this node only.
+    private boolean isAlone() {
+        return membership.members().stream()
+                .allMatch(m -> m.id().equals(self) || m.state().liveness() == Liveness.DEAD);
+    }
+
     private List<NodeId> relayCandidates() {
         List<NodeId> alive = new ArrayList<>(membership.members().stream()
                 .filter(Member::isAlive)
--- a/library/src/main/java/org/magnoliabridge/batch/StartGate.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StartGate.java
@@ -36,10 +36,10 @@
     }
 
     /**
-     * Records that all batches that had ended before a time are known. A check that fails counts for the time at which
-     * it failed, so that batches go on while this node cannot read the store; until then it may miss an end.
+     * Records that all ends that the store had confirmed before a time are known. A check that fails counts only if
+     * other nodes cannot read the store either: the store then confirms no end, and the batches go on.
      *
-     * @param asOfMs the start of a check that succeeded, or the end of a check that failed
+     * @param asOfMs the start of a check that succeeded, or the end of a check that other nodes could not make either
      */
     public synchronized void checked(long asOfMs) {
         checkedAtMs = Math.max(checkedAtMs, asOfMs);
--- a/library/src/main/java/org/magnoliabridge/batch/StoreCheck.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoreCheck.java
@@ -56,8 +56,15 @@
             if (Thread.currentThread().isInterrupted()) {
                 return;
             }
-            gate.checked(clock.nowMs());
+            if (isConfirmed(e)) {
+                gate.checked(clock.nowMs());
+            }
             LOG.atWarning().withCause(e).log("cannot read open batches from the store; retrying at the next check");
         }
     }
+
+    // While other nodes reach the store, ends are confirmed there that this node has not read.
+    private static boolean isConfirmed(PlatformException failure) {
+        return failure instanceof PlatformException.Unavailable unavailable && unavailable.isAtOtherNodes();
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/external/PlatformException.java
+++ b/library/src/main/java/org/magnoliabridge/external/PlatformException.java
@@ -8,8 +8,25 @@
 
     /** The call took no effect: it was not sent, or the platform refused it before doing anything. */
     public static final class Unavailable extends PlatformException {
+        private final boolean atOtherNodes;
+
         public Unavailable(String message, Throwable cause) {
+            this(message, cause, false);
+        }
+
+        private Unavailable(String message, Throwable cause, boolean atOtherNodes) {
             super(message, cause);
+            this.atOtherNodes = atOtherNodes;
+        }
+
+        /** Returns the failure of a call that other nodes could not make either. */
+        public static Unavailable atOtherNodes(String message) {
+            return new Unavailable(message, null, true);
+        }
+
+        /** Returns whether other nodes were asked and could not make the call either. */
+        public boolean isAtOtherNodes() {
+            return atOtherNodes;
         }
     }
 
