--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -30,7 +30,8 @@
         READ_BATCH(3),
         ANNOUNCE_RUNNER(4),
         STORE_CALL(5),
-        READ_CHANGES(6);
+        READ_CHANGES(6),
+        STOP_BATCH(7);
 
         private final int number;
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
@@ -12,6 +13,7 @@
 import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.external.StoreRouteSelector;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Relays store calls of this node through other nodes, and makes store calls for other nodes. */
@@ -20,6 +22,7 @@
     // Time limit of a call to another node, in addition to the wait time of a watch.
     private static final long PEER_CALL_TIMEOUT_MS = 450;
 
+    private final NodeId self;
     private final MembershipDriver membership;
     private final PeerCalls peers;
     private final RelayPeers choice;
@@ -31,6 +34,7 @@
      * @param path tells whether the store serves this node; if not, calls of other nodes are answered as unavailable
      */
     StoreRelay(NodeId self, MembershipDriver membership, PeerCalls peers, ObjectStore direct, StoreRouteSelector path) {
+        this.self = self;
         this.membership = membership;
         this.peers = peers;
         this.choice = new RelayPeers(self, () -> ThreadLocalRandom.current().nextLong());
@@ -46,7 +50,9 @@
     @Override
     public StoreMessages.Result call(StoreMessages.Call call, long waitMs) throws PlatformException {
         byte[] body = StoreMessages.pack(call);
-        for (NodeId node : choice.choose(membership.members())) {
+        List<NodeId> candidates = choice.choose(membership.members());
+        boolean allReplied = true;
+        for (NodeId node : candidates) {
             try {
                 byte[] answer = peers.call(node, PeerCalls.Method.STORE_CALL, body, waitMs + PEER_CALL_TIMEOUT_MS)
                         .get();
@@ -67,6 +73,7 @@
                 }
             } catch (ExecutionException e) {
                 choice.failed(node);
+                allReplied = false;
                 LOG.atInfo()
                         .withCause(e.getCause())
                         .with(LogFields.PEER, node.value())
@@ -80,7 +87,10 @@
             }
         }
         choice.noneCarried(membership.members());
-        throw new PlatformException.Unavailable("no other node reaches the store", null);
+        if (allReplied && (!candidates.isEmpty() || isAlone())) {
+            throw PlatformException.Unavailable.atOtherNodes("no other node reaches the store");
+        }
+        throw new PlatformException.Unavailable("no other node replies to the call", null);
     }
 
     private static boolean mayChangeStore(StoreMessages.Call call) {
@@ -89,6 +99,12 @@
                         || request.request() instanceof StoreRequest.Delete);
     }
 
+    // Without other nodes, callers reach the store through this node only.
+    private boolean isAlone() {
+        return membership.members().stream()
+                .allMatch(m -> m.id().equals(self) || m.state().liveness() == Liveness.DEAD);
+    }
+
     private static void serve(ObjectStore direct, NodeId from, byte[] body, Consumer<byte[]> answer) {
         Thread.ofVirtual().name("store-relay").start(() -> {
             try {
