Send a call again whose reused connection was closed by the server

Cause: an endpoint may close an idle connection without notice, and the next call on it is reset. That failure was typed like any lost answer: it was charged to the endpoint as a faulty answer, took an attempt and a retry of the budget, and made a batch item wait before its next run.

Change: HttpFailure.ReusedConnectionLost says that a reused connection failed before any byte of an answer. A call that may be executed twice (idempotent requests, resumable streams, items, reads from the platform and from engines) is then sent once more to the same server over a new connection, within the same time limits: it is written within its time to connect, counted from the start of the call, so that the check made just before an item is sent holds for both. The header with the time left is set for each send. What fails then is a lost answer as before, also if no new connection is accepted, as the first request may have run. Changes to the store, orders, and requests that must not run twice are not sent again. The call is in one place, the HTTP caller; callers say only whether it may be repeated.

Run after: the tests of the packages http, calls and external, ArchitectureTest, WireNamesTest, EndpointClientTest, EngineStreamClientTest, EngineStreamReaderTest, MetadataStoreTest and PlatformNodeTest: passed.

--- a/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
@@ -32,13 +32,13 @@
         Map<String, String> headers = new LinkedHashMap<>(PlainHeaders.filterRequest(request.headers()));
         headers.put("traceparent", trace.traceparent());
         headers.put("x-request-id", request.id().value());
-        headers.put("x-deadline-ms", Long.toString(limits.totalMs()));
         HttpCall call = HttpCall.of(request.method(), slot.address(), request.path())
                 .withHeaders(headers)
                 .withBody(request.body())
                 .withLimits(limits)
+                .withDeadlineHeader("x-deadline-ms")
                 .withMaxAnswerBytes(MAX_ANSWER_BYTES);
-        HttpAnswer answer = http.call(request.idempotent() ? call : call.onFreshConnection());
+        HttpAnswer answer = http.call(request.idempotent() ? call.repeatable() : call.onFreshConnection());
         Optional<String> fault = incompleteness(request.method(), answer);
         if (fault.isPresent()) {
             throw new HttpFailure.Lost(fault.get(), null);
--- a/library/src/main/java/org/magnoliabridge/external/PlatformHttp.java
+++ b/library/src/main/java/org/magnoliabridge/external/PlatformHttp.java
@@ -56,7 +56,7 @@
 
     /** Makes a call that changes nothing, so a lost answer is reported as {@link PlatformException.Unavailable}. */
     public HttpAnswer read(HttpCall call) throws PlatformException {
-        return run(call, false);
+        return run(call.repeatable(), false);
     }
 
     /** Makes a call that may change something. */
--- a/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
+++ b/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
@@ -53,7 +53,7 @@
 
     /** Returns an idle connection, or a new one if none is idle or the call requires a new connection. */
     LimitedConnection connection(HttpCall call, UndertowHttpCaller.Deadline deadline) throws HttpFailure.NotSent {
-        LimitedConnection pooled = call.freshConnection() ? null : takeIdle(call.target());
+        LimitedConnection pooled = call.reuse() == HttpCall.Reuse.NONE ? null : takeIdle(call.target());
         return pooled != null
                 ? pooled
                 : connect(call, deadline.atMost(call.limits().connectMs()));
@@ -97,7 +97,7 @@
         if (closed || queue.size() >= MAX_IDLE_PER_TARGET) {
             return false;
         }
-        queue.push(new Idle(connection, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(keptMs)));
+        queue.push(new Idle(connection.forReuse(), System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(keptMs)));
         return true;
     }
 
@@ -129,7 +129,7 @@
             throw new HttpFailure.NotSent("no connection to " + target + " within " + limitMs + " ms", null);
         }
         try {
-            return new LimitedConnection(future.get(), connector.limit());
+            return new LimitedConnection(future.get(), connector.limit(), false);
         } catch (IOException | RuntimeException e) {
             throw new HttpFailure.NotSent("cannot connect to " + target, e);
         }
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -60,10 +60,16 @@
             case Head head -> head;
             case Piece piece -> throw new IllegalStateException("content before the status");
             case End end -> throw new IllegalStateException("end before the status");
-            case Failed failed -> throw new HttpFailure.Lost("the connection failed before the answer", failed.cause);
+            case Failed failed -> throw failedBeforeHead(failed);
         };
     }
 
+    private HttpFailure.Lost failedBeforeHead(Failed failed) {
+        return connection.reused() && !failed.answerBegun
+                ? new HttpFailure.ReusedConnectionLost(failed.cause)
+                : new HttpFailure.Lost("the connection failed before the answer", failed.cause);
+    }
+
     /** Waits for the next piece of content; returns null when the answer is complete. */
     byte[] awaitContent(long limitMs) throws HttpFailure.Lost {
         return switch (next(limitMs, "the answer made no progress within ")) {
@@ -110,6 +116,9 @@
                 .setProtocol(Protocols.HTTP_1_1);
         HeaderMap headers = request.getRequestHeaders();
         call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
+        call.deadlineHeader()
+                .ifPresent(
+                        name -> headers.put(new HttpString(name), call.limits().totalMs()));
         if (!headers.contains(Headers.HOST)) {
             headers.put(Headers.HOST, hostHeader(call.target()));
         }
@@ -141,11 +150,11 @@
             } else {
                 sink.getWriteSetter()
                         .set(ChannelListeners.flushingChannelListener(
-                                channel -> sent = true, (channel, e) -> events.add(new Failed(e))));
+                                channel -> sent = true, (channel, e) -> failed(e)));
                 sink.resumeWrites();
             }
         } catch (IOException e) {
-            events.add(new Failed(e));
+            failed(e);
         }
     }
 
@@ -154,7 +163,7 @@
         ClientResponse response = exchange.getResponse();
         events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
         if (!call.unframedAnswer() && !isFramed(response)) {
-            events.add(new Failed(new IOException("the answer has neither a length nor chunks")));
+            failed(new IOException("the answer has neither a length nor chunks"));
             return;
         }
         source = exchange.getResponseChannel();
@@ -199,10 +208,14 @@
                 channel.resumeReads();
             }
         } catch (IOException e) {
-            events.add(new Failed(e));
+            failed(e);
         }
     }
 
+    private void failed(IOException cause) {
+        events.add(new Failed(cause, connection.limit().answerBegun()));
+    }
+
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
         return new ClientCallback<>() {
             @Override
@@ -212,7 +225,7 @@
 
             @Override
             public void failed(IOException e) {
-                events.add(new Failed(e));
+                Exchange.this.failed(e);
             }
         };
     }
@@ -241,5 +254,6 @@
 
     private record End() implements Event {}
 
-    private record Failed(IOException cause) implements Event {}
+    /** A failure; {@code answerBegun} says whether any byte of the answer had been received. */
+    private record Failed(IOException cause, boolean answerBegun) implements Event {}
 }
--- a/library/src/main/java/org/magnoliabridge/http/FramingLimit.java
+++ b/library/src/main/java/org/magnoliabridge/http/FramingLimit.java
@@ -18,6 +18,7 @@
 
     private long bytes;
     private boolean inHead;
+    private boolean answerBegun;
     private int lineBytes;
 
     private FramingLimit(StreamSourceConduit next) {
@@ -35,6 +36,7 @@
     void expectHead() {
         bytes = 0;
         inHead = true;
+        answerBegun = false;
         lineBytes = 0;
     }
 
@@ -44,6 +46,11 @@
         inHead = false;
     }
 
+    /** Returns whether any byte was received since the request was sent. */
+    boolean answerBegun() {
+        return answerBegun;
+    }
+
     @Override
     public int read(ByteBuffer target) throws IOException {
         int start = target.position();
@@ -83,6 +90,7 @@
 
     private long counted(long count) throws IOException {
         bytes += Math.max(0, count);
+        answerBegun |= count > 0;
         if (bytes > MAX_BYTES) {
             throw new IOException("expected a head or content within " + MAX_BYTES + " bytes");
         }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * An HTTP request with its limits.
@@ -15,8 +16,8 @@
  * @param body the content, empty for none; not copied, callers must not change it
  * @param limits time limits
  * @param maxAnswerBytes size limit of a complete answer; of one line if the answer is streamed as lines
- * @param freshConnection whether to open a new connection; for calls that must not be repeated, because the server may
- *     be closing an idle pooled connection
+ * @param reuse whether the call may use a pooled connection, and may be sent again if that connection is lost
+ * @param deadlineHeader name of a header with the time limit of the whole call, less the time used if it is sent again
  * @param unframedAnswer whether to accept an answer without Content-Length and Transfer-Encoding, which ends when
  *     its connection closes
  */
@@ -29,12 +30,26 @@
         byte[] body,
         HttpLimits limits,
         int maxAnswerBytes,
-        boolean freshConnection,
+        Reuse reuse,
+        Optional<String> deadlineHeader,
         boolean unframedAnswer) {
     private static final long DEFAULT_TOTAL_MS = 5_000;
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
     private static final byte[] NO_BODY = {};
 
+    /** How a call uses pooled connections, which the server may have closed without notice. */
+    public enum Reuse {
+        /** Opens a new connection; for calls that must not be executed twice and should not fail needlessly. */
+        NONE,
+        /** May use a pooled connection; fails if that connection is lost. */
+        ONCE,
+        /**
+         * May use a pooled connection, and is sent once more over a new connection if the pooled one is lost before
+         * any byte of the answer; for calls that may be executed twice.
+         */
+        REPEAT
+    }
+
     public HttpCall {
         Objects.requireNonNull(method);
         Objects.requireNonNull(target);
@@ -56,7 +71,8 @@
                 NO_BODY,
                 HttpLimits.total(DEFAULT_TOTAL_MS),
                 DEFAULT_MAX_ANSWER_BYTES,
-                false,
+                Reuse.ONCE,
+                Optional.empty(),
                 false);
     }
 
@@ -74,38 +90,56 @@
     public HttpCall withHeader(String name, String value) {
         Map<String, String> all = new LinkedHashMap<>(headers);
         all.put(name, value);
-        return new HttpCall(method, target, path, all, body, limits, maxAnswerBytes, freshConnection, unframedAnswer);
+        return new HttpCall(
+                method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy with another body. */
     public HttpCall withBody(byte[] content) {
         return new HttpCall(
-                method, target, path, headers, content, limits, maxAnswerBytes, freshConnection, unframedAnswer);
+                method, target, path, headers, content, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy with other limits. */
     public HttpCall withLimits(HttpLimits other) {
         return new HttpCall(
-                method, target, path, headers, body, other, maxAnswerBytes, freshConnection, unframedAnswer);
+                method, target, path, headers, body, other, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy that opens a new connection. */
     public HttpCall onFreshConnection() {
-        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, true, unframedAnswer);
+        return withReuse(Reuse.NONE);
+    }
+
+    /** Returns a copy that may be executed twice, see {@link Reuse#REPEAT}. */
+    public HttpCall repeatable() {
+        return withReuse(Reuse.REPEAT);
+    }
+
+    private HttpCall withReuse(Reuse other) {
+        return new HttpCall(
+                method, target, path, headers, body, limits, maxAnswerBytes, other, deadlineHeader, unframedAnswer);
+    }
+
+    /** Returns a copy that tells the server its time limit in milliseconds in this header. */
+    public HttpCall withDeadlineHeader(String name) {
+        return new HttpCall(
+                method, target, path, headers, body, limits, maxAnswerBytes, reuse, Optional.of(name), unframedAnswer);
     }
 
     /** Returns a copy that accepts an answer delimited by the end of its connection. */
     public HttpCall withUnframedAnswer() {
-        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, freshConnection, true);
+        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, reuse, deadlineHeader, true);
     }
 
     /** Returns a copy with another size limit of the answer, in bytes. */
     public HttpCall withMaxAnswerBytes(int max) {
-        return new HttpCall(method, target, path, headers, body, limits, max, freshConnection, unframedAnswer);
+        return new HttpCall(method, target, path, headers, body, limits, max, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy with these headers in place of all others. */
     public HttpCall withHeaders(Map<String, String> all) {
-        return new HttpCall(method, target, path, all, body, limits, maxAnswerBytes, freshConnection, unframedAnswer);
+        return new HttpCall(
+                method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
@@ -13,6 +13,8 @@
      * Makes a call and returns the complete answer, whatever its status.
      *
      * @throws HttpFailure.NotSent if no byte of the request was written to a connection
+     * @throws HttpFailure.ReusedConnectionLost if a reused connection failed before the answer and the call was not
+     *     sent again, because it may not be repeated or its time to connect had passed
      * @throws HttpFailure.Lost if the request was at least partly written and no complete answer was received
      */
     HttpAnswer call(HttpCall call) throws HttpFailure;
--- a/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
@@ -14,12 +14,22 @@
     }
 
     /** The request was at least partly written and no complete answer was received; the call may have been executed. */
-    public static final class Lost extends HttpFailure {
+    public static sealed class Lost extends HttpFailure {
         public Lost(String message, Throwable cause) {
             super(message, cause);
         }
     }
 
+    /**
+     * A connection that had served an earlier call failed before any byte of the answer. Servers may close idle
+     * connections without notice, so this shows no fault of the server; the call may have been executed all the same.
+     */
+    public static final class ReusedConnectionLost extends Lost {
+        public ReusedConnectionLost(Throwable cause) {
+            super("the reused connection failed before the answer", cause);
+        }
+    }
+
     /** The answer exceeds the size limit of the call; the call was executed. */
     public static final class TooLarge extends HttpFailure {
         public TooLarge(int maxBytes) {
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -1,10 +1,12 @@
 package org.magnoliabridge.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +14,7 @@
 
 /** Makes HTTP calls with Undertow's client and keeps idle connections for reuse. */
 public final class UndertowHttpCaller implements HttpCaller {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final byte[] NO_BODY = {};
 
     private final ConnectionPool pool;
@@ -57,11 +60,58 @@
         pool.close();
     }
 
-    /** Makes a call; collects the answer if its status means that it is not passed to the receiver. */
+    /** Makes a call, which is sent a second time if it may be repeated and its reused connection fails first. */
     private HttpAnswer run(
             HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
             throws HttpFailure {
         Deadline deadline = new Deadline(call.limits().totalMs());
+        Deadline connectDeadline = new Deadline(call.limits().connectMs());
+        try {
+            return send(call, content, collected, takesEveryStatus);
+        } catch (HttpFailure.ReusedConnectionLost e) {
+            Optional<HttpCall> again = again(call, deadline, connectDeadline);
+            if (again.isEmpty()) {
+                throw e;
+            }
+            LOG.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "a reused connection to %s failed before the answer (%s); sending %s %s again, %d ms left",
+                    call.target(),
+                    e.getCause().getMessage(),
+                    call.method(),
+                    call.path(),
+                    again.get().limits().totalMs());
+            return sendAgain(again.get(), content, collected, takesEveryStatus);
+        }
+    }
+
+    // The call is written within its time limit for connecting, also the second time; the caller may rely on that.
+    private static Optional<HttpCall> again(HttpCall call, Deadline deadline, Deadline connectDeadline) {
+        HttpLimits limits = call.limits();
+        long totalMs = deadline.atMost(limits.totalMs());
+        long connectMs = connectDeadline.atMost(totalMs);
+        boolean stopped = Thread.currentThread().isInterrupted();
+        return call.reuse() != HttpCall.Reuse.REPEAT || connectMs < 1 || stopped
+                ? Optional.empty()
+                : Optional.of(call.onFreshConnection()
+                        .withLimits(new HttpLimits(connectMs, limits.firstByteMs(), limits.progressMs(), totalMs)));
+    }
+
+    // The server may have executed the first request, so this call is never reported as not sent.
+    private HttpAnswer sendAgain(
+            HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
+            throws HttpFailure {
+        try {
+            return send(call, content, collected, takesEveryStatus);
+        } catch (HttpFailure.NotSent e) {
+            throw new HttpFailure.Lost("the reused connection failed before the answer, then " + e.getMessage(), e);
+        }
+    }
+
+    /** Sends a call once; collects the answer if its status means that it is not passed to the receiver. */
+    private HttpAnswer send(
+            HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
+            throws HttpFailure {
+        Deadline deadline = new Deadline(call.limits().totalMs());
         LimitedConnection connection = pool.connection(call, deadline);
         Exchange exchange = new Exchange(connection, call);
         boolean reusable = false;
--- a/library/src/test/java/org/magnoliabridge/calls/FakeBackEnd.java
+++ b/library/src/test/java/org/magnoliabridge/calls/FakeBackEnd.java
@@ -33,6 +33,9 @@
         boolean answer(Request request, OutputStream out) throws IOException, InterruptedException;
     }
 
+    /** Thrown by a script to reset the connection instead of closing it. */
+    public static final class ConnectionReset extends IOException {}
+
     /** A received request; {@code head} is in lower case. */
     public record Request(String path, String head, String body) {}
 
@@ -110,13 +113,22 @@
                     return;
                 }
                 requests.add(request);
-                open = script.answer(request, socket.getOutputStream());
+                open = answer(request, socket);
             }
         } catch (IOException | InterruptedException e) {
             // The client closed the connection, which several tests cause on purpose.
         }
     }
 
+    private boolean answer(Request request, Socket socket) throws IOException, InterruptedException {
+        try {
+            return script.answer(request, socket.getOutputStream());
+        } catch (ConnectionReset e) {
+            socket.setSoLinger(true, 0);
+            return false;
+        }
+    }
+
     private Request read(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.calls;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
@@ -66,6 +67,31 @@
         assertThat(call(true).status(), is(201));
     }
 
+    /** Guards against an endpoint that is charged with a faulty answer because it closed an idle connection. */
+    @Test
+    void sendsAnIdempotentCallAgainIfItsReusedConnectionIsClosed() throws CallException {
+        assertThat(call(true).status(), is(200));
+        script = (request, out) -> {
+            boolean dropped = one.requests("/").size() == 2;
+            return !dropped && FakeBackEnd.respond(out, 200, JSON, "{}");
+        };
+        assertThat(call(true).status(), is(200));
+        assertThat(fixture.endpoints.observations, contains("one ANSWERED", "one ANSWERED"));
+        assertThat(one.requests("/"), hasSize(3));
+        assertThat(fixture.metrics.counter("calls.retries").getCount(), is(0L));
+    }
+
+    /** Guards against an endpoint that is not charged although a new connection fails too. */
+    @Test
+    void chargesTheEndpointIfTheNewConnectionIsClosedToo() throws CallException {
+        assertThat(call(true).status(), is(200));
+        script = (request, out) -> false;
+        assertThat(call(true).status(), is(201));
+        assertThat(fixture.endpoints.observations, contains("one ANSWERED", "one FAULTY_ANSWER", "two ANSWERED"));
+        assertThat(one.requests("/"), hasSize(3));
+        assertThat(fixture.metrics.counter("calls.retries").getCount(), is(1L));
+    }
+
     /** Guards against a caller that waits until its deadline for a head that never ends. */
     @Test
     void movesAnIdempotentCallAwayFromAHeadWithoutEnd() throws CallException {
--- a/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
@@ -36,7 +36,7 @@
     static void warmUp() throws Exception {
         try (EndlessServer server = new EndlessServer("", "H");
                 UndertowHttpCaller caller = new UndertowHttpCaller(1)) {
-            fail(caller, Method.CALL, server);
+            fail(caller, CallMethod.CALL, server);
             caller.call(HttpCall.get(server.address(), "/ok"));
         }
     }
@@ -55,7 +55,7 @@
                         new Endless("empty lines", "", "\r\n"),
                         new Endless("continue", "", "HTTP/1.1 100 Continue\r\n\r\n"),
                         new Endless("early hints", "", "HTTP/1.1 103 Early Hints\r\n\r\n"))
-                .flatMap(e -> Stream.of(Method.values()).map(m -> test(e, m, true)));
+                .flatMap(e -> Stream.of(CallMethod.values()).map(m -> test(e, m, true)));
     }
 
     /** Guards against bytes between the parts of a chunked body, or after it, that never end. */
@@ -67,7 +67,7 @@
                         new Endless("trailer line", CHUNKED + "0\r\nX-A: ", "a"),
                         new Endless("many trailers", CHUNKED + "0\r\n", "X-A: b\r\n"),
                         new Endless("neither length nor chunks", OK + "\r\n", "a"))
-                .flatMap(e -> Stream.of(Method.values()).map(m -> test(e, m, true)));
+                .flatMap(e -> Stream.of(CallMethod.values()).map(m -> test(e, m, true)));
     }
 
     /** Guards against a body without end that is kept, or that keeps the I/O thread from other calls. */
@@ -80,16 +80,16 @@
         Endless comments = new Endless("comments", CHUNKED, "8\r\n: a\n: b\n\r\n");
         Endless emptyLines = new Endless("empty lines", CHUNKED, "4\r\n\n\n\n\n\r\n");
         return Stream.of(
-                test(chunks, Method.CALL, true),
-                test(chunks, Method.STREAM, true),
-                test(chunks, Method.RELAY, false),
-                test(small, Method.CALL, true),
-                test(small, Method.RELAY, false),
-                test(length, Method.CALL, true),
-                test(length, Method.STREAM, true),
-                test(length, Method.RELAY, false),
-                test(comments, Method.STREAM, false),
-                test(emptyLines, Method.STREAM, false));
+                test(chunks, CallMethod.CALL, true),
+                test(chunks, CallMethod.STREAM, true),
+                test(chunks, CallMethod.RELAY, false),
+                test(small, CallMethod.CALL, true),
+                test(small, CallMethod.RELAY, false),
+                test(length, CallMethod.CALL, true),
+                test(length, CallMethod.STREAM, true),
+                test(length, CallMethod.RELAY, false),
+                test(comments, CallMethod.STREAM, false),
+                test(emptyLines, CallMethod.STREAM, false));
     }
 
     /** Guards against an error answer without end that is collected because it is not streamed. */
@@ -97,15 +97,15 @@
     Stream<DynamicTest> endsAnErrorAnswerWithoutEnd() {
         String head = "HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n";
         Endless error = new Endless("error", head, "2000\r\n" + "a".repeat(0x2000) + "\r\n");
-        return Stream.of(Method.values()).map(m -> test(error, m, true));
+        return Stream.of(CallMethod.values()).map(m -> test(error, m, true));
     }
 
-    private static DynamicTest test(Endless endless, Method method, boolean readerStops) {
+    private static DynamicTest test(Endless endless, CallMethod method, boolean readerStops) {
         String name = endless.name() + ", " + method;
         return DynamicTest.dynamicTest(name, () -> check(endless, method, readerStops));
     }
 
-    private static void check(Endless endless, Method method, boolean readerStops) throws Exception {
+    private static void check(Endless endless, CallMethod method, boolean readerStops) throws Exception {
         try (EndlessServer server = new EndlessServer(endless.start(), endless.unit());
                 EndlessServer other = new EndlessServer("", "a");
                 UndertowHttpCaller caller = new UndertowHttpCaller(1)) {
@@ -127,7 +127,7 @@
         }
     }
 
-    private static HttpFailure fail(UndertowHttpCaller caller, Method method, EndlessServer server) {
+    private static HttpFailure fail(UndertowHttpCaller caller, CallMethod method, EndlessServer server) {
         HttpCall call = HttpCall.get(server.address(), "/").withLimits(LIMITS).withMaxAnswerBytes(MAX_ANSWER_BYTES);
         return assertThrows(HttpFailure.class, () -> method.run(caller, call));
     }
@@ -152,37 +152,4 @@
     }
 
     private record Endless(String name, String start, String unit) {}
-
-    private enum Method {
-        CALL {
-            @Override
-            void run(UndertowHttpCaller caller, HttpCall call) throws HttpFailure {
-                caller.call(call);
-            }
-        },
-        STREAM {
-            @Override
-            void run(UndertowHttpCaller caller, HttpCall call) throws HttpFailure {
-                caller.stream(call, line -> true);
-            }
-        },
-        RELAY {
-            @Override
-            void run(UndertowHttpCaller caller, HttpCall call) throws HttpFailure {
-                caller.relay(call, new HttpCaller.PieceReceiver() {
-                    @Override
-                    public boolean head(HttpAnswer head) {
-                        return true;
-                    }
-
-                    @Override
-                    public boolean piece(byte[] piece) {
-                        return true;
-                    }
-                });
-            }
-        };
-
-        abstract void run(UndertowHttpCaller caller, HttpCall call) throws HttpFailure;
-    }
 }
