Elect one runner among nodes that start together

Cause: a node that had started elected itself after 0.8 s if it ranked first among the members that it knew by then. After a common loss of power nodes start within a second or two, and each knows only part of the others: several are elected, and each replacement interrupts the runs.

Change: a node elects itself only once it reaches most of the listed nodes (the majority that the membership reports) and has met no further node for 0.8 s, or 2 s after its start, because the others may be gone. A node that is the only one listed waits 0.8 s as before; one whose others are gone waited 0.8 s and waits 2 s now.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -14,6 +14,7 @@
 import org.magnoliabridge.batch.RunnerElection.Candidate;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.telemetry.LogFields;
@@ -52,6 +53,15 @@
         this.scheduler = scheduler;
         this.clock = clock;
         membership.addMemberListener(members -> membersChanged = true);
+        membership.addListener(new MembershipDriver.Listener() {
+            @Override
+            public void delivered(Item item) {}
+
+            @Override
+            public void majority(boolean reached) {
+                election.onMajority(reached);
+            }
+        });
         peers.serve(PeerCalls.Method.ANNOUNCE_RUNNER, (from, body, answer) -> onAnnouncement(from, body));
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -22,8 +23,12 @@
  * runners at the same time waste work but break no guarantee; the higher term wins, then the lower node id.
  */
 public final class RunnerElection {
-    // A node that has just started knows no other members, and would announce itself although there is a runner.
+    // A node that has just started knows few other members, and would announce itself although there is a runner, or
+    // although another of the nodes that start with it ranks higher. So it waits until it knows most of the listed
+    // nodes and has met no further one for a while.
     private static final long SETTLE_MS = 800;
+    // The other nodes may be gone.
+    private static final long MAX_SETTLE_MS = 2_000;
     // After a common restart nodes appear at different times; a node that is seen only now and then must not take over.
     private static final long HANDOVER_AFTER_MS = 2_000;
     // Nodes notice an outage of the store, and its end, up to 3 s apart; if it serves no node there is nothing to gain.
@@ -42,6 +47,9 @@
     private final NodeId self;
     private final long startedMs;
     private final Map<NodeId, Sighting> sightings = new HashMap<>();
+    private final Set<NodeId> seen = new HashSet<>();
+    private boolean majority = true;
+    private long grownAtMs;
     private long term;
     private Optional<NodeId> runner = Optional.empty();
     private Optional<Incarnation> runnerIncarnation = Optional.empty();
@@ -96,9 +104,15 @@
     public RunnerElection(NodeId self, long nowMs) {
         this.self = Objects.requireNonNull(self);
         this.startedMs = nowMs;
+        this.grownAtMs = nowMs;
         this.updatedAtMs = nowMs;
     }
 
+    /** Records whether this node reaches most of the listed nodes; assumed until the first call. */
+    public void onMajority(boolean reached) {
+        majority = reached;
+    }
+
     /** Returns the node that runs the batches, if known. */
     public Optional<NodeId> runner() {
         return runner;
@@ -161,7 +175,7 @@
         }
         boolean alive = runner.isPresent() && isAlive(runner.get(), elapsedMs, candidates, suspects);
         boolean mine = first.filter(c -> c.node().equals(self)).isPresent();
-        if (alive || !mine || nowMs - startedMs < SETTLE_MS) {
+        if (alive || !mine || !knowsMembers(nowMs)) {
             return Change.NONE;
         }
         setRunner(self, term + 1);
@@ -176,11 +190,11 @@
     }
 
     private boolean isAlive(NodeId node, long elapsedMs, List<Candidate> candidates, Set<NodeId> suspects) {
-        Optional<Incarnation> seen = find(node, candidates).map(Candidate::incarnation);
-        if (seen.isPresent()) {
+        Optional<Incarnation> found = find(node, candidates).map(Candidate::incarnation);
+        if (found.isPresent()) {
             runnerSuspect = false;
-            runnerIncarnation = runnerIncarnation.or(() -> seen);
-            return seen.equals(runnerIncarnation);
+            runnerIncarnation = runnerIncarnation.or(() -> found);
+            return found.equals(runnerIncarnation);
         }
         if (!suspects.contains(node)) {
             return false;
@@ -190,6 +204,10 @@
         return suspectMs < SUSPECT_MS;
     }
 
+    private boolean knowsMembers(long nowMs) {
+        return nowMs - startedMs >= MAX_SETTLE_MS || (majority && nowMs - grownAtMs >= SETTLE_MS);
+    }
+
     private Change handOver(long nowMs, Optional<Candidate> first, List<Candidate> candidates) {
         if (heldTerm != term) {
             heldTerm = term;
@@ -234,13 +252,19 @@
     private void recordSightings(long nowMs, List<Candidate> candidates, Set<NodeId> suspects) {
         Set<NodeId> present = candidates.stream().map(Candidate::node).collect(Collectors.toSet());
         present.addAll(suspects);
+        if (nowMs - startedMs < MAX_SETTLE_MS) {
+            boolean first = seen.isEmpty();
+            if (seen.addAll(present) && !first) {
+                grownAtMs = nowMs;
+            }
+        }
         sightings.keySet().retainAll(present);
         for (Candidate c : candidates) {
-            Sighting seen = sightings.get(c.node());
-            if (seen == null) {
+            Sighting last = sightings.get(c.node());
+            if (last == null) {
                 sightings.put(c.node(), Sighting.first(c, nowMs));
-            } else if (!seen.isOf(c)) {
-                sightings.put(c.node(), seen.next(c, nowMs));
+            } else if (!last.isOf(c)) {
+                sightings.put(c.node(), last.next(c, nowMs));
             }
         }
     }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
@@ -56,6 +56,34 @@
         assertThat(election.isRunner(), is(true));
     }
 
+    /** Guards against several runners when all nodes start at the same time, and each meets the others one by one. */
+    @Test
+    void waitsWhileItMeetsFurtherNodes() {
+        List<Candidate> met = new ArrayList<>(equal(B));
+        for (long now = 100; now < 2_000; now += 100) {
+            if (now % 500 == 0) {
+                met.add(candidate(new NodeId("n" + now), SMALL));
+            }
+            assertThat(update(election, now, met), is(Change.NONE));
+        }
+        assertThat(update(election, 2_000, met), is(Change.ELECTED));
+    }
+
+    /** Guards against the same while a node has met few of the others, and against a wait for nodes that are gone. */
+    @Test
+    void waitsForMostOfTheListedNodes() {
+        election.onMajority(false);
+        for (long now = 100; now < 2_000; now += 100) {
+            assertThat(update(election, now, equal(B, C)), is(Change.NONE));
+        }
+        assertThat(update(election, 2_000, equal(B, C)), is(Change.ELECTED));
+        RunnerElection meets = new RunnerElection(B, 0);
+        meets.onMajority(false);
+        assertThat(update(meets, 1_000, equal(B, C)), is(Change.NONE));
+        meets.onMajority(true);
+        assertThat(update(meets, 1_100, equal(B, C)), is(Change.ELECTED));
+    }
+
     /** Guards against interrupting runs because a node of higher rank but no more capacity has joined. */
     @Test
     void runnerStaysWhileItIsAlive() {
--- a/library/src/test/java/org/magnoliabridge/membership/Cluster.java
+++ b/library/src/test/java/org/magnoliabridge/membership/Cluster.java
@@ -1,5 +1,7 @@
 package org.magnoliabridge.membership;
 
+import static org.magnoliabridge.membership.NodeLocation.UNKNOWN_CAPACITY;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +10,7 @@
 import java.util.Random;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
@@ -33,19 +36,37 @@
     BiPredicate<Integer, Integer> cut = (a, b) -> false;
     long nowMs = 1_000_000;
     private final int size;
+    private final MembershipSettings settings;
+    private final IntUnaryOperator capacityMillicores;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<String, Integer> byAddress = new HashMap<>();
     private long eventNumber;
 
     Cluster(int size, long seed) {
+        this(size, seed, MembershipSettings.DEFAULT, i -> UNKNOWN_CAPACITY);
+        for (int i = 0; i < size; i++) {
+            start(i, 1);
+        }
+    }
+
+    /** Creates a cluster whose nodes are not started yet. */
+    Cluster(int size, long seed, MembershipSettings settings, IntUnaryOperator capacityMillicores) {
         this.size = size;
+        this.settings = settings;
+        this.capacityMillicores = capacityMillicores;
         random = new Random(seed);
         for (int i = 0; i < size; i++) {
             byAddress.put(address(i), i);
-            start(i, 1);
         }
     }
 
+    /** Tells a node the addresses of all nodes, as the registry does. */
+    void list(int index) {
+        Map<NodeId, String> all = new HashMap<>();
+        byAddress.forEach((address, i) -> all.put(id(i), address));
+        nodes.get(index).input(new MembershipInput.Instances(all));
+    }
+
     static NodeId id(int index) {
         return new NodeId("node-" + index);
     }
@@ -136,12 +157,14 @@
                     address(index),
                     address(index),
                     new DataCentre("dc-" + index % 7),
-                    new Region("region-" + region(index)));
+                    new Region("region-" + region(index)),
+                    capacityMillicores.applyAsInt(index));
             MemberState state = new MemberState(new Incarnation(incarnation), 0, Liveness.ALIVE, false);
             core = new MembershipCore(
                     new Member(id(index), state, location, 0),
                     List.of(address(0), address(1), address(size - 1)),
-                    new Random(random.nextLong()));
+                    new Random(random.nextLong()),
+                    settings);
         }
 
         long held(String name) {
@@ -190,8 +213,8 @@
             long bytes = send.body().length + FRAME_OVERHEAD_BYTES + PACKET_BYTES * (1 + send.body().length / 1_400);
             sentBytes += bytes;
             sentFrames++;
-            int to = byAddress.get(send.address());
-            boolean lost = random.nextDouble() < loss || cut.test(index, to);
+            Integer to = byAddress.get(send.address());
+            boolean lost = to == null || random.nextDouble() < loss || cut.test(index, to);
             if (!lost) {
                 long delayMs = region(index) == region(to) ? 1 : 15;
                 at(nowMs + delayMs, () -> receive(to, send.type(), send.requestId(), send.body(), bytes));
