--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchEnds.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchEnds.java
@@ -138,11 +138,16 @@
             EndRequest request, CompletableFuture<ReadAnswer> answer, CompletableFuture<Void> over) {
         try {
             Thread.sleep(TELL_UNSTORED_AFTER_MS);
-            while (!over.isDone() && !(answer.isDone() && answer.resultNow() instanceof ReadAnswer.Missing)) {
-                boolean accepted = runner.tell(
-                        PeerCalls.Method.STOP_BATCH,
-                        BatchMessages.pack(request),
-                        () -> scheduler.stop(request.batch(), request.team()));
+            if (!over.isDone()) {
+                // This node may become the runner.
+                context.loop().post(() -> scheduler.stop(request));
+            }
+            boolean absentAndTold = false;
+            while (!over.isDone() && !absentAndTold) {
+                byte[] body = BatchMessages.pack(request);
+                runner.tellOthers(PeerCalls.Method.STOP_BATCH, body);
+                boolean accepted = runner.tell(PeerCalls.Method.STOP_BATCH, body, () -> stopHere(request));
+                absentAndTold = accepted && answer.isDone() && answer.resultNow() instanceof ReadAnswer.Missing;
                 LOG.atInfo()
                         .with(LogFields.BATCH, request.batch().value())
                         .log("end of batch is not stored yet; told to the runner, acknowledged %b", accepted);
@@ -153,6 +158,11 @@
         }
     }
 
+    private boolean stopHere(EndRequest request) {
+        scheduler.stop(request);
+        return scheduler.isActive();
+    }
+
     // If the runner does not acknowledge the end, it finds it at its next check of the store.
     private void notifyEnd(BatchId batch, long startMs) {
         long confirmedAtMs = context.clock().nowMs();
@@ -189,9 +199,9 @@
     private void onStop(NodeId from, byte[] body, Consumer<byte[]> answer) {
         try {
             EndRequest request = BatchMessages.endRequest(body);
-            boolean stopped = scheduler.stop(request.batch(), request.team());
-            answer.accept(RunnerCalls.acknowledgement(stopped));
-            if (stopped && !remembered.contains(request)) {
+            boolean known = scheduler.stop(request);
+            answer.accept(RunnerCalls.acknowledgement(scheduler.isActive()));
+            if (known && !remembered.contains(request)) {
                 start(request, context.clock().nowMs(), new CompletableFuture<>());
             }
         } catch (MalformedBatchException e) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -120,12 +120,16 @@
     }
 
     private void announce() {
-        byte[] body = announcement();
+        tellOthers(PeerCalls.Method.ANNOUNCE_RUNNER, announcement());
+    }
+
+    /** Sends a call to all other live nodes without waiting for answers; control thread only. */
+    void tellOthers(PeerCalls.Method method, byte[] body) {
         membership.members().stream()
                 .filter(Member::isAlive)
                 .map(Member::id)
                 .filter(id -> !id.equals(self))
-                .forEach(id -> peers.sendOneWay(id, PeerCalls.Method.ANNOUNCE_RUNNER, body));
+                .forEach(id -> peers.sendOneWay(id, method, body));
     }
 
     private void onAnnouncement(NodeId from, byte[] body) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -14,6 +14,7 @@
 import org.magnoliabridge.batch.BatchHead;
 import org.magnoliabridge.batch.BatchInput;
 import org.magnoliabridge.batch.BatchItem;
+import org.magnoliabridge.batch.BatchMessages.EndRequest;
 import org.magnoliabridge.batch.Engines;
 import org.magnoliabridge.batch.ItemRun;
 import org.magnoliabridge.batch.ItemRunId;
@@ -135,16 +136,17 @@
     }
 
     /**
-     * Ends a batch whose end may not be stored yet; control thread only.
+     * Ends a batch whose end is not stored yet, now or when it is opened; control thread only.
      *
-     * @return whether this node runs the batch and is the runner, so that nothing more of it is started
+     * @return whether this node runs the batch
      */
-    boolean stop(BatchId batch, TeamId team) {
-        Optional<TeamId> owner = core.team(batch);
-        if (owner.equals(Optional.of(team))) {
-            end(batch);
+    boolean stop(EndRequest request) {
+        handle(new BatchInput.EndRequested(request));
+        boolean known = core.team(request.batch()).equals(Optional.of(request.team()));
+        if (known) {
+            gate.end(request.batch());
         }
-        return active && owner.isPresent();
+        return known;
     }
 
     // Does not depend on the control thread, which may be late.
--- a/daemon/src/main/java/org/magnoliabridge/daemon/RunnerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RunnerCalls.java
@@ -63,6 +63,11 @@
         return false;
     }
 
+    /** Tells all other live nodes, any of which may become the runner; messages may be lost. */
+    void tellOthers(PeerCalls.Method method, byte[] body) {
+        context.loop().post(() -> role.tellOthers(method, body));
+    }
+
     private boolean tell(NodeId runner, PeerCalls.Method method, byte[] body, Callable<Boolean> own)
             throws InterruptedException, ExecutionException {
         if (isSelf(runner)) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.magnoliabridge.batch.BatchMessages.EndRequest;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
@@ -51,7 +52,8 @@
     private final Set<BatchMechanism> mechanisms;
     private final Set<TextMechanism> textMechanisms;
     private final Map<BatchId, RunningBatch> batches = new LinkedHashMap<>();
-    private final EndedBatches endedBatches = new EndedBatches();
+    private final EndedBatches<BatchId> endedBatches = new EndedBatches<>();
+    private final EndedBatches<EndRequest> requestedEnds = new EndedBatches<>();
     private final Map<Long, RunningBatch> pendingRequests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
     private final RunTracker runs = new RunTracker(placement, detector, effects);
@@ -91,6 +93,7 @@
         switch (input) {
             case BatchInput.Open open -> open(nowMs, open);
             case BatchInput.End end -> end(nowMs, end.batch());
+            case BatchInput.EndRequested requested -> endRequested(nowMs, requested.request());
             case BatchInput.SteppedDown steppedDown -> stepDown();
             case BatchInput.Routes update -> routes = update.targets();
             case BatchInput.Engines update -> placement.replaceEngines(update.engines());
@@ -169,7 +172,9 @@
     private void open(long nowMs, BatchInput.Open open) {
         BatchHead head = open.head();
         // An offer, or a read of the store, may be overtaken by the end of its batch.
-        if (batches.containsKey(head.id()) || endedBatches.contains(head.id())) {
+        if (batches.containsKey(head.id())
+                || endedBatches.contains(head.id())
+                || requestedEnds.contains(new EndRequest(head.id(), head.team()))) {
             return;
         }
         ResultLog log = new ResultLog(head.id(), runner, !open.newlyAccepted(), mechanisms);
@@ -202,6 +207,14 @@
                 id, batch.log().committed().size(), batch.head().items(), "ended"));
     }
 
+    // The head of an unknown batch has not been read, so its team is compared once it is opened.
+    private void endRequested(long nowMs, EndRequest request) {
+        requestedEnds.add(request);
+        if (team(request.batch()).equals(Optional.of(request.team()))) {
+            end(nowMs, request.batch());
+        }
+    }
+
     // The trainer's next batch accepts only weights newer than the oldest that this batch accepts. A run on such
     // weights continues for a while, in case its group is resubmitted.
     private static boolean mayBeResubmitted(Run run) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -26,6 +26,12 @@
     /** The trainer has ended a batch. */
     record End(BatchId batch) implements BatchInput {}
 
+    /**
+     * A team has asked to end a batch, and the store has not confirmed it. The batch is ended here if it belongs to the
+     * team, and not opened later.
+     */
+    record EndRequested(BatchMessages.EndRequest request) implements BatchInput {}
+
     /** This node must stop running batches; another node runs them, or none does. */
     record SteppedDown() implements BatchInput {}
 
--- a/library/src/main/java/org/magnoliabridge/batch/StartGate.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StartGate.java
@@ -17,7 +17,7 @@
     // An item may reach its engine up to 3 s after the confirmation of the end; connecting takes up to 0.4 s.
     static final long MAX_CHECK_AGE_MS = 2_500;
 
-    private final EndedBatches ended = new EndedBatches();
+    private final EndedBatches<BatchId> ended = new EndedBatches<>();
     private long checkedAtMs = Long.MIN_VALUE;
 
     /** Whether a run may be sent. */
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -9,8 +9,10 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.batch.BatchMessages.EndRequest;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
 
 class BatchCoreTest {
@@ -127,6 +129,37 @@
         assertThat(fixture.started(), hasSize(0));
     }
 
+    /** Guards against items that run because their batch is opened while its end is asked for but not stored. */
+    @Test
+    void openAfterARequestedEndStartsNothing() {
+        fixture.engines(Batches.engine("e1", 2, 1));
+        fixture.handle(new BatchInput.EndRequested(new EndRequest(new BatchId("b"), Batches.TEAM)));
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        fixture.advance(2_000);
+        assertThat(fixture.started(), hasSize(0));
+    }
+
+    /** Guards against a requested end that waits for the store although the runner knows whose batch it is. */
+    @Test
+    void requestedEndStopsTheRuns() {
+        fixture.engines(Batches.engine("e1", 2, 1));
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        fixture.handle(new BatchInput.EndRequested(new EndRequest(new BatchId("b"), Batches.TEAM)));
+        assertThat(fixture.stopped(), hasSize(2));
+    }
+
+    /** Guards against a team that ends the batch of another team, before or after it is opened. */
+    @Test
+    void endRequestedByAnotherTeamChangesNothing() {
+        EndRequest other = new EndRequest(new BatchId("b"), new TeamId("elm"));
+        fixture.engines(Batches.engine("e1", 2, 1));
+        fixture.handle(new BatchInput.EndRequested(other));
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        fixture.handle(new BatchInput.EndRequested(other));
+        assertThat(fixture.started(), hasSize(2));
+        assertThat(fixture.stopped(), hasSize(0));
+    }
+
     /** Guards against a runner that is elected again and opens a batch that ended while it was dismissed. */
     @Test
     void openAfterDismissalAndEndStartsNothing() {
