Write the head of a request before its body

Cause: Undertow's client writes the head together with the first part of the body. If the socket's buffer does not take all of it, HttpRequestConduit.write returns 0 although it has taken a part of the body, so the client misses that part in its count of the fixed length. At the end of the body it then holds the body for truncated and closes the connection's output. The server sees the end of the connection right after the body, while it works on the request, and the connection went back to the pool half closed, so that a later call on it failed.

Evidence: with 16 MB over loopback, the first write returned 0 and took 4,347,943 bytes; Undertow's log then said "Fixed length stream closed with 4347943 bytes remaining", and the next call on the pooled connection failed with AsynchronousCloseException.

Change: the head is flushed before the first byte of the body. This takes one more write for each request with a body.

The test is a server that answers before it has read a long body, keeps the connection and reads on later: the rest is sent whole, or the connection is closed.

--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -132,6 +132,26 @@
         exchange.setResponseListener(callback(this::answerStarted));
         StreamSinkChannel sink = exchange.getRequestChannel();
         ByteBuffer body = ByteBuffer.wrap(call.body());
+        if (body.hasRemaining()) {
+            sink.getWriteSetter().set(channel -> writeHead(channel, body));
+            writeHead(sink, body);
+        } else {
+            write(sink, body);
+        }
+    }
+
+    // Written with the head, a body that does not fit the socket's buffer is miscounted by Undertow's client
+    // (HttpRequestConduit.write returns 0 for the part that was written), which then closes the connection's output.
+    private void writeHead(StreamSinkChannel sink, ByteBuffer body) {
+        try {
+            if (!sink.flush()) {
+                sink.resumeWrites();
+                return;
+            }
+        } catch (IOException e) {
+            failed(e);
+            return;
+        }
         sink.getWriteSetter().set(channel -> write(channel, body));
         write(sink, body);
     }
