--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -13,8 +13,12 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliabridge.http.EarlyAnswerServer;
 import org.magnoliabridge.http.RefusingPort;
 import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.ServiceId;
@@ -92,6 +96,21 @@
         assertThat(fixture.metrics.counter("calls.retries").getCount(), is(1L));
     }
 
+    /** Guards against another request's bytes where an endpoint that answered early expects the rest of a body. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void sendsNothingElseWhereTheRestOfABodyIsDue(boolean idempotent) throws Exception {
+        try (EarlyAnswerServer early = new EarlyAnswerServer(true)) {
+            fixture.endpoints.endpoints.clear();
+            fixture.endpoints.add("early", early.address());
+            assertThat(call(idempotent, "/", EarlyAnswerServer.body()).status(), is(200));
+            assertThat(call(true, "/ok", new byte[0]).status(), is(200));
+            early.readRest();
+            EarlyAnswerServer.Received received = early.received().get(5, TimeUnit.SECONDS);
+            assertThat("only bytes of the body", received.unchanged(), is(true));
+        }
+    }
+
     /** Guards against a caller that waits until its deadline for a head that never ends. */
     @Test
     void movesAnIdempotentCallAwayFromAHeadWithoutEnd() throws CallException {
@@ -158,13 +177,17 @@
     }
 
     private PlainAnswer call(boolean idempotent) throws CallException {
+        return call(idempotent, "/bookings?bench=1", "{}".getBytes(StandardCharsets.UTF_8));
+    }
+
+    private PlainAnswer call(boolean idempotent, String path, byte[] body) throws CallException {
         PlainRequest request = new PlainRequest(
                 new ServiceId("benchdesk"),
                 new TeamId("anvil"),
                 "POST",
-                "/bookings?bench=1",
+                path,
                 Map.of("content-type", JSON, "authorization", "Bearer secret", "x-other", "secret"),
-                "{}".getBytes(StandardCharsets.UTF_8),
+                body,
                 idempotent,
                 PlainRequest.DEFAULT_ATTEMPTS,
                 fixture.deadline(),
