List the eligible endpoints of a service once until a state changes

Cause: the endpoint table filtered all endpoints each time that a service's endpoints were asked for. Each node asks for every service at each tick of 100 ms, and for each queued request.

Evidence: processor samples of one of 20 idle nodes with 45 endpoints (JFR, 72 s of steady state): GatewayNode.fleetChanged, which asks for them, is on 31 of 288 stacks: 17 in the duties, 14 in this filter and the list of engine states made from it.

Change: the table keeps the list of each service until an input other than a tick arrives, or a tick ends a back-off.

Before: EndpointTableTest.eligibleEndpointsAreListedOnceUntilAStateChanges: "Expected: is sameInstance(<[Endpoint[id=e1, ...]]>) but: was <[Endpoint[id=e1, ...]]>".

Run after: EndpointTableTest (9 tests); formatter and linter.

--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -32,6 +32,8 @@
 
     private final Map<EndpointId, Entry> entries = new TreeMap<>();
     private final Map<Identity, Long> departures = new HashMap<>();
+    // Asked for several times a second, while states change seldom.
+    private final Map<ServiceId, List<Endpoint>> eligible = new HashMap<>();
 
     private record Identity(EndpointId id, String address, Incarnation incarnation) {}
 
@@ -58,6 +60,9 @@
      * their departure was known already.
      */
     public List<Endpoint> apply(EndpointInput input, long nowMs) {
+        if (!(input instanceof EndpointInput.Tick)) {
+            eligible.clear();
+        }
         return switch (input) {
             case EndpointInput.Listed listed -> applyList(listed.endpoints(), nowMs);
             case EndpointInput.StopOrdered stop -> markLeaving(entries.get(stop.id()), nowMs);
@@ -95,6 +100,10 @@
 
     /** Returns the endpoints of a service that may receive new requests, ordered by id. */
     public List<Endpoint> eligibleEndpoints(ServiceId service) {
+        return eligible.computeIfAbsent(service, this::findEligible);
+    }
+
+    private List<Endpoint> findEligible(ServiceId service) {
         return entries.values().stream()
                 .filter(e -> e.endpoint.service().equals(service) && isEligible(e))
                 .map(e -> e.endpoint)
@@ -187,6 +196,7 @@
         for (Entry entry : entries.values()) {
             if (entry.state == EndpointState.FAILED && nowMs >= entry.retryAtMs) {
                 entry.state = EndpointState.PROBATION;
+                eligible.clear();
             }
         }
         departures.values().removeIf(recordedMs -> nowMs - recordedMs > RETENTION_MS);
--- a/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
 
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
@@ -98,6 +99,21 @@
         assertThat(eligible(), is(empty()));
     }
 
+    /** Guards against a search of all endpoints each time that a service's endpoints are needed. */
+    @Test
+    void eligibleEndpointsAreListedOnceUntilAStateChanges() {
+        List<Endpoint> before = eligible();
+        table.apply(new EndpointInput.Tick(), nowMs);
+        assertThat(eligible(), is(sameInstance(before)));
+        observe(Observation.UNREACHABLE);
+        assertThat(eligible(), is(empty()));
+        table.apply(new EndpointInput.Tick(), nowMs);
+        assertThat(eligible(), is(empty()));
+        nowMs += EndpointTable.FIRST_BACK_OFF_MS;
+        table.apply(new EndpointInput.Tick(), nowMs);
+        assertThat(eligible(), contains(endpoint));
+    }
+
     private void list(Endpoint item, boolean leaving) {
         table.apply(new EndpointInput.Listed(List.of(new EndpointInput.ListedEndpoint(item, leaving))), nowMs);
     }
