Test that other calls are served while an endless answer is read

The tests of endless answers made other calls beside them, but these could be answered before or after the endless answer was read. The new case reads an answer until the test ends: in each of 10 rounds a piece of it is received, then five other calls are answered within their own limits over the same I/O thread, and the endless answer is still being read at the end.

What it shows: it fails in all 3 cases if the I/O thread stays with an answer while that has no bytes ready ("NotSent no connection to localhost within 1000 ms"). It does not fail with MAX_READS_PER_EVENT and MAX_QUEUED_PIECES switched off, as reads over loopback return no bytes often enough; these two bounds have no test that fails without them.

--- a/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.Stream;
@@ -27,6 +28,9 @@
     private static final long CALL_MS = 10_000;
     // An I/O thread that stays with an endless answer never gets to the other calls.
     private static final long OTHER_CALLS_MS = 10_000;
+    // The answer is read until the test closes the caller.
+    private static final long UNTIL_STOPPED_MS = 600_000;
+    private static final int ROUNDS = 10;
     private static final int MAX_ANSWER_BYTES = 1 << 20;
     // Well above the kernel's buffers of one loopback connection (about 6 MB) and the caller's own limits.
     private static final long MAX_WRITTEN_BYTES = 12 << 20;
@@ -100,6 +104,52 @@
         return Stream.of(CallMethod.values()).map(m -> test(error, m, true));
     }
 
+    /** Guards against an answer without end that keeps the I/O thread from other calls while it is read. */
+    @TestFactory
+    Stream<DynamicTest> servesOtherCallsWhileAnEndlessAnswerIsRead() {
+        String chunk = "2000\r\n" + "a".repeat(0x2000) + "\r\n";
+        return Stream.of(
+                        new Endless("chunks", CHUNKED, chunk),
+                        new Endless("small chunks", CHUNKED, "1\r\na\r\n"),
+                        new Endless("length", OK + "Content-Length: 1099511627776\r\n\r\n", "a"))
+                .map(e -> DynamicTest.dynamicTest(e.name(), () -> checkServedMeanwhile(e)));
+    }
+
+    private static void checkServedMeanwhile(Endless endless) throws Exception {
+        try (EndlessServer server = new EndlessServer(endless.start(), endless.unit());
+                EndlessServer other = new EndlessServer("", "a");
+                UndertowHttpCaller caller = new UndertowHttpCaller(1)) {
+            Semaphore pieces = new Semaphore(0);
+            HttpCall call = HttpCall.get(server.address(), "/").withLimits(HttpLimits.total(UNTIL_STOPPED_MS));
+            CompletableFuture<HttpFailure> failure = new CompletableFuture<>();
+            Thread.ofPlatform()
+                    .daemon()
+                    .start(() -> failure.complete(
+                            assertThrows(HttpFailure.class, () -> caller.relay(call, counting(pieces)))));
+            for (int i = 0; i < ROUNDS; i++) {
+                pieces.drainPermits();
+                assertThat("answer is read", pieces.tryAcquire(CALL_MS, TimeUnit.MILLISECONDS), is(true));
+                assertThat(othersMeanwhile(caller, other), is(List.of("ok", "ok", "ok", "ok", "ok")));
+            }
+            assertThat("the endless answer has ended", failure.isDone(), is(false));
+        }
+    }
+
+    private static HttpCaller.PieceReceiver counting(Semaphore pieces) {
+        return new HttpCaller.PieceReceiver() {
+            @Override
+            public boolean head(HttpAnswer head) {
+                return true;
+            }
+
+            @Override
+            public boolean piece(byte[] piece) {
+                pieces.release();
+                return true;
+            }
+        };
+    }
+
     private static DynamicTest test(Endless endless, CallMethod method, boolean readerStops) {
         String name = endless.name() + ", " + method;
         return DynamicTest.dynamicTest(name, () -> check(endless, method, readerStops));
