Answer a relayed read that the store does not answer

Cause: a node asks others for 450 ms; their own reads time out after 500 ms.

Change: a relayed read that the store has not answered after 350 ms is answered as unavailable. A write is still answered by the store only.

StoreRelayTest is new; on the code before, serve was private and answered late. After: StoreRelayTest, RelayedStoreTest and RelayPeersTest pass.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
@@ -3,8 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.PlatformException;
@@ -21,6 +23,11 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // Time limit of a call to another node, in addition to the wait time of a watch.
     private static final long PEER_CALL_TIMEOUT_MS = 450;
+    // Sooner than the other node's time limit: a late answer tells that the store is late here too, and silence does
+    // not.
+    private static final long SERVE_LIMIT_MS = 350;
+    private static final StoreMessages.Result UNAVAILABLE =
+            new StoreMessages.Result.Replied(new StoreReply.Unavailable());
 
     private final NodeId self;
     private final MembershipDriver membership;
@@ -40,7 +47,7 @@
         this.choice = new RelayPeers(self, () -> ThreadLocalRandom.current().nextLong());
         peers.serve(PeerCalls.Method.STORE_CALL, (from, body, answer) -> {
             if (path.isStoreUnavailable()) {
-                answer.accept(StoreMessages.pack(new StoreMessages.Result.Replied(new StoreReply.Unavailable())));
+                answer.accept(StoreMessages.pack(UNAVAILABLE));
             } else {
                 serve(direct, from, body, answer);
             }
@@ -105,13 +112,21 @@
                 .allMatch(m -> m.id().equals(self) || m.state().liveness() == Liveness.DEAD);
     }
 
-    private static void serve(ObjectStore direct, NodeId from, byte[] body, Consumer<byte[]> answer) {
-        Thread.ofVirtual().name("store-relay").start(() -> {
-            try {
-                answer.accept(StoreMessages.pack(RelayedStore.perform(direct, StoreMessages.call(body))));
-            } catch (PlatformException.Malformed e) {
-                LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed store call");
-            }
-        });
+    /** Makes a call for another node. Answers that the store is unavailable if it does not answer a read in time. */
+    static void serve(ObjectStore direct, NodeId from, byte[] body, Consumer<byte[]> answer) {
+        StoreMessages.Call call;
+        try {
+            call = StoreMessages.call(body);
+        } catch (PlatformException.Malformed e) {
+            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed store call");
+            return;
+        }
+        CompletableFuture<StoreMessages.Result> made = new CompletableFuture<>();
+        Thread.ofVirtual().name("store-relay").start(() -> made.complete(RelayedStore.perform(direct, call)));
+        long waitMs = call instanceof StoreMessages.Call.Watch watch ? watch.waitMs() : 0;
+        CompletableFuture<StoreMessages.Result> result = mayChangeStore(call)
+                ? made
+                : made.completeOnTimeout(UNAVAILABLE, waitMs + SERVE_LIMIT_MS, TimeUnit.MILLISECONDS);
+        CompletableFuture<Void> unused = result.thenAccept(r -> answer.accept(StoreMessages.pack(r)));
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/StoreRelayTest.java
@@ -0,0 +1,102 @@
+package org.magnoliabridge.daemon;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.StoreMessages;
+import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.external.StoredObject;
+import org.magnoliabridge.ids.NodeId;
+
+class StoreRelayTest {
+    private static final NodeId FROM = new NodeId("n2");
+    private static final ObjectKey KEY = new ObjectKey("batches/b1");
+
+    private final CountDownLatch storeAnswers = new CountDownLatch(1);
+
+    @AfterEach
+    void release() {
+        storeAnswers.countDown();
+    }
+
+    /** Guards against batches that stop while the store answers no node, because no node says so. */
+    @Test
+    void readThatTheStoreDoesNotAnswerIsAnsweredAsUnavailable() throws Exception {
+        assertThat(reply(new StoreRequest.List("batches/")), instanceOf(StoreReply.Unavailable.class));
+        assertThat(reply(new StoreRequest.Read(KEY)), instanceOf(StoreReply.Unavailable.class));
+    }
+
+    /** Guards against a write that is reported as not made and takes effect later. */
+    @Test
+    void writeIsAnsweredOnlyByTheStore() throws Exception {
+        CompletableFuture<byte[]> write = serve(new StoreRequest.Write(KEY, 1, new byte[0]));
+        assertThat(reply(new StoreRequest.Read(KEY)), instanceOf(StoreReply.Unavailable.class));
+        assertThat("answered before the store", write.isDone(), is(false));
+        storeAnswers.countDown();
+        assertThat(reply(write), is(new StoreReply.Written(2)));
+    }
+
+    private StoreReply reply(StoreRequest request) throws Exception {
+        return reply(serve(request));
+    }
+
+    private static StoreReply reply(CompletableFuture<byte[]> answer) throws Exception {
+        StoreMessages.Result result = StoreMessages.result(answer.get(10, TimeUnit.SECONDS));
+        return ((StoreMessages.Result.Replied) result).reply();
+    }
+
+    private CompletableFuture<byte[]> serve(StoreRequest request) {
+        CompletableFuture<byte[]> answer = new CompletableFuture<>();
+        byte[] call = StoreMessages.pack(new StoreMessages.Call.Request(request));
+        StoreRelay.serve(new LateStore(), FROM, call, answer::complete);
+        return answer;
+    }
+
+    /** A store that answers no call until the test lets it. */
+    private final class LateStore implements ObjectStore {
+        @Override
+        public Optional<StoredObject> read(ObjectKey key) {
+            return late(Optional.empty());
+        }
+
+        @Override
+        public long write(ObjectKey key, long expectedVersion, byte[] value) {
+            return late(2L);
+        }
+
+        @Override
+        public void delete(ObjectKey key, long expectedVersion) {
+            late(0);
+        }
+
+        @Override
+        public Listing list(String prefix) {
+            return late(new Listing(1, List.of()));
+        }
+
+        @Override
+        public Listing watch(String prefix, long sinceRevision, long waitMs) {
+            return late(new Listing(1, List.of()));
+        }
+
+        private <T> T late(T result) {
+            try {
+                storeAnswers.await();
+                return result;
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
