Wait 0.1 s before a runner that does not accept is told again

Cause: a runner that does not hold a batch, or is not active yet, answers at once, and was told again after 20 ms for as long as an end was not stored: up to 45 calls a second for each end on its control thread (found by review, by reading).

Change: 100 ms after an answer that does not accept; 20 ms still while no runner is known. No test covers the pause.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/RunnerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RunnerCalls.java
@@ -13,7 +13,9 @@
     private static final long TELL_TIMEOUT_MS = 500;
     // How long a node tries to tell the runner about a batch or its end.
     private static final long TELL_RUNNER_MS = 4_000;
-    private static final long RETRY_DELAY_MS = 20;
+    private static final long NO_RUNNER_DELAY_MS = 20;
+    // A runner that does not accept may not do so for seconds, and each call takes time of its control thread.
+    private static final long NOT_ACCEPTED_DELAY_MS = 100;
     private static final byte ACCEPTED = 1;
 
     private final GatewayContext context;
@@ -53,7 +55,7 @@
                 if (runner.isPresent() && tell(runner.get(), method, body, own)) {
                     return true;
                 }
-                Thread.sleep(RETRY_DELAY_MS);
+                Thread.sleep(runner.isPresent() ? NOT_ACCEPTED_DELAY_MS : NO_RUNNER_DELAY_MS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
