Hand over for want of the store after 8 s instead of 4 s

Cause: 4 s assumed that nodes notice an outage of the store up to 3 s apart. A node that reads the endpoint list from a neighbour notices it up to 5.1 s later than one that reads the store. An outage for all nodes could then replace the runner, and the new one cannot load a batch until the store is back.

Before, with the other node 6 s late: RunnerElectionTest.runnerStaysDuringAnOutageOfTheStore, as tried by the reviewer with 5.6 s, "at 25500 Expected: is <NONE> but: was <HANDED_OVER_FOR_STORE>". After: RunnerElectionTest passes.

--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -31,8 +31,8 @@
     private static final long MAX_SETTLE_MS = 2_000;
     // After a common restart nodes appear at different times; a node that is seen only now and then must not take over.
     private static final long HANDOVER_AFTER_MS = 2_000;
-    // Nodes notice an outage of the store, and its end, up to 3 s apart; if it serves no node there is nothing to gain.
-    private static final long STORE_HANDOVER_AFTER_MS = 4_000;
+    // Nodes notice an outage of the store, and its end, up to 6 s apart; if it serves no node there is nothing to gain.
+    private static final long STORE_HANDOVER_AFTER_MS = 8_000;
     // Each handover interrupts all runs, so an unsteady store must not cause one after the other.
     private static final long STORE_HANDOVER_PERIOD_MS = 10_000;
     // A busy runner answers pings late; one that is gone must be replaced within about 2 s, detection included.
