Read the endpoint list from a neighbour also while it does not change

Cause: the reading node waits up to 3 s in a read while nothing changes.

Change: a node that others ask waits 0.6 s at most. A read without changes is as old as the end of its wait, one with changes as old as its start; the highest age is 0.8 s instead of 0.9 s from the end. The limit of an answer is 0.2 s. The node with the most capacity of a data centre reads, and decodes outside the lock that answers wait for.

The test of an unchanged list could not fail without the pause; it now measures it.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourChoice.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourChoice.java
@@ -1,7 +1,10 @@
 package org.magnoliabridge.daemon;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.membership.Member;
@@ -9,8 +12,8 @@
 import org.magnoliabridge.membership.Rendezvous;
 
 /**
- * Chooses the node that reads the endpoint list for the other nodes of its data centre. Control thread only, but for
- * {@link #neighbour}.
+ * Chooses the node that reads the endpoint list for the other nodes of its data centre: the one with the most processor
+ * capacity. Control thread only, but for {@link #neighbour}.
  *
  * <p>The node that runs the batches reads the list itself and for nobody else. A suspect node is not replaced: at worst
  * it answers late, and then its neighbours read the store.
@@ -47,17 +50,17 @@
     }
 
     private Optional<NodeId> choose() {
-        List<NodeId> nodes = members.stream()
+        Map<NodeId, Integer> capacities = members.stream()
                 .filter(m -> m.location().dataCentre().equals(dc))
                 .filter(m -> m.state().liveness() != Liveness.DEAD && !m.state().leaving())
-                .map(Member::id)
-                .toList();
-        if (nodes.size() < MIN_NODES || runner.equals(Optional.of(self))) {
+                .collect(Collectors.toMap(Member::id, m -> m.location().capacityMillicores()));
+        if (capacities.size() < MIN_NODES || runner.equals(Optional.of(self))) {
             return Optional.empty();
         }
-        return Rendezvous.rank(SCOPE, nodes).stream()
+        // Of several nodes of the largest capacity, the first in rendezvous order.
+        return Rendezvous.rank(SCOPE, capacities.keySet()).stream()
                 .filter(id -> !runner.equals(Optional.of(id)))
-                .findFirst()
+                .min(Comparator.comparingInt(id -> -capacities.get(id)))
                 .filter(id -> !id.equals(self));
     }
 }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -27,13 +27,15 @@
 final class NeighbourReader implements ObjectStore {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // A neighbour in the same data centre answers within a few milliseconds unless it is overloaded.
-    private static final long ANSWER_LIMIT_MS = 250;
+    private static final long ANSWER_LIMIT_MS = 200;
     private static final long RETRY_NEIGHBOUR_MS = 3_000;
     private static final long UNCHANGED_PAUSE_MS = 500;
     // Nodes that nobody asks need not record what they read. Longer than the pause after a neighbour's failed answer.
     private static final long RECORD_AFTER_CALL_MS = 10_000;
-    // Longer than the pause between two reads of the store; bounds the age of what a neighbour passes on.
-    private static final long MAX_AGE_MS = 900;
+    private static final long MAX_WAIT_FOR_OTHERS_MS = 600;
+    // Longer than the pause between two reads of the store, and than a read that waits; bounds the age of what a
+    // neighbour passes on.
+    static final long MAX_AGE_MS = 800;
 
     private final ObjectStore store;
     private final Calls calls;
@@ -90,9 +92,10 @@
 
     @Override
     public Listing list(String prefix) throws PlatformException {
+        long startMs = clock.nowMs();
         Listing all = store.list(prefix);
-        if (clock.nowMs() < recordUntilMs) {
-            recent.listed(clock.nowMs(), all);
+        if (startMs < recordUntilMs) {
+            recent.listed(startMs, all);
         }
         return all;
     }
@@ -110,10 +113,20 @@
             metrics.counter("store.watches.neighbour_failures").inc();
             askAgainAtMs = clock.nowMs() + RETRY_NEIGHBOUR_MS;
         }
-        Listing changes = store.watch(prefix, sinceRevision, waitMs);
-        if (clock.nowMs() < recordUntilMs) {
-            recent.changed(clock.nowMs(), sinceRevision, changes);
+        return readStore(prefix, sinceRevision, waitMs);
+    }
+
+    private Listing readStore(String prefix, long sinceRevision, long waitMs) throws PlatformException {
+        long startMs = clock.nowMs();
+        if (startMs >= recordUntilMs) {
+            return store.watch(prefix, sinceRevision, waitMs);
         }
+        // Others depend on a read that ends soon, also while nothing changes.
+        long shortWaitMs = Math.min(waitMs, MAX_WAIT_FOR_OTHERS_MS);
+        Listing changes = store.watch(prefix, sinceRevision, shortWaitMs);
+        // Without a change the store has waited before it answered.
+        long asOfMs = changes.entries().isEmpty() ? startMs + shortWaitMs : startMs;
+        recent.changed(Math.min(asOfMs, clock.nowMs()), sinceRevision, changes);
         return changes;
     }
 
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.daemon;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -11,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.ObjectStore;
@@ -48,33 +50,45 @@
     /** Guards against work for an endpoint that announced 2 s ago that it leaves. */
     @Test
     void aChangeIsKnownInTimeWhileTheNeighbourStops() throws PlatformException {
-        for (long stopsAtMs = 0; stopsAtMs < 2 * POLL_MS; stopsAtMs += 20) {
-            store.put("e" + stopsAtMs);
-            assertThat(
-                    "neighbour stops after " + stopsAtMs + " ms",
-                    knownAfterMs(stopsAtMs),
-                    is(lessThan(LEAVING_NOTICE_MS)));
+        for (long latencyMs : List.of(0L, 50L, 200L)) {
+            for (long stopsAtMs = 0; stopsAtMs < 2 * POLL_MS; stopsAtMs += 20) {
+                for (long phaseMs = 0; phaseMs < POLL_MS; phaseMs += 20) {
+                    assertThat(
+                            "latency " + latencyMs + " ms, neighbour stops after " + stopsAtMs + " ms, phase " + phaseMs
+                                    + " ms",
+                            knownAfterMs(latencyMs, stopsAtMs, phaseMs),
+                            is(lessThan(LEAVING_NOTICE_MS)));
+                }
+            }
         }
     }
 
-    // Both poll every 700 ms, the follower 350 ms after the reader; the reader stops to read but goes on to answer.
-    private long knownAfterMs(long stopsAtMs) throws PlatformException {
+    // The reader pauses 700 ms after each read, the follower after each change it has got. The reader stops reading,
+    // and
+    // is silent once what it has read is too old to be passed on.
+    private long knownAfterMs(long latencyMs, long stopsAtMs, long phaseMs) throws PlatformException {
         nowMs += 20_000;
+        silent = false;
+        store.latencyMs = 0;
         long revision = warmUp();
+        store.latencyMs = latencyMs;
         long readerRevision = revision;
         long startMs = nowMs;
-        store.put("changed" + stopsAtMs);
+        store.put("changed");
         long changed = store.revision;
-        for (long ms = 1; ms < 10_000; ms++) {
-            nowMs = startMs + ms;
-            if (ms <= stopsAtMs && ms % POLL_MS == 0) {
+        long readAtMs = startMs;
+        for (long pollAtMs = startMs + phaseMs; pollAtMs < startMs + 10_000; pollAtMs = nowMs + POLL_MS) {
+            for (long nextMs = readAtMs + POLL_MS; nextMs <= Math.min(pollAtMs, startMs + stopsAtMs); ) {
+                nowMs = nextMs;
                 readerRevision = reader.watch(PREFIX, readerRevision, WAIT_MS).revision();
+                readAtMs = nextMs;
+                nextMs = nowMs + POLL_MS;
             }
-            if (ms % POLL_MS == POLL_MS / 2) {
-                revision = follower.watch(PREFIX, revision, WAIT_MS).revision();
-                if (revision >= changed) {
-                    return ms;
-                }
+            nowMs = Math.max(nowMs, pollAtMs);
+            silent = nowMs > startMs + stopsAtMs && nowMs - readAtMs > NeighbourReader.MAX_AGE_MS;
+            revision = follower.watch(PREFIX, revision, WAIT_MS).revision();
+            if (revision >= changed) {
+                return nowMs - startMs;
             }
         }
         return Long.MAX_VALUE;
@@ -94,16 +108,35 @@
         assertThat("the neighbour is not asked again immediately", store.watches, is(before + 2));
     }
 
-    /** Guards against a pause of the follower that another pause follows although something changed meanwhile. */
+    /** Guards against a node that asks its neighbour all the time while nothing changes. */
     @Test
-    void unchangedListIsAskedForAgain() throws PlatformException {
+    void unchangedListIsReturnedAfterAPause() throws PlatformException {
         long revision = warmUp();
         reader.watch(PREFIX, revision, WAIT_MS);
-        ObjectStore.Listing unchanged = follower.watch(PREFIX, revision, WAIT_MS);
+        long startNanos = System.nanoTime();
+        ObjectStore.Listing unchanged = follower.watch(PREFIX, revision, 100);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos), is(greaterThanOrEqualTo(99L)));
         assertThat(unchanged.entries().size(), is(0));
         assertThat(unchanged.revision(), is(revision));
     }
 
+    /** Guards against followers that read the store themselves while nothing changes, because the reader waits. */
+    @Test
+    void changesComeFromTheNeighbourAlsoAfterALongQuietTime() throws PlatformException {
+        long revision = warmUp();
+        store.waits = true;
+        int before = store.watches;
+        int reads = 10;
+        for (int i = 0; i < reads; i++) {
+            reader.watch(PREFIX, revision, 3_000);
+            assertThat(follower.watch(PREFIX, revision, WAIT_MS).entries().size(), is(0));
+        }
+        assertThat(store.watches - before, is(reads));
+        nowMs += NeighbourReader.MAX_AGE_MS + 1;
+        follower.watch(PREFIX, revision, WAIT_MS);
+        assertThat("the store is read once the neighbour's read is old", store.watches - before, is(reads + 1));
+    }
+
     /** Guards against reads of the store that grow with the nodes: 15 followers of one reader read nothing. */
     @Test
     void followersOfAReaderMakeNoStoreCalls() throws PlatformException {
@@ -152,10 +185,12 @@
     }
 
     /** A store whose watches return at once. */
-    private static final class Store implements ObjectStore {
+    private final class Store implements ObjectStore {
         private final List<StoredObject> changes = new ArrayList<>();
         private long revision = 1;
         private int watches;
+        private long latencyMs;
+        private boolean waits;
 
         void put(String name) {
             changes.add(new StoredObject(new ObjectKey(PREFIX + name), ++revision, new byte[0]));
@@ -164,10 +199,13 @@
         @Override
         public Listing watch(String prefix, long sinceRevision, long waitMs) {
             watches++;
+            // The state is that of the start of the call, the worst case for its age.
+            long asOf = revision;
+            nowMs += latencyMs + (waits ? waitMs : 0);
             return new Listing(
-                    revision,
+                    asOf,
                     changes.stream()
-                            .filter(o -> o.version() > sinceRevision)
+                            .filter(o -> o.version() > sinceRevision && o.version() <= asOf)
                             .map(Entry::of)
                             .toList());
         }
--- a/library/src/main/java/org/magnoliabridge/external/RecentChanges.java
+++ b/library/src/main/java/org/magnoliabridge/external/RecentChanges.java
@@ -12,7 +12,8 @@
  * The changes of a prefix that this process has read from the store since some revision, for other nodes to read.
  *
  * <p>Load pattern: heartbeats change the prefix all the time, so each of many nodes would read it several times a
- * second. Entries whose content is as before, such as those of heartbeats, are left out. Thread-safe.
+ * second. Entries whose content is as before, such as those of heartbeats, are left out. Relies on a store that reports
+ * every change of a key and not only the last one. Thread-safe.
  */
 public final class RecentChanges {
     static final int MAX_KEYS = 2_000;
@@ -23,7 +24,7 @@
     private final Map<ObjectKey, Change> changes = new HashMap<>();
     private long firstRevision = UNKNOWN;
     private long revision = UNKNOWN;
-    private long readAtMs;
+    private long asOfMs;
 
     /** The last change of a key, and the revision of the read that showed it. */
     private record Change(long seenAtRevision, ObjectStore.Entry entry) {}
@@ -37,40 +38,53 @@
         this.content = Objects.requireNonNull(content);
     }
 
-    /** Records a complete read of the store. */
-    public synchronized void listed(long nowMs, ObjectStore.Listing all) {
-        restartAt(all.revision());
-        all.entries().forEach(e -> contents.put(e.key(), content.apply(e)));
-        recordRead(nowMs, all.revision());
+    /**
+     * Records a complete read of the store.
+     *
+     * @param asOfMs a time at which the listing was complete
+     */
+    public void listed(long asOfMs, ObjectStore.Listing all) {
+        List<Object> read = contents(all);
+        synchronized (this) {
+            restartAt(all.revision());
+            for (int i = 0; i < read.size(); i++) {
+                contents.put(all.entries().get(i).key(), read.get(i));
+            }
+            recordRead(asOfMs, all.revision());
+        }
     }
 
     /**
      * Records a read of the changes since a revision.
      *
+     * @param asOfMs a time at which the changes were complete
      * @param since the revision that was passed to the store
      */
-    public synchronized void changed(long nowMs, long since, ObjectStore.Listing listing) {
-        if (since != revision || contents.size() > MAX_KEYS) {
-            restartAt(since);
-        }
-        for (ObjectStore.Entry entry : listing.entries()) {
-            Object now = content.apply(entry);
-            if (!now.equals(contents.put(entry.key(), now))) {
-                changes.put(entry.key(), new Change(listing.revision(), entry));
+    public void changed(long asOfMs, long since, ObjectStore.Listing listing) {
+        List<Object> read = contents(listing);
+        synchronized (this) {
+            if (since != revision || contents.size() > MAX_KEYS) {
+                restartAt(since);
+            }
+            for (int i = 0; i < read.size(); i++) {
+                ObjectStore.Entry entry = listing.entries().get(i);
+                if (!read.get(i).equals(contents.put(entry.key(), read.get(i)))) {
+                    changes.put(entry.key(), new Change(listing.revision(), entry));
+                }
             }
+            recordRead(asOfMs, listing.revision());
         }
-        recordRead(nowMs, listing.revision());
     }
 
     /**
      * Returns the changes since a revision.
      *
-     * @param maxAgeMs longest time since the last read of the store, in milliseconds
+     * @param maxAgeMs highest age of the last read of the store, in milliseconds
      * @return empty if the changes since that revision are not known, or not recent enough
      */
     public synchronized Optional<ObjectStore.Listing> since(long nowMs, long since, long maxAgeMs) {
         boolean known = firstRevision != UNKNOWN && since >= firstRevision && since <= revision;
-        if (!known || nowMs - readAtMs > maxAgeMs) {
+        if (!known || nowMs - asOfMs > maxAgeMs) {
             return Optional.empty();
         }
         List<ObjectStore.Entry> entries = new ArrayList<>();
@@ -82,6 +96,13 @@
         return Optional.of(new ObjectStore.Listing(revision, entries));
     }
 
+    // Decoding takes longer than the thread that answers other nodes should wait.
+    private List<Object> contents(ObjectStore.Listing listing) {
+        List<Object> read = new ArrayList<>();
+        listing.entries().forEach(e -> read.add(content.apply(e)));
+        return read;
+    }
+
     private void restartAt(long newRevision) {
         contents.clear();
         changes.clear();
@@ -89,12 +110,12 @@
         revision = newRevision;
     }
 
-    private void recordRead(long nowMs, long newRevision) {
+    private void recordRead(long asOfMs, long newRevision) {
         if (newRevision < revision) {
             // The store lost history, so the changes up to its revision are not known.
             restartAt(newRevision);
         }
         revision = newRevision;
-        readAtMs = nowMs;
+        this.asOfMs = asOfMs;
     }
 }
