Share one loopback server among the servers of the tests

EarlyAnswerServer, EndlessServer and FakeBackEnd each had their own loop that accepts connections, counts and closes them, and two of them the same reader of heads. LoopbackServer holds these; the three keep what they send. No test or check changed.

--- a/library/src/test/java/org/magnoliabridge/calls/FakeBackEnd.java
+++ b/library/src/test/java/org/magnoliabridge/calls/FakeBackEnd.java
@@ -4,28 +4,25 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.magnoliabridge.http.LoopbackServer;
 
 /** A back end on a loopback socket that records every received byte and responds according to a test's script. */
 public final class FakeBackEnd implements AutoCloseable {
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
     private static final Pattern PATH = Pattern.compile("^[A-Z]+ (\\S+)");
 
-    private final ServerSocket server;
+    private final LoopbackServer server;
     private final Script script;
     private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
     private final List<Request> requests = new CopyOnWriteArrayList<>();
-    private final java.util.Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     /** Responds to one request; returns false to close the connection. */
     @FunctionalInterface
@@ -41,12 +38,11 @@
 
     public FakeBackEnd(Script script) throws IOException {
         this.script = script;
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread.ofVirtual().start(this::accept);
+        server = new LoopbackServer(this::serve);
     }
 
     public InetSocketAddress address() {
-        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        return server.address();
     }
 
     /** Returns all received bytes as text. */
@@ -87,36 +83,17 @@
     @Override
     public void close() throws IOException {
         server.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
-    }
-
-    private void accept() {
-        try {
-            while (true) {
-                Socket socket = server.accept();
-                sockets.add(socket);
-                Thread.ofVirtual().start(() -> serve(socket));
-            }
-        } catch (IOException e) {
-            // The test has closed the server socket.
-        }
     }
 
-    private void serve(Socket socket) {
-        try (socket) {
-            boolean open = true;
-            while (open) {
-                Request request = read(socket.getInputStream());
-                if (request == null) {
-                    return;
-                }
-                requests.add(request);
-                open = answer(request, socket);
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        boolean open = true;
+        while (open) {
+            Request request = read(socket.getInputStream());
+            if (request == null) {
+                return;
             }
-        } catch (IOException | InterruptedException e) {
-            // The client closed the connection, which several tests cause on purpose.
+            requests.add(request);
+            open = answer(request, socket);
         }
     }
 
--- a/library/src/test/java/org/magnoliabridge/http/EarlyAnswerServer.java
+++ b/library/src/test/java/org/magnoliabridge/http/EarlyAnswerServer.java
@@ -3,16 +3,11 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A server on a loopback socket that answers before it has read a body, and reads the rest later from the same
@@ -29,12 +24,10 @@
     private static final String END = "0\r\n\r\n";
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-    private final ServerSocket server;
+    private final LoopbackServer server;
     private final boolean endsEarly;
-    private final AtomicInteger connections = new AtomicInteger();
     private final CountDownLatch rest = new CountDownLatch(1);
     private final CompletableFuture<Received> received = new CompletableFuture<>();
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     /** What arrived after the answer: the length of the body, and whether each byte was that of the body. */
     public record Received(int bytes, boolean unchanged) {
@@ -47,8 +40,7 @@
     /** Starts a server that sends the end of its answer before or after the rest of the body. */
     public EarlyAnswerServer(boolean endsEarly) throws IOException {
         this.endsEarly = endsEarly;
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread.ofPlatform().daemon().start(this::accept);
+        server = new LoopbackServer(this::serve);
     }
 
     public static byte[] body() {
@@ -60,11 +52,11 @@
     }
 
     public InetSocketAddress address() {
-        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        return server.address();
     }
 
     public int connections() {
-        return connections.get();
+        return server.connections();
     }
 
     /** Lets the server read the rest of the body. */
@@ -80,37 +72,17 @@
     @Override
     public void close() throws IOException {
         server.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
-    }
-
-    private void accept() {
-        try {
-            while (true) {
-                Socket socket = server.accept();
-                connections.incrementAndGet();
-                sockets.add(socket);
-                Thread.ofPlatform().daemon().start(() -> serve(socket));
-            }
-        } catch (IOException e) {
-            // The test has closed the server socket.
-        }
     }
 
-    private void serve(Socket socket) {
-        try (socket) {
-            String head = readHead(socket.getInputStream());
-            while (!head.isEmpty()) {
-                if (head.contains(" /ok ")) {
-                    write(socket.getOutputStream(), OK);
-                } else {
-                    answerEarly(socket);
-                }
-                head = readHead(socket.getInputStream());
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        String head = LoopbackServer.readHead(socket.getInputStream());
+        while (!head.isEmpty()) {
+            if (head.contains(" /ok ")) {
+                write(socket.getOutputStream(), OK);
+            } else {
+                answerEarly(socket);
             }
-        } catch (IOException | InterruptedException e) {
-            // The client closed the connection, which it may do instead of sending the rest.
+            head = LoopbackServer.readHead(socket.getInputStream());
         }
     }
 
@@ -151,16 +123,4 @@
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
     }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int b = in.read();
-            if (b < 0) {
-                return "";
-            }
-            head.append((char) b);
-        }
-        return head.toString();
-    }
 }
--- a/library/src/test/java/org/magnoliabridge/http/EndlessServer.java
+++ b/library/src/test/java/org/magnoliabridge/http/EndlessServer.java
@@ -1,18 +1,12 @@
 package org.magnoliabridge.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A server on a loopback socket that repeats bytes until its client closes, and answers the path {@code /ok}. */
@@ -22,25 +16,22 @@
     private static final byte[] OK =
             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.ISO_8859_1);
 
-    private final ServerSocket server;
+    private final LoopbackServer server;
     private final byte[] start;
     private final byte[] repeated;
     private final AtomicLong written = new AtomicLong();
-    private final AtomicInteger connections = new AtomicInteger();
     private final CountDownLatch begun = new CountDownLatch(1);
     private final CountDownLatch closedByClient = new CountDownLatch(1);
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     /** Starts a server whose answers begin with {@code start} and go on with {@code unit} without end. */
     public EndlessServer(String start, String unit) throws IOException {
         this.start = start.getBytes(StandardCharsets.ISO_8859_1);
         this.repeated = unit.repeat(Math.max(1, WRITE_BYTES / unit.length())).getBytes(StandardCharsets.ISO_8859_1);
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread.ofVirtual().start(this::accept);
+        server = new LoopbackServer(this::serve);
     }
 
     public InetSocketAddress address() {
-        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        return server.address();
     }
 
     /** Returns the number of bytes of endless answers that the client and the socket buffers took. */
@@ -49,7 +40,7 @@
     }
 
     public int connections() {
-        return connections.get();
+        return server.connections();
     }
 
     /** Waits until the first endless answer begins; returns false if that takes longer. */
@@ -65,37 +56,17 @@
     @Override
     public void close() throws IOException {
         server.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
     }
 
-    private void accept() {
-        try {
-            while (true) {
-                Socket socket = server.accept();
-                connections.incrementAndGet();
-                sockets.add(socket);
-                Thread.ofPlatform().daemon().start(() -> serve(socket));
+    private void serve(Socket socket) throws IOException {
+        socket.setSendBufferSize(SEND_BUFFER_BYTES);
+        String head = LoopbackServer.readHead(socket.getInputStream());
+        while (!head.isEmpty()) {
+            if (!head.contains(" /ok ")) {
+                writeWithoutEnd(socket.getOutputStream());
             }
-        } catch (IOException e) {
-            // The test has closed the server socket.
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            socket.setSendBufferSize(SEND_BUFFER_BYTES);
-            String head = readHead(socket.getInputStream());
-            while (!head.isEmpty()) {
-                if (!head.contains(" /ok ")) {
-                    writeWithoutEnd(socket.getOutputStream());
-                }
-                socket.getOutputStream().write(OK);
-                head = readHead(socket.getInputStream());
-            }
-        } catch (IOException e) {
-            // The client closed the connection, as every endless answer intends.
+            socket.getOutputStream().write(OK);
+            head = LoopbackServer.readHead(socket.getInputStream());
         }
     }
 
@@ -111,16 +82,4 @@
             closedByClient.countDown();
         }
     }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int b = in.read();
-            if (b < 0) {
-                return "";
-            }
-            head.append((char) b);
-        }
-        return head.toString();
-    }
 }
