Share the measure of allocated bytes and the lease among tests of ticks

UsageDriverTest and WeightRolloutTest each had the same loop that counts bytes a call, and built the same lease. TickCost and UnheldLease hold them; bounds and checks are unchanged.

--- a/daemon/src/test/java/org/magnoliabridge/daemon/UsageDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/UsageDriverTest.java
@@ -5,19 +5,14 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import com.codahale.metrics.MetricRegistry;
-import com.sun.management.ThreadMXBean;
-import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.core.ControlLoop;
-import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.Region;
-import org.magnoliabridge.lease.LeaseCore;
-import org.magnoliabridge.lease.LeaseSettings;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MemberState;
 import org.magnoliabridge.membership.MembershipCore;
@@ -28,9 +23,7 @@
 import org.magnoliabridge.usage.UsageTimes;
 
 class UsageDriverTest {
-    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
     private static final NodeId SELF = new NodeId("n0");
-    private static final int REPETITIONS = 100;
     private static final int FEW = 6;
     private static final int MANY = 66;
     // A reference to each member in a list would reach it.
@@ -53,21 +46,10 @@
                 join(membership, new NodeId("n" + i));
             }
             assertThat(membership.members(), hasSize(nodes));
-            return bytesPerTick(driver(membership, loop));
+            return TickCost.bytesPerCall(driver(membership, loop)::tick);
         }
     }
 
-    private static long bytesPerTick(UsageDriver driver) {
-        for (int i = 0; i < REPETITIONS; i++) {
-            driver.tick();
-        }
-        long before = THREADS.getCurrentThreadAllocatedBytes();
-        for (int i = 0; i < REPETITIONS; i++) {
-            driver.tick();
-        }
-        return (THREADS.getCurrentThreadAllocatedBytes() - before) / REPETITIONS;
-    }
-
     private static void join(MembershipDriver membership, NodeId node) {
         for (MembershipEffect effect : core(node).handle(new MembershipInput.Tick(), 0)) {
             if (effect instanceof MembershipEffect.Send ping) {
@@ -83,22 +65,16 @@
     }
 
     private static UsageDriver driver(MembershipDriver membership, ControlLoop loop) {
-        MetricRegistry metrics = new MetricRegistry();
-        LeaseCore lease = new LeaseCore(
-                new ObjectKey("leases/duties"),
-                SELF,
-                new Incarnation(1),
-                new LeaseSettings(4_000, 1_000, 1_000, 500, 150));
         return new UsageDriver(
                 SELF,
                 new UsageCore(SELF, new Incarnation(1), UsageTimes.withoutDueTime(10_000)),
                 null,
                 membership,
-                new LeaseDriver("duties", lease, () -> 0, null, metrics),
+                UnheldLease.of(SELF),
                 null,
                 loop,
                 () -> 0,
                 () -> 0,
-                metrics);
+                new MetricRegistry());
     }
 }
--- a/daemon/src/test/java/org/magnoliabridge/daemon/WeightRolloutTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/WeightRolloutTest.java
@@ -3,15 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.lessThan;
 
-import com.codahale.metrics.MetricRegistry;
-import com.sun.management.ThreadMXBean;
-import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.fleet.FleetEndpoint;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
@@ -20,16 +16,12 @@
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
-import org.magnoliabridge.lease.LeaseCore;
-import org.magnoliabridge.lease.LeaseSettings;
 import org.magnoliabridge.orders.EngineLoadSender;
 import org.magnoliabridge.orders.WeightsCore;
 import org.magnoliabridge.orders.WeightsSettings;
 import org.magnoliabridge.routing.Endpoint;
 
 class WeightRolloutTest {
-    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
-    private static final int REPETITIONS = 100;
     private static final int FEW = 5;
     private static final int MANY = 45;
     // A reference to each engine in a list would reach it.
@@ -47,14 +39,7 @@
         WeightRollout rollout = rollout();
         List<FleetEndpoint> fleet =
                 IntStream.range(0, engines).mapToObj(i -> engine("e" + i)).toList();
-        for (int i = 0; i < REPETITIONS; i++) {
-            rollout.fleetChanged(fleet);
-        }
-        long before = THREADS.getCurrentThreadAllocatedBytes();
-        for (int i = 0; i < REPETITIONS; i++) {
-            rollout.fleetChanged(fleet);
-        }
-        return (THREADS.getCurrentThreadAllocatedBytes() - before) / REPETITIONS;
+        return TickCost.bytesPerCall(() -> rollout.fleetChanged(fleet));
     }
 
     private static FleetEndpoint engine(String id) {
@@ -68,15 +53,10 @@
     private static WeightRollout rollout() {
         GatewayContext context =
                 new GatewayContext(null, null, () -> 0, null, null, null, null, null, null, null, null, null, null);
-        LeaseCore lease = new LeaseCore(
-                new ObjectKey("leases/duties"),
-                new NodeId("n1"),
-                new Incarnation(1),
-                new LeaseSettings(4_000, 1_000, 1_000, 500, 150));
         return new WeightRollout(
                 context,
                 new WeightsCore(WeightsSettings.withoutPermits(), 0),
-                new LeaseDriver("duties", lease, () -> 0, null, new MetricRegistry()),
+                UnheldLease.of(new NodeId("n1")),
                 new EngineLoadSender(load -> {}, () -> 0),
                 (engine, address) -> {
                     throw new AssertionError("no engine is loading");
