Remove what the end of a batch does not need

BatchEnds told its own node of an unstored end before the loop, where it is remembered, and again at each turn if it is the runner; the second is gone, and the runner only answers whether it is active. Ending.team was not used, and Ending.batch only by tests. Behaviour is the same: EndingTest, EndSimulationTest and PlatformNodeTest pass.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchEnds.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchEnds.java
@@ -26,7 +26,7 @@
 final class BatchEnds {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long RETRY_DELAY_MS = 20;
-    // The store confirms most ends sooner; the runner is told of the others before they are stored.
+    // Most ends are stored sooner; STOP_BATCH is sent for the others.
     private static final long TELL_UNSTORED_AFTER_MS = 100;
     // The runner may be replaced while an end is not stored.
     private static final long TELL_UNSTORED_PERIOD_MS = 1_000;
@@ -139,14 +139,14 @@
         try {
             Thread.sleep(TELL_UNSTORED_AFTER_MS);
             if (!over.isDone()) {
-                // This node may become the runner.
+                // This node may be the runner, or become it.
                 context.loop().post(() -> scheduler.stop(request));
             }
             boolean absentAndTold = false;
             while (!over.isDone() && !absentAndTold) {
                 byte[] body = BatchMessages.pack(request);
                 runner.tellOthers(PeerCalls.Method.STOP_BATCH, body);
-                boolean accepted = runner.tell(PeerCalls.Method.STOP_BATCH, body, () -> stopHere(request));
+                boolean accepted = runner.tell(PeerCalls.Method.STOP_BATCH, body, scheduler::isActive);
                 absentAndTold = accepted && answer.isDone() && answer.resultNow() instanceof ReadAnswer.Missing;
                 LOG.atInfo()
                         .with(LogFields.BATCH, request.batch().value())
@@ -158,11 +158,6 @@
         }
     }
 
-    private boolean stopHere(EndRequest request) {
-        scheduler.stop(request);
-        return scheduler.isActive();
-    }
-
     // If the runner does not acknowledge the end, it finds it at its next check of the store.
     private void notifyEnd(BatchId batch, long startMs) {
         long confirmedAtMs = context.clock().nowMs();
--- a/library/src/main/java/org/magnoliabridge/batch/Ending.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Ending.java
@@ -45,14 +45,10 @@
         this.startMs = nowMs;
     }
 
-    public BatchId batch() {
+    BatchId batch() {
         return batch;
     }
 
-    public TeamId team() {
-        return team;
-    }
-
     /** Returns the answer to the caller once it is known: no results, or that there is no such batch. */
     public Optional<ReadAnswer> answer() {
         return answer;
