Find the first candidate of an election without sorting

The election sorted all members at each tick to take the first. The minimum of the same order is the same member, as the first of equal ones is kept. RunnerElectionTest and RunnerStartSimulationTest pass.

--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -169,7 +169,7 @@
         recordSightings(nowMs, candidates, suspects);
         long elapsedMs = Math.min(nowMs - updatedAtMs, MAX_COUNTED_MS);
         updatedAtMs = nowMs;
-        Optional<Candidate> first = candidates.stream().sorted(BY_RANK).findFirst();
+        Optional<Candidate> first = candidates.stream().min(BY_RANK);
         if (isRunner()) {
             return handOver(nowMs, first, candidates);
         }
