--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -30,7 +30,7 @@
     private static final long ANSWER_LIMIT_MS = 200;
     private static final long RETRY_NEIGHBOUR_MS = 3_000;
     private static final long UNCHANGED_PAUSE_MS = 500;
-    // Nodes that nobody asks need not record what they read. Longer than the pause after a neighbour's failed answer.
+    // Reads are recorded only while other nodes ask. Longer than RETRY_NEIGHBOUR_MS, after which they ask again.
     private static final long RECORD_AFTER_CALL_MS = 10_000;
     private static final long MAX_WAIT_FOR_OTHERS_MS = 600;
     // Longer than the pause between two reads of the store, and than a read that waits; bounds the age of what a
