Reproduce two holders in turn in a simulation of leases, known red

LeaseSimulation plays three nodes that acquire one lease and make calls under it, with freezes, suspensions (the monotonic clock stands still), cuts, releases and kills.

--- /dev/null
+++ b/library/src/test/java/org/magnoliabridge/lease/HoldersInTurnTest.java
@@ -0,0 +1,60 @@
+package org.magnoliabridge.lease;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.magnoliabridge.lease.LeaseSimulation.Arrival;
+import org.magnoliabridge.lease.LeaseSimulation.Fault;
+
+/** Plays seeds of {@link LeaseSimulation}; run more with {@code -Dlease.seeds=1000}. */
+class HoldersInTurnTest {
+    private static final int SEEDS = Integer.getInteger("lease.seeds", 300);
+    /** Guards against a holder that goes on after a suspension, because its monotonic clock stood still. */
+    @Test
+    @Tag("known-red")
+    void suspendedHolderDoesNotGoOnBesideTheNextOne() {
+        assertNone(EnumSet.of(Fault.SUSPEND), LeaseSimulation::staleCall);
+        assertNone(EnumSet.of(Fault.SUSPEND), LeaseSimulation::turn);
+    }
+
+    /** Guards against calls that were decided before the lease was released and are sent after the next holder's. */
+    @Test
+    @Tag("known-red")
+    void callsUnderWayEndBeforeTheLeaseIsReleased() {
+        assertNone(EnumSet.of(Fault.STOP), LeaseSimulation::staleCall);
+    }
+
+    /** Guards against a lease that returns to a node while calls of another holder lie in between. */
+    @Test
+    @Tag("known-red")
+    void leaseDoesNotReturnToANodeWithinItsDuration() {
+        assertNone(EnumSet.of(Fault.STOP), LeaseSimulation::turn);
+        assertNone(EnumSet.of(Fault.STOP, Fault.FREEZE, Fault.CUT, Fault.KILL), LeaseSimulation::turn);
+    }
+
+    /** Guards against any of these under all faults together. */
+    @Test
+    @Tag("known-red")
+    void oneHolderActsAtATime() {
+        assertNone(EnumSet.allOf(Fault.class), LeaseSimulation::staleCall);
+        assertNone(EnumSet.allOf(Fault.class), LeaseSimulation::turn);
+    }
+
+    private static void assertNone(Set<Fault> faults, Function<List<Arrival>, Optional<String>> violation) {
+        Map<Integer, String> violations = new TreeMap<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            int played = seed;
+            violation.apply(new LeaseSimulation(seed, faults).run()).ifPresent(v -> violations.put(played, v));
+        }
+        assertThat(violations.size() + " seeds with violations under " + faults, violations, is(Map.of()));
+    }
+}
