Release the lease only after the calls under it have ended

Cause, one of three: a release emptied the lease at once, and the next candidate held it 20 to 50 ms later, while calls of the old holder went on. An order to load weights reads the engine's report first (up to 350 ms) and then compared only the clock with the end of the lease as it was when the order was decided; so it could be sent up to 350 ms after the release and arrive 350 ms later, after the first order of the next holder, which waits 428 ms.

LeaseGate admits calls: only while the lease is held with the token of the decision, and not once a release has begun; the release is written when no admitted call is under way. The limits of time in the decisions are gone, so that one place decides what may be sent; usage reports, whose limit was kept in wall time, pass through it too. The three senders of orders are one.

Each usage report now has a log line with its token and outcome.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/ControlPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ControlPlane.java
@@ -91,7 +91,8 @@
                 context.settings().nodeId(),
                 context.incarnation(),
                 LeaseSettings.DEFAULT);
-        LeaseDriver lease = new LeaseDriver(scope, core, context.clock(), context.store(), context.metrics());
+        LeaseDriver lease =
+                new LeaseDriver(scope, core, context.loop(), context.clock(), context.store(), context.metrics());
         scopes.add(new ScopeLease(scope, lease));
         return lease;
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.magnoliabridge.external.EndpointOrder.Kind;
+import org.magnoliabridge.external.EndpointTotals;
 import org.magnoliabridge.external.EndpointTotals.Place;
 import org.magnoliabridge.fleet.FleetEndpoint;
 import org.magnoliabridge.gateway.GatewayConfig;
@@ -17,8 +18,8 @@
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.orders.CapacityPlan;
-import org.magnoliabridge.orders.EndpointTotalSender;
 import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.OrderSender;
 import org.magnoliabridge.orders.TotalsCore;
 import org.magnoliabridge.orders.TotalsEffect;
 import org.magnoliabridge.orders.TotalsInput;
@@ -40,16 +41,18 @@
     private final GatewayContext context;
     private final TotalsCore core;
     private final LeaseDriver lease;
-    private final EndpointTotalSender sender;
+    private final OrderSender sender;
+    private final EndpointTotals totals;
     // Used on the control thread only.
     private final Map<ServiceId, Integer> slots = new HashMap<>();
     private final Map<ServiceId, Set<DataCentre>> dataCentres = new HashMap<>();
 
-    FleetSizing(GatewayContext context, TotalsCore core, LeaseDriver lease, EndpointTotalSender sender) {
+    FleetSizing(GatewayContext context, TotalsCore core, LeaseDriver lease, EndpointTotals totals) {
         this.context = context;
         this.core = core;
         this.lease = lease;
-        this.sender = sender;
+        this.sender = new OrderSender(lease.gate());
+        this.totals = totals;
     }
 
     /** Updates the endpoints of the fleet; control thread only. */
@@ -122,7 +125,8 @@
             switch (effect) {
                 case TotalsEffect.Send send ->
                     Thread.ofVirtual().name("total-order").start(() -> {
-                        OrderOutcome outcome = sender.send(send);
+                        OrderOutcome outcome =
+                                sender.send(send.fencing(), permit -> totals.order(send.total(), permit));
                         context.loop().post(() -> onSent(send, outcome));
                     });
             }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -18,8 +18,6 @@
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseSettings;
-import org.magnoliabridge.orders.EndpointTotalSender;
-import org.magnoliabridge.orders.EngineLoadSender;
 import org.magnoliabridge.orders.TotalsCore;
 import org.magnoliabridge.orders.WeightsCore;
 import org.magnoliabridge.orders.WeightsSettings;
@@ -59,6 +57,7 @@
                         settings.nodeId(),
                         context.joined().incarnation(),
                         leaseSettings(settings.bounds().leaseMs())),
+                context.loop(),
                 context.clock(),
                 context.store(),
                 context.metrics());
@@ -67,14 +66,11 @@
                 new WeightsCore(
                         WeightsSettings.withoutPermits(), context.clock().nowMs()),
                 lease,
-                new EngineLoadSender(context.platform().engineOrders(), context.clock()),
+                context.platform().engineOrders(),
                 context.platform().engineReports(),
                 known);
         sizing = new FleetSizing(
-                context,
-                new TotalsCore(),
-                lease,
-                new EndpointTotalSender(context.platform().endpointTotals(), context.clock()));
+                context, new TotalsCore(), lease, context.platform().endpointTotals());
         UsageTimes times = UsageTimes.withDueTime(
                 settings.bounds().usageWindowMs(), settings.bounds().usageDueMs());
         usage = new UsageDriver(
--- a/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
@@ -5,11 +5,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseEffect;
+import org.magnoliabridge.lease.LeaseGate;
 import org.magnoliabridge.lease.LeaseView;
 import org.magnoliabridge.telemetry.LogFields;
 
@@ -19,17 +21,28 @@
 
     private final String scope;
     private final LeaseCore core;
+    private final ControlLoop loop;
     private final MonotonicClock clock;
     private final StoreRunner store;
     private final MetricRegistry metrics;
+    private final LeaseGate gate;
     private final CompletableFuture<Void> released = new CompletableFuture<>();
+    private boolean releasing;
 
-    LeaseDriver(String scope, LeaseCore core, MonotonicClock clock, StoreRunner store, MetricRegistry metrics) {
+    LeaseDriver(
+            String scope,
+            LeaseCore core,
+            ControlLoop loop,
+            MonotonicClock clock,
+            StoreRunner store,
+            MetricRegistry metrics) {
         this.scope = scope;
         this.core = core;
+        this.loop = loop;
         this.clock = clock;
         this.store = store;
         this.metrics = metrics;
+        this.gate = new LeaseGate(clock);
     }
 
     /** Returns the scope of the lease. */
@@ -39,7 +52,12 @@
 
     /** Returns what the lease currently allows this process to do. */
     LeaseView view() {
-        return core.view();
+        return releasing ? LeaseView.NOT_HELD : core.view();
+    }
+
+    /** Returns the gate that admits the calls under this lease. */
+    LeaseGate gate() {
+        return gate;
     }
 
     /** Handles a clock tick and sets whether this node is a candidate; called several times a second. */
@@ -48,13 +66,16 @@
         execute(core.onTick(clock.nowMs()));
     }
 
-    /** Releases the lease; the result completes when the release has ended. */
+    /** Releases the lease once the calls under it have ended; the result completes when the release has ended. */
     CompletableFuture<Void> release() {
-        execute(core.release(clock.nowMs()));
+        releasing = true;
+        CompletableFuture<Void> unused =
+                gate.close().thenRun(() -> loop.post(() -> execute(core.release(clock.nowMs()))));
         return released;
     }
 
     private void execute(List<LeaseEffect> effects) {
+        gate.update(core.view());
         for (LeaseEffect effect : new ArrayList<>(effects)) {
             switch (effect) {
                 case LeaseEffect.Call call ->
--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -28,7 +28,6 @@
 import org.magnoliabridge.http.UndertowHttpCaller;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.membership.MembershipInput;
-import org.magnoliabridge.orders.EngineLoadSender;
 import org.magnoliabridge.orders.OrdersCore;
 import org.magnoliabridge.orders.OrdersInput;
 import org.magnoliabridge.orders.OrdersSettings;
@@ -198,7 +197,7 @@
                 new WeightsCore(WEIGHTS, context.clock().nowMs()),
                 control.addScope("weights"),
                 new HttpWeightStore(context.http(), settings.platform().weights(), limits),
-                new EngineLoadSender(new HttpEngineOrders(context.http(), limits), context.clock()),
+                new HttpEngineOrders(context.http(), limits),
                 data.engines(),
                 data.dispatcher(),
                 context.loop(),
--- a/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/OrdersDriver.java
@@ -13,8 +13,8 @@
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ids.EndpointId;
-import org.magnoliabridge.orders.EndpointOrderSender;
 import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.OrderSender;
 import org.magnoliabridge.orders.OrdersCore;
 import org.magnoliabridge.orders.OrdersEffect;
 import org.magnoliabridge.orders.OrdersInput;
@@ -27,7 +27,7 @@
     private final OrdersCore core;
     private final LeaseDriver lease;
     private final EndpointOrders orders;
-    private final EndpointOrderSender sender;
+    private final OrderSender sender;
     private final ControlLoop loop;
     private final MonotonicClock clock;
     private final StoreRunner store;
@@ -51,7 +51,7 @@
         this.core = core;
         this.lease = lease;
         this.orders = orders;
-        this.sender = new EndpointOrderSender(orders, clock);
+        this.sender = new OrderSender(lease.gate());
         this.loop = loop;
         this.clock = clock;
         this.store = store;
@@ -106,7 +106,8 @@
     }
 
     private void send(OrdersEffect.Send send) {
-        OrderOutcome outcome = sender.send(send);
+        OrderOutcome outcome =
+                sender.send(send.fencing(), permit -> orders.order(send.order(), send.orderId(), permit));
         metrics.counter("orders.sent." + outcome).inc();
         loop.post(() -> handle(new OrdersInput.Sent(send.orderId(), outcome)));
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
@@ -13,6 +13,7 @@
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.UsageSink;
+import org.magnoliabridge.external.CallPermit;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
@@ -197,16 +198,20 @@
     }
 
     private void report(UsageEffect.Report report) {
-        ReportResult result =
-                wallClock.getAsLong() >= report.sendBeforeMs() ? ReportResult.NOT_CONFIRMED : send(report);
+        ReportResult result = lease.gate()
+                .admit(report.fencing())
+                .map(permit -> send(report, permit))
+                .orElse(ReportResult.NOT_CONFIRMED);
+        LOG.atInfo()
+                .with(LogFields.FENCING, report.fencing().value())
+                .log("usage report of window %s: %s", report.window(), result);
         metrics.counter("usage.reports." + result).inc();
         loop.post(() -> handle(new UsageInput.Reported(report.tag(), result)));
     }
 
-    private ReportResult send(UsageEffect.Report report) {
-        try {
-            reports.report(
-                    new UsageReports.Report(report.window(), report.body(), report.requestsByTeam(), report.fencing()));
+    private ReportResult send(UsageEffect.Report report, CallPermit admitted) {
+        try (CallPermit permit = admitted) {
+            reports.report(new UsageReports.Report(report.window(), report.body(), report.requestsByTeam(), permit));
             return ReportResult.ACCEPTED;
         } catch (PlatformException.Rejected e) {
             return e.status() == CONFLICT ? ReportResult.OTHER_FIGURES : ReportResult.NOT_CONFIRMED;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.magnoliabridge.external.EngineOrders;
 import org.magnoliabridge.external.EngineReports;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.ObjectWatch;
@@ -15,8 +16,8 @@
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.WeightVersion;
-import org.magnoliabridge.orders.EngineLoadSender;
 import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.OrderSender;
 import org.magnoliabridge.orders.WeightsCore;
 import org.magnoliabridge.orders.WeightsEffect;
 import org.magnoliabridge.orders.WeightsInput;
@@ -36,7 +37,8 @@
     private final GatewayContext context;
     private final WeightsCore core;
     private final LeaseDriver lease;
-    private final EngineLoadSender sender;
+    private final EngineOrders orders;
+    private final OrderSender sender;
     private final EngineReports reports;
     private final KnownWeights known;
     // Accessed on the control thread only.
@@ -51,13 +53,14 @@
             GatewayContext context,
             WeightsCore core,
             LeaseDriver lease,
-            EngineLoadSender sender,
+            EngineOrders orders,
             EngineReports reports,
             KnownWeights known) {
         this.context = context;
         this.core = core;
         this.lease = lease;
-        this.sender = sender;
+        this.orders = orders;
+        this.sender = new OrderSender(lease.gate());
         this.reports = reports;
         this.known = known;
     }
@@ -248,9 +251,20 @@
             if (held.isPresent() && !load.version().isAfter(held.get())) {
                 return OrderOutcome.ACCEPTED;
             }
-            return report.busy()
-                    ? OrderOutcome.REFUSED
-                    : sender.send(engine.socketAddress(), load, OptionalLong.of(report.ordersAccepted()));
+            if (report.busy()) {
+                return OrderOutcome.REFUSED;
+            }
+            OptionalLong expectedOrders = OptionalLong.of(report.ordersAccepted());
+            return sender.send(
+                    load.fencing(),
+                    permit -> orders.loadVersion(new EngineOrders.Load(
+                            load.engine(),
+                            engine.socketAddress(),
+                            load.orderId(),
+                            load.model(),
+                            permit,
+                            load.version(),
+                            expectedOrders)));
         } catch (PlatformException e) {
             LOG.atInfo()
                     .withCause(e)
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightsDriver.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.magnoliabridge.bundle.Service;
 import org.magnoliabridge.calls.EngineAdapter;
@@ -15,14 +16,15 @@
 import org.magnoliabridge.calls.LoadReport;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.external.EngineOrders;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.WeightStore;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
-import org.magnoliabridge.orders.EngineLoadSender;
 import org.magnoliabridge.orders.OrderOutcome;
+import org.magnoliabridge.orders.OrderSender;
 import org.magnoliabridge.orders.WeightsCore;
 import org.magnoliabridge.orders.WeightsEffect;
 import org.magnoliabridge.orders.WeightsInput;
@@ -43,7 +45,8 @@
     private final WeightsCore core;
     private final LeaseDriver lease;
     private final WeightStore weights;
-    private final EngineLoadSender sender;
+    private final EngineOrders orders;
+    private final OrderSender sender;
     private final EngineAdapter engines;
     private final Dispatcher dispatcher;
     private final ControlLoop loop;
@@ -59,7 +62,7 @@
             WeightsCore core,
             LeaseDriver lease,
             WeightStore weights,
-            EngineLoadSender sender,
+            EngineOrders orders,
             EngineAdapter engines,
             Dispatcher dispatcher,
             ControlLoop loop,
@@ -68,7 +71,8 @@
         this.core = core;
         this.lease = lease;
         this.weights = weights;
-        this.sender = sender;
+        this.orders = orders;
+        this.sender = new OrderSender(lease.gate());
         this.engines = engines;
         this.dispatcher = dispatcher;
         this.loop = loop;
@@ -206,8 +210,21 @@
     private void load(WeightsEffect.Load load) {
         InetSocketAddress address = addresses.get(load.engine());
         Thread.ofVirtual().start(() -> {
-            OrderOutcome outcome = address == null ? OrderOutcome.NOT_SENT : sender.send(address, load);
+            OrderOutcome outcome = address == null ? OrderOutcome.NOT_SENT : send(address, load);
             loop.post(() -> handle(new WeightsInput.Sent(load.orderId(), load.engine(), load.model(), outcome)));
         });
     }
+
+    private OrderOutcome send(InetSocketAddress engine, WeightsEffect.Load load) {
+        return sender.send(
+                load.fencing(),
+                permit -> orders.loadVersion(new EngineOrders.Load(
+                        load.engine(),
+                        engine,
+                        load.orderId(),
+                        load.model(),
+                        permit,
+                        load.version(),
+                        OptionalLong.empty())));
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/external/EndpointOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/EndpointOrders.java
@@ -1,7 +1,6 @@
 package org.magnoliabridge.external;
 
 import java.util.List;
-import org.magnoliabridge.ids.FencingToken;
 
 /** The platform's interface for starting and stopping endpoints; calls block. */
 public interface EndpointOrders {
@@ -11,7 +10,7 @@
      * @param orderId identifies the order in the platform's records
      * @throws PlatformException.Superseded if a higher fencing token has been seen
      */
-    void order(EndpointOrder order, String orderId, FencingToken fencing) throws PlatformException;
+    void order(EndpointOrder order, String orderId, CallPermit permit) throws PlatformException;
 
     /** Returns the last desired state of every endpoint that was ordered and that the platform still knows. */
     List<EndpointOrder> list() throws PlatformException;
--- a/library/src/main/java/org/magnoliabridge/external/EndpointTotals.java
+++ b/library/src/main/java/org/magnoliabridge/external/EndpointTotals.java
@@ -3,7 +3,6 @@
 import java.util.Objects;
 import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.ids.DataCentre;
-import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.ServiceId;
 
 /** The platform's interface for setting the number of a service's endpoints in a data centre; calls block. */
@@ -13,7 +12,7 @@
      *
      * @throws PlatformException.Rejected if the platform has no endpoints of that kind there now
      */
-    void order(Total total, FencingToken fencing) throws PlatformException;
+    void order(Total total, CallPermit permit) throws PlatformException;
 
     /** The service, data centre and kind of endpoint that a total counts. */
     record Place(ServiceId service, DataCentre dc, Kind kind) {
--- a/library/src/main/java/org/magnoliabridge/external/EngineOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/EngineOrders.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 import java.util.OptionalLong;
 import org.magnoliabridge.ids.EndpointId;
-import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.WeightVersion;
 
@@ -30,13 +29,14 @@
             InetSocketAddress address,
             String orderId,
             ModelId model,
-            FencingToken fencing,
+            CallPermit permit,
             WeightVersion version,
             OptionalLong expectedOrders) {
         public Load {
             Objects.requireNonNull(engine);
             Objects.requireNonNull(address);
             Objects.requireNonNull(model);
+            Objects.requireNonNull(permit);
         }
     }
 }
--- a/library/src/main/java/org/magnoliabridge/external/HttpEndpointOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpEndpointOrders.java
@@ -11,7 +11,6 @@
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
-import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.InvalidIdException;
 import org.magnoliabridge.ids.ServiceId;
 
@@ -28,10 +27,10 @@
     }
 
     @Override
-    public void order(EndpointOrder order, String orderId, FencingToken fencing) throws PlatformException {
+    public void order(EndpointOrder order, String orderId, CallPermit permit) throws PlatformException {
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("order_id", orderId);
-        body.put("fencing", fencing.value());
+        body.put("fencing", permit.fencing().value());
         body.put("dc", order.dc().value());
         body.put("service", order.service().value());
         body.put("kind", order.kind().wireName());
--- a/library/src/main/java/org/magnoliabridge/external/HttpEngineOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpEngineOrders.java
@@ -22,7 +22,7 @@
     public void loadVersion(Load load) throws PlatformException {
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("order_id", load.orderId());
-        body.put("fencing", load.fencing().value());
+        body.put("fencing", load.permit().fencing().value());
         body.put("action", "load_version");
         body.put("version", load.version().value());
         PlatformHttp http = new PlatformHttp(caller, load.address(), limits);
--- a/library/src/main/java/org/magnoliabridge/external/UsageReports.java
+++ b/library/src/main/java/org/magnoliabridge/external/UsageReports.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Objects;
-import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
 
@@ -22,7 +21,7 @@
      * @param requests each team's requests in this window alone
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Report(WindowId window, byte[] record, Map<TeamId, Long> requests, FencingToken fencing) {
+    record Report(WindowId window, byte[] record, Map<TeamId, Long> requests, CallPermit permit) {
         public Report {
             Objects.requireNonNull(window);
             Objects.requireNonNull(record);
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersCore.java
@@ -148,13 +148,13 @@
         switch (phase) {
             case READ -> call(nowMs, Phase.READING, new StoreRequest.Read(key));
             case LIST -> requestList(nowMs);
-            case READY -> startBatch(nowMs, lease);
-            case SENDING -> finishBatch(nowMs, lease);
+            case READY -> startBatch(nowMs);
+            case SENDING -> finishBatch(nowMs);
             default -> {}
         }
     }
 
-    private void startBatch(long nowMs, LeaseView lease) {
+    private void startBatch(long nowMs) {
         if (nowMs >= nextListMs) {
             requestList(nowMs);
             return;
@@ -170,7 +170,7 @@
         OrderIntents next = new OrderIntents(epoch, writerId + "-" + nextCallId, intents);
         if (isDisabled(OrdersMechanism.INTENT)) {
             claimed = true;
-            sendBatch(nowMs, lease, intents);
+            sendBatch(nowMs, intents);
             return;
         }
         pendingWrite = Optional.of(next);
@@ -254,12 +254,12 @@
             claimed = true;
             phase = Phase.READY;
             if (!current.intents().isEmpty() && mayAct(nowMs, lease)) {
-                sendBatch(nowMs, lease, current.intents());
+                sendBatch(nowMs, current.intents());
             }
         }
     }
 
-    private void sendBatch(long nowMs, LeaseView lease, List<OrderIntents.Intent> intents) {
+    private void sendBatch(long nowMs, List<OrderIntents.Intent> intents) {
         phase = Phase.SENDING;
         batch = new Batch(nowMs);
         for (OrderIntents.Intent intent : intents) {
@@ -267,7 +267,7 @@
             if (intent.order().equals(desired.get(intent.order().endpoint()))) {
                 batch.unsettled.put(intent.orderId(), intent.order());
                 accepted.remove(intent.order().endpoint());
-                effects.add(new OrdersEffect.Send(intent.orderId(), intent.order(), epoch, lease.sendUntilMs()));
+                effects.add(new OrdersEffect.Send(intent.orderId(), intent.order(), epoch));
             }
         }
     }
@@ -304,7 +304,7 @@
     }
 
     // An order with an unknown outcome can take effect until its send deadline; only after that is the list conclusive.
-    private void finishBatch(long nowMs, LeaseView lease) {
+    private void finishBatch(long nowMs) {
         if (!batch.unsettled.isEmpty() && nowMs - batch.sentMs < settings.sendDeadlineMs()) {
             return;
         }
@@ -314,7 +314,7 @@
         if (unknown) {
             requestList(nowMs);
         } else {
-            startBatch(nowMs, lease);
+            startBatch(nowMs);
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/orders/OrdersEffect.java
+++ b/library/src/main/java/org/magnoliabridge/orders/OrdersEffect.java
@@ -13,13 +13,8 @@
     /** Read the endpoint list. */
     record ListEndpoints(long callId) implements OrdersEffect {}
 
-    /**
-     * Send an order; the whole call is limited by the send deadline.
-     *
-     * @param notAfterMs time from which the order must not be sent; the sender checks it directly before it writes to
-     *     the connection, and reports {@link OrderOutcome#NOT_SENT} if it has passed
-     */
-    record Send(String orderId, EndpointOrder order, FencingToken fencing, long notAfterMs) implements OrdersEffect {}
+    /** Send an order; the whole call is limited by the send deadline. */
+    record Send(String orderId, EndpointOrder order, FencingToken fencing) implements OrdersEffect {}
 
     /** The order API refused an order, which is retried after the list period. Pass it on to {@link CapacityCore}. */
     record Refused(EndpointId endpoint) implements OrdersEffect {}
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
@@ -143,7 +143,7 @@
             if (isDue(nowMs, plan, place, urgent)) {
                 Total total = new Total(place, targets.get(place));
                 orders.put(place, new Order(total.endpoints(), State.SENDING, nowMs));
-                effects.add(new TotalsEffect.Send(total, serving(place), lease.fencing(), lease.sendUntilMs()));
+                effects.add(new TotalsEffect.Send(total, serving(place), lease.fencing()));
             }
         }
     }
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsEffect.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsEffect.java
@@ -10,8 +10,6 @@
      *
      * @param serving number of endpoints that were serving at the place when the total was decided
      * @param fencing the fencing token to send with the order
-     * @param notAfterMs time from which the order must not be sent; the sender checks it directly before it writes to
-     *     the connection, and reports {@link OrderOutcome#NOT_SENT} if it has passed
      */
-    record Send(Total total, int serving, FencingToken fencing, long notAfterMs) implements TotalsEffect {}
+    record Send(Total total, int serving, FencingToken fencing) implements TotalsEffect {}
 }
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
@@ -45,7 +45,6 @@
     private final List<WeightsEffect> effects = new ArrayList<>();
     private FencingToken epoch = LeaseView.NOT_HELD.fencing();
     private FencingToken supersededEpoch = LeaseView.NOT_HELD.fencing();
-    private long sendUntilMs;
     private long nextOrderNumber = 1;
 
     /** An engine and one of the models that it serves. */
@@ -81,7 +80,6 @@
     }
 
     private void followLease(LeaseView lease) {
-        sendUntilMs = lease.sendUntilMs();
         if (lease.held() && !lease.fencing().equals(epoch)) {
             epoch = lease.fencing();
             swaps.values().forEach(Swap::reset);
@@ -275,8 +273,7 @@
     private void orderLoad(long nowMs, Swap swap) {
         swap.begin(Step.ORDERED, swap.version, nowMs);
         swap.orderId = epoch + "-w" + nextOrderNumber++;
-        effects.add(new WeightsEffect.Load(
-                swap.orderId, swap.engine.id(), swap.engine.model(), epoch, swap.version, sendUntilMs));
+        effects.add(new WeightsEffect.Load(swap.orderId, swap.engine.id(), swap.engine.model(), epoch, swap.version));
     }
 
     private void onSent(long nowMs, WeightsInput.Sent sent) {
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsEffect.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsEffect.java
@@ -12,19 +12,8 @@
     record RequestPermit(EndpointId engine, ServiceId service, ModelId model, WeightVersion version)
             implements WeightsEffect {}
 
-    /**
-     * Order an engine to load a version; the whole call is limited by the send deadline.
-     *
-     * @param notAfterMs time from which the order must not be sent; the sender checks it directly before it writes to
-     *     the connection
-     */
-    record Load(
-            String orderId,
-            EndpointId engine,
-            ModelId model,
-            FencingToken fencing,
-            WeightVersion version,
-            long notAfterMs)
+    /** Order an engine to load a version; the whole call is limited by the send deadline. */
+    record Load(String orderId, EndpointId engine, ModelId model, FencingToken fencing, WeightVersion version)
             implements WeightsEffect {}
 
     /** Stop routing work to an engine, because it failed to load the version too often. */
--- a/library/src/main/java/org/magnoliabridge/usage/UsageEffect.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageEffect.java
@@ -21,19 +21,12 @@
     record Store(long tag, StoreRequest request) implements UsageEffect {}
 
     /**
-     * Report a window to the platform, unless {@code sendBeforeMs} has passed.
+     * Report a window to the platform if the lease still allows it; otherwise the result is {@code NOT_CONFIRMED}.
      *
      * @param requestsByTeam each team's number of requests in the window itself
-     * @param sendBeforeMs if the first byte was not written by then, the result is {@code NOT_CONFIRMED}
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Report(
-            long tag,
-            WindowId window,
-            byte[] body,
-            Map<TeamId, Long> requestsByTeam,
-            FencingToken fencing,
-            long sendBeforeMs)
+    record Report(long tag, WindowId window, byte[] body, Map<TeamId, Long> requestsByTeam, FencingToken fencing)
             implements UsageEffect {}
 
     /** The leader and the peers that get copies have confirmed all counts of this node; it may stop. */
--- a/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageSealer.java
@@ -265,8 +265,7 @@
                 ? unreported.get(window)
                 : new SealedWindow(new WindowId(window), table.countsOf(new WindowId(window)), new TreeMap<>())
                         .encode();
-        effects.add(new UsageEffect.Report(
-                reportTag, new WindowId(window), body, requestsByTeam(body), fencing, sendUntilMs));
+        effects.add(new UsageEffect.Report(reportTag, new WindowId(window), body, requestsByTeam(body), fencing));
     }
 
     private static Map<TeamId, Long> requestsByTeam(byte[] record) {
