Send nothing under a lease that returns within its duration

A holds the lease, B takes it (from a release, or after A was frozen or cut off), B is stopped and releases it, and A takes it back and sends, all within the lease duration. A process that was restarted did not know that its node had held the lease.

A process that acquires the lease after another one waits with its first call until the lease duration and the limit of a call have passed since it last held the lease, or since it started. The first start of all nodes is not delayed.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/ControlPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ControlPlane.java
@@ -91,7 +91,8 @@
                 new ObjectKey("leases/" + scope),
                 context.settings().nodeId(),
                 context.incarnation(),
-                LeaseSettings.DEFAULT);
+                LeaseSettings.DEFAULT,
+                context.clock().nowMs());
         LeaseDriver lease = new LeaseDriver(
                 scope,
                 core,
--- a/daemon/src/test/java/org/magnoliabridge/daemon/UnheldLease.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/UnheldLease.java
@@ -17,7 +17,8 @@
                 new ObjectKey("leases/duties"),
                 node,
                 new Incarnation(1),
-                new LeaseSettings(4_000, 1_000, 1_000, 500, 150));
+                new LeaseSettings(4_000, 1_000, 1_000, 500, 150),
+                0);
         return new LeaseDriver(
                 "duties", core, null, () -> 0, new SuspensionDetector(() -> 0, () -> 0), null, new MetricRegistry());
     }
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -21,8 +21,12 @@
  * the same version for the lease duration on its own clock. The holder measures the lease duration from the time before
  * it sent the renewal, so the lease expires for the holder before it expires for any candidate.
  *
+ * <p>A process that has held the lease before another one sends nothing until the lease duration has passed since then,
+ * so that two processes never take turns within that time.
+ *
  * <pre>{@code
- * LeaseCore lease = new LeaseCore(new ObjectKey("leases/orders"), node, incarnation, LeaseSettings.DEFAULT);
+ * LeaseCore lease = new LeaseCore(
+ *         new ObjectKey("leases/orders"), node, incarnation, LeaseSettings.DEFAULT, clock.nowMs());
  * lease.setCandidate(true);
  * List<LeaseEffect> effects = lease.onTick(clock.nowMs());
  * }</pre>
@@ -53,17 +57,31 @@
     private long firstTimedCallId = 1;
     private long nextActionMs = Long.MIN_VALUE;
     private LeaseView view = LeaseView.NOT_HELD;
+    private long lastHeldMs;
+    private long earliestSendMs = Long.MIN_VALUE;
 
-    /** Creates a core that does not hold the lease; the incarnation must be unique for every start of the node. */
-    public LeaseCore(ObjectKey key, NodeId self, Incarnation incarnation, LeaseSettings settings) {
-        this(key, self, incarnation, settings, EnumSet.noneOf(LeaseMechanism.class));
+    /**
+     * Creates a core that does not hold the lease.
+     *
+     * @param incarnation must be unique for every start of the node
+     * @param startedMs when this process started; an earlier process of the node may have held the lease until then
+     */
+    public LeaseCore(ObjectKey key, NodeId self, Incarnation incarnation, LeaseSettings settings, long startedMs) {
+        this(key, self, incarnation, settings, startedMs, EnumSet.noneOf(LeaseMechanism.class));
     }
 
-    LeaseCore(ObjectKey key, NodeId self, Incarnation incarnation, LeaseSettings settings, Set<LeaseMechanism> off) {
+    LeaseCore(
+            ObjectKey key,
+            NodeId self,
+            Incarnation incarnation,
+            LeaseSettings settings,
+            long startedMs,
+            Set<LeaseMechanism> off) {
         this.key = Objects.requireNonNull(key);
         this.self = Objects.requireNonNull(self);
         this.incarnation = Objects.requireNonNull(incarnation);
         this.settings = Objects.requireNonNull(settings);
+        this.lastHeldMs = startedMs;
         this.disabled = Set.copyOf(off);
     }
 
@@ -81,7 +99,7 @@
     public List<LeaseEffect> release(long nowMs) {
         releasing = true;
         nextActionMs = nowMs;
-        stopSending();
+        stopSending(nowMs);
         sendNextCall(nowMs);
         return drainEffects();
     }
@@ -93,7 +111,7 @@
      * process has acquired it.
      */
     public List<LeaseEffect> onSuspension(long nowMs) {
-        stopSending();
+        stopSending(nowMs);
         firstTimedCallId = nextCallId;
         nextActionMs = nowMs;
         return drainEffects();
@@ -130,12 +148,13 @@
 
     private void expire(long nowMs) {
         if (view.held() && nowMs >= view.sendUntilMs()) {
-            stopSending();
+            stopSending(nowMs);
         }
     }
 
-    private void stopSending() {
+    private void stopSending(long nowMs) {
         if (view.held()) {
+            lastHeldMs = Math.min(nowMs, view.sendUntilMs());
             effects.add(new LeaseEffect.MustStop(view.fencing()));
             view = LeaseView.NOT_HELD;
         }
@@ -152,12 +171,20 @@
         } else if (view.held()) {
             write(nowMs, record(self.value(), view.fencing()));
         } else if (candidate && mayAcquire(nowMs)) {
-            write(nowMs, record(self.value(), nextFencing()));
+            acquire(nowMs);
         } else if (candidate) {
             call(nowMs, new StoreRequest.Read(key), Optional.empty());
         }
     }
 
+    private void acquire(long nowMs) {
+        boolean heldByAnother = highestFencing > 0 && !isOwnLease();
+        if (heldByAnother && !isDisabled(LeaseMechanism.RETURN_WAIT)) {
+            earliestSendMs = lastHeldMs + settings.durationMs() + settings.takeoverWaitMs();
+        }
+        write(nowMs, record(self.value(), nextFencing()));
+    }
+
     private void actWhileReleasing(long nowMs) {
         if (isOwnLease()) {
             write(nowMs, record("", observed.orElseThrow().fencing()));
@@ -247,7 +274,8 @@
         FencingToken fencing = write.record().fencing();
         boolean renewal = view.held() && view.fencing().equals(fencing);
         long waitMs = isDisabled(LeaseMechanism.TAKEOVER_WAIT) ? 0 : settings.takeoverWaitMs();
-        view = new LeaseView(true, fencing, renewal ? view.sendFromMs() : nowMs + waitMs, sendUntilMs);
+        long sendFromMs = renewal ? view.sendFromMs() : Math.max(nowMs + waitMs, earliestSendMs);
+        view = new LeaseView(true, fencing, sendFromMs, sendUntilMs);
         nextActionMs = write.sentMs() + settings.renewMs();
         if (!renewal) {
             effects.add(new LeaseEffect.Acquired(fencing));
@@ -262,7 +290,7 @@
             extendLease(nowMs, own.get());
         } else if (view.held()
                 && !(isOwnLease() && record.orElseThrow().fencing().equals(view.fencing()))) {
-            stopSending();
+            stopSending(nowMs);
         } else if (view.held() || releasing || mayAcquire(nowMs)) {
             nextActionMs = nowMs;
         } else {
@@ -274,7 +302,7 @@
 
     private void observeAbsent(long nowMs) {
         recordVersion(nowMs, ObjectStore.ABSENT, Optional.empty());
-        stopSending();
+        stopSending(nowMs);
         nextActionMs = nowMs;
     }
 
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseMechanism.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseMechanism.java
@@ -9,5 +9,7 @@
     /** The outcome of a write whose reply was lost is determined by reading the lease back. */
     READ_BACK,
     /** A new holder waits before its first order. */
-    TAKEOVER_WAIT
+    TAKEOVER_WAIT,
+    /** A process that has held the lease before another one waits before it sends again. */
+    RETURN_WAIT
 }
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -19,6 +19,7 @@
 
 class LeaseCoreTest {
     private static final ObjectKey KEY = new ObjectKey("leases/endpoints");
+    private static final long LONG_AGO_MS = -60_000;
     private final MemoryStore store = new MemoryStore();
     private final List<LeaseEffect> allEffects = new ArrayList<>();
 
@@ -74,8 +75,50 @@
         assertThat(core.view().fencing(), is(new FencingToken(2)));
     }
 
+    /** Guards against a lease that passes to another node and back while calls of both still count as simultaneous. */
+    @Test
+    void processThatHeldTheLeaseBeforeAnotherOneWaitsForTheLeaseDuration() {
+        LeaseCore first = core("node-0");
+        LeaseCore second = core("node-1");
+        run(first, 0, first.onTick(0));
+        run(first, 6_000, first.onTick(6_000));
+        run(second, 6_001, second.onTick(6_001));
+        first.setCandidate(false);
+        run(first, 13_000, first.onTick(13_000));
+        assertThat("expired without a renewal", first.view().held(), is(false));
+        run(second, 16_001, second.onTick(16_001));
+        assertThat(second.view().held(), is(true));
+        run(second, 16_100, second.release(16_100));
+        first.setCandidate(true);
+        run(first, 16_200, first.onTick(16_200));
+        assertThat(first.view().held(), is(true));
+        assertThat(first.view().sendFromMs(), is(13_000 + 10_000 + 2_000L));
+    }
+
+    /** Guards against a node that is restarted and takes a released lease back at once. */
+    @Test
+    void restartedProcessWaitsForTheLeaseDuration() {
+        LeaseCore first = core("node-0");
+        run(first, 0, first.onTick(0));
+        run(first, 1, first.release(1));
+        LeaseCore second = new LeaseCore(KEY, new NodeId("node-1"), new Incarnation(2), LeaseSettings.DEFAULT, 50);
+        second.setCandidate(true);
+        run(second, 60, second.onTick(60));
+        assertThat(second.view().held(), is(true));
+        assertThat(second.view().sendFromMs(), is(50 + 10_000 + 2_000L));
+    }
+
+    /** Guards against a wait at the first start of all nodes. */
+    @Test
+    void firstHolderWaitsOnlyForCallsUnderWay() {
+        LeaseCore core = new LeaseCore(KEY, new NodeId("node-0"), new Incarnation(1), LeaseSettings.DEFAULT, 0);
+        core.setCandidate(true);
+        run(core, 0, core.onTick(0));
+        assertThat(core.view().sendFromMs(), is(2_000L));
+    }
+
     private static LeaseCore core(String name) {
-        LeaseCore core = new LeaseCore(KEY, new NodeId(name), new Incarnation(1), LeaseSettings.DEFAULT);
+        LeaseCore core = new LeaseCore(KEY, new NodeId(name), new Incarnation(1), LeaseSettings.DEFAULT, LONG_AGO_MS);
         core.setCandidate(true);
         return core;
     }
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCores.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCores.java
@@ -11,9 +11,10 @@
     private LeaseCores() {}
 
     /** Returns a core without the named mechanism; a name of anything but a lease mechanism disables nothing. */
-    public static LeaseCore without(String mechanism, ObjectKey key, NodeId self, Incarnation incarnation) {
+    public static LeaseCore without(
+            String mechanism, ObjectKey key, NodeId self, Incarnation incarnation, long startedMs) {
         Set<LeaseMechanism> disabled = EnumSet.allOf(LeaseMechanism.class);
         disabled.removeIf(m -> !("lease " + m).equals(mechanism));
-        return new LeaseCore(key, self, incarnation, LeaseSettings.DEFAULT, disabled);
+        return new LeaseCore(key, self, incarnation, LeaseSettings.DEFAULT, startedMs, disabled);
     }
 }
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseSimulation.java
@@ -64,6 +64,7 @@
     private final List<Arrival> arrivals = new ArrayList<>();
     private final Random random;
     private final List<Fault> faults;
+    private final Set<LeaseMechanism> disabled;
     private final MemoryStore store = new MemoryStore();
     private final List<Node> nodes = new ArrayList<>();
     private final PriorityQueue<Event> events =
@@ -71,9 +72,10 @@
     private long sequence;
     private long nowMs;
 
-    LeaseSimulation(long seed, Set<Fault> faults) {
+    LeaseSimulation(long seed, Set<Fault> faults, Set<LeaseMechanism> disabled) {
         this.random = new Random(seed);
         this.faults = faults.stream().sorted().toList();
+        this.disabled = disabled;
     }
 
     /**
@@ -145,7 +147,7 @@
         void start() {
             incarnation++;
             alive = true;
-            core = new LeaseCore(KEY, new NodeId(name), new Incarnation(incarnation), SETTINGS);
+            core = new LeaseCore(KEY, new NodeId(name), new Incarnation(incarnation), SETTINGS, clockMs(), disabled);
             suspensions = new SuspensionDetector(this::clockMs, () -> nowMs);
             handledSuspensions = 0;
             gate = new LeaseGate(this::clockMs, suspensions);
--- a/library/src/test/java/org/magnoliabridge/orders/OrdersSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/orders/OrdersSimulation.java
@@ -162,7 +162,7 @@
         private void start() {
             incarnation++;
             alive = true;
-            lease = LeaseCores.without(disabledMechanism, LEASE, new NodeId(name), new Incarnation(incarnation));
+            lease = LeaseCores.without(disabledMechanism, LEASE, new NodeId(name), new Incarnation(incarnation), nowMs);
             lease.setCandidate(true);
             Set<OrdersMechanism> off = EnumSet.allOf(OrdersMechanism.class);
             off.removeIf(m -> !("orders " + m).equals(disabledMechanism));
--- a/standins/src/main/java/org/magnoliabridge/measure/LeaseCalls.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/LeaseCalls.java
@@ -30,7 +30,7 @@
             for (int node = 0; node < 2; node++) {
                 ObjectKey key = new ObjectKey("leases/scope-" + scope);
                 LeaseCore core =
-                        new LeaseCore(key, new NodeId("node-" + node), new Incarnation(1), LeaseSettings.DEFAULT);
+                        new LeaseCore(key, new NodeId("node-" + node), new Incarnation(1), LeaseSettings.DEFAULT, 0);
                 core.setCandidate(true);
                 cores.add(core);
             }
