Wait for the last order of the previous holder under short leases too

A new holder of the duties waits a seventh of the lease, which is shorter than the time limit of an order (350 ms) for leases under 2,450 ms; under leases of less than 892 ms the last order of the previous holder could arrive after the first one of the next. The wait is now at least the limit of an order, which the adapter tells. Nothing changes for a lease of 3,000 ms, the only one on our sites.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -34,8 +34,8 @@
 final class GatewayDuties implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final ObjectWatch.Times WATCH = new ObjectWatch.Times(3_000, 20, 500);
-    // Divisors of the lease duration: three renewals fit in before the margin, and a holder's last call has ended
-    // before the next holder's first one.
+    // Divisors of the lease duration. Three renewals fit in before the margin. The takeover wait is at least the time
+    // limit of a call, so that a holder's last call has ended before the next holder's first one.
     private static final int RENEWALS_PER_LEASE = 3;
     private static final int MARGIN_DIVISOR = 4;
     private static final int TAKEOVER_DIVISOR = 7;
@@ -57,7 +57,8 @@
                         new ObjectKey("leases/duties"),
                         settings.nodeId(),
                         context.joined().incarnation(),
-                        leaseSettings(settings.bounds().leaseMs()),
+                        leaseSettings(
+                                settings.bounds().leaseMs(), context.platform().orderLimitMs()),
                         context.clock().nowMs()),
                 context.loop(),
                 context.clock(),
@@ -172,8 +173,12 @@
                 new Random(context.random().nextLong()));
     }
 
-    private static LeaseSettings leaseSettings(long leaseMs) {
+    static LeaseSettings leaseSettings(long leaseMs, long orderLimitMs) {
         return new LeaseSettings(
-                leaseMs, leaseMs / RENEWALS_PER_LEASE, leaseMs / MARGIN_DIVISOR, leaseMs / TAKEOVER_DIVISOR, RETRY_MS);
+                leaseMs,
+                leaseMs / RENEWALS_PER_LEASE,
+                leaseMs / MARGIN_DIVISOR,
+                Math.max(leaseMs / TAKEOVER_DIVISOR, orderLimitMs),
+                RETRY_MS);
     }
 }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
@@ -56,6 +56,9 @@
     /** Returns the client that submits usage reports. */
     UsageReports usageReports();
 
+    /** Returns the longest time that an order or a usage report takes, in milliseconds. */
+    long orderLimitMs();
+
     /** Returns the client that orders the total number of endpoints of a service in a data centre. */
     EndpointTotals endpointTotals();
 
