Count a lease as held only if the process could send under it

A process that acquires the lease after another one waits since it last held the lease; a lease that passed on before its first send counted too, so nodes that alternate quickly waited anew each time and none sent. Such a lease does not count now; one that was used counts until the end of its view, because other threads may send until then. The line at an acquisition tells the wait before the first call and the write that was replaced, which names the previous holder. LeaseCoreTest has the case.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
@@ -103,7 +103,9 @@
                     metrics.counter("lease." + scope + ".acquired").inc();
                     LOG.atInfo()
                             .with(LogFields.FENCING, acquired.fencing().value())
-                            .log("acquired lease %s", scope);
+                            .log(
+                                    "acquired lease %s, first call in %d ms, replaced write %s",
+                                    scope, acquired.sendFromMs() - clock.nowMs(), acquired.replacedWriter());
                 }
                 case LeaseEffect.MustStop stop -> {
                     metrics.counter("lease." + scope + ".ended").inc();
--- a/library/src/main/java/org/magnoliabridge/core/SuspensionDetector.java
+++ b/library/src/main/java/org/magnoliabridge/core/SuspensionDetector.java
@@ -12,7 +12,7 @@
 public final class SuspensionDetector {
     // Well above the resolution of the clocks and the time between two readings, below the margins of a lease.
     private static final long MIN_JUMP_MS = 100;
-    // The readings of the clocks belong together if the thread was not interrupted for longer than this.
+    // The readings of the clocks belong together if the thread was not preempted for longer than this.
     private static final long MAX_READING_MS = 20;
     private static final int MAX_READINGS = 5;
 
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -21,8 +21,8 @@
  * the same version for the lease duration on its own clock. The holder measures the lease duration from the time before
  * it sent the renewal, so the lease expires for the holder before it expires for any candidate.
  *
- * <p>A process that has held the lease before another one sends nothing until the lease duration has passed since then,
- * so that two processes never take turns within that time.
+ * <p>A process that acquires the lease after another process held it sends nothing until the lease duration and the
+ * takeover wait have passed since it last held the lease, so that two processes never take turns within that time.
  *
  * <pre>{@code
  * LeaseCore lease = new LeaseCore(
@@ -53,12 +53,13 @@
     private long highestFencing;
     private InFlight inFlight;
     private long nextCallId = 1;
-    // The time since the sending of an earlier call is unknown.
+    // Calls with lower ids were sent before the last suspension, so the time since then is unknown.
     private long firstTimedCallId = 1;
     private long nextActionMs = Long.MIN_VALUE;
     private LeaseView view = LeaseView.NOT_HELD;
     private long lastHeldMs;
     private long earliestSendMs = Long.MIN_VALUE;
+    private String replacedWriter = "";
 
     /**
      * Creates a core that does not hold the lease.
@@ -154,7 +155,10 @@
 
     private void stopSending(long nowMs) {
         if (view.held()) {
-            lastHeldMs = Math.min(nowMs, view.sendUntilMs());
+            // Other threads may send until the end of this view, even while this input is handled.
+            if (nowMs >= view.sendFromMs()) {
+                lastHeldMs = view.sendUntilMs();
+            }
             effects.add(new LeaseEffect.MustStop(view.fencing()));
             view = LeaseView.NOT_HELD;
         }
@@ -182,6 +186,7 @@
         if (heldByAnother && !isDisabled(LeaseMechanism.RETURN_WAIT)) {
             earliestSendMs = lastHeldMs + settings.durationMs() + settings.takeoverWaitMs();
         }
+        replacedWriter = observed.map(LeaseRecord::writer).orElse("");
         write(nowMs, record(self.value(), nextFencing()));
     }
 
@@ -278,7 +283,7 @@
         view = new LeaseView(true, fencing, sendFromMs, sendUntilMs);
         nextActionMs = write.sentMs() + settings.renewMs();
         if (!renewal) {
-            effects.add(new LeaseEffect.Acquired(fencing));
+            effects.add(new LeaseEffect.Acquired(fencing, replacedWriter, sendFromMs));
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseEffect.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseEffect.java
@@ -12,8 +12,13 @@
      */
     record Call(long callId, StoreRequest request) implements LeaseEffect {}
 
-    /** This process acquired the lease. */
-    record Acquired(FencingToken fencing) implements LeaseEffect {}
+    /**
+     * This process acquired the lease.
+     *
+     * @param replacedWriter id of the write that this process replaced, empty if there was none; names the process
+     * @param sendFromMs the earliest time at which this process may send
+     */
+    record Acquired(FencingToken fencing, String replacedWriter, long sendFromMs) implements LeaseEffect {}
 
     /** This process must stop sending with the token: the lease was lost, was released or has expired. */
     record MustStop(FencingToken fencing) implements LeaseEffect {}
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseGate.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseGate.java
@@ -34,7 +34,7 @@
     /**
      * Sets the state of the lease.
      *
-     * @param suspensionsBefore the number of suspensions that the state allows for
+     * @param suspensionsBefore the number of suspensions detected before the state was determined
      */
     public synchronized void update(LeaseView newView, long suspensionsBefore) {
         view = newView;
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseMechanism.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseMechanism.java
@@ -10,6 +10,6 @@
     READ_BACK,
     /** A new holder waits before its first order. */
     TAKEOVER_WAIT,
-    /** A process that has held the lease before another one waits before it sends again. */
+    /** A process that acquires the lease after another process held it waits if it held it shortly before. */
     RETURN_WAIT
 }
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseSettings.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseSettings.java
@@ -6,7 +6,7 @@
  * @param durationMs how long a lease object must stay unchanged before another candidate may acquire the lease
  * @param renewMs renewal period
  * @param marginMs how long before the expiry on its own clock a holder stops sending
- * @param takeoverWaitMs how long a new holder waits before its first order; equals the send deadline of orders
+ * @param takeoverWaitMs how long a new holder waits before its first order; at least the send deadline of orders
  * @param retryMs delay after a failed call
  */
 public record LeaseSettings(long durationMs, long renewMs, long marginMs, long takeoverWaitMs, long retryMs) {
--- a/library/src/test/java/org/magnoliabridge/core/SuspensionDetectorTest.java
+++ b/library/src/test/java/org/magnoliabridge/core/SuspensionDetectorTest.java
@@ -41,9 +41,9 @@
         assertThat(detector.detected(), is(1L));
     }
 
-    /** Guards against a thread that was interrupted between the readings of the clocks and reports a suspension. */
+    /** Guards against a thread that was preempted between the readings of the clocks and reports a suspension. */
     @Test
-    void interruptionBetweenReadingsIsNoSuspension() {
+    void preemptionBetweenReadingsIsNoSuspension() {
         readingMs = 500;
         assertThat(detector.detected(), is(0L));
     }
@@ -53,7 +53,7 @@
         wallMs += ms;
     }
 
-    // The first reading is followed by an interruption, during which both clocks go on.
+    // The first reading is followed by a preemption, during which both clocks go on.
     private long readMonotonic() {
         long read = monotonicMs;
         advance(readingMs);
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -95,6 +95,22 @@
         assertThat(first.view().sendFromMs(), is(13_000 + 10_000 + 2_000L));
     }
 
+    /** Guards against nodes that alternate so fast that each one waits anew and none ever sends. */
+    @Test
+    void leaseThatWasNotUsedDoesNotExtendTheWait() {
+        LeaseCore first = core("node-0");
+        LeaseCore second = core("node-1");
+        run(first, 0, first.onTick(0));
+        run(first, 1_000, first.onSuspension(1_000));
+        first.setCandidate(false);
+        run(second, 1_100, second.onTick(1_100));
+        run(second, 11_200, second.onTick(11_200));
+        run(second, 11_300, second.release(11_300));
+        first.setCandidate(true);
+        run(first, 11_400, first.onTick(11_400));
+        assertThat(first.view().sendFromMs(), is(11_400 + 2_000L));
+    }
+
     /** Guards against a node that is restarted and takes a released lease back at once. */
     @Test
     void restartedProcessWaitsForTheLeaseDuration() {
