--- a/library/src/test/java/org/magnoliabridge/lease/LeaseSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseSimulation.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.magnoliabridge.core.SuspensionDetector;
+import org.magnoliabridge.external.CallPermit;
 import org.magnoliabridge.external.MemoryStore;
 import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.StoreReply;
@@ -27,7 +28,7 @@
  */
 final class LeaseSimulation {
     static final LeaseSettings SETTINGS = new LeaseSettings(3_000, 1_000, 750, 428, 150);
-    /** Longest time between the last check of the lease and the arrival of a call, enforced by the call's timeout. */
+    /** Longest time from the last check of the lease to the arrival of a call, and from its admission to that check. */
     static final int CALL_LIMIT_MS = 350;
 
     private static final ObjectKey KEY = new ObjectKey("leases/duties");
@@ -224,12 +225,26 @@
             at(
                     nowMs + preparationMs,
                     () -> whenRunning(
-                            process,
-                            () -> gate.admit(decided)
-                                    .ifPresent(permit -> at(nowMs + upTo(CALL_LIMIT_MS), () -> {
-                                        arrive(permit.fencing());
-                                        whenRunning(process, permit::close);
-                                    }))));
+                            process, () -> gate.admit(decided).ifPresent(permit -> connect(process, permit))));
+        }
+
+        private void connect(int process, CallPermit permit) {
+            at(
+                    nowMs + upTo(CALL_LIMIT_MS),
+                    () -> whenRunning(process, () -> {
+                        if (permit.isValid()) {
+                            write(process, permit);
+                        } else {
+                            permit.close();
+                        }
+                    }));
+        }
+
+        private void write(int process, CallPermit permit) {
+            at(nowMs + upTo(CALL_LIMIT_MS), () -> {
+                arrive(permit.fencing());
+                whenRunning(process, permit::close);
+            });
         }
 
         private void arrive(FencingToken fencing) {
