Evaluate a call's condition on the I/O thread before its request is written

Callers saw: an order or a platform call checked against the lease arrived after the next holder's. The last check stood before the connection was taken or opened, so the time to connect, a busy I/O thread or a freeze passed between the check and the write.

HttpCall.onlyWhile(condition) makes a copy whose condition the I/O thread evaluates in Exchange.send, in the task that writes the request. If it does not hold, nothing is written, the connection is closed in order and the call fails as NotSent; a repetition whose first request may have run fails as Lost as before. Withers go through one private copy method, which passes the condition on.

--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -44,20 +44,27 @@
         this.call = call;
     }
 
-    /** Sends the request; from here on the server may execute the call. */
+    /** Sends the request if the call's condition holds; from here on the server may execute the call. */
     void start() {
         connection.client().getIoThread().execute(this::send);
     }
 
     private void send() {
+        if (!call.mayBeWritten()) {
+            events.add(new Withheld());
+            return;
+        }
         connection.limit().expectHead();
         connection.client().sendRequest(request(), callback(this::requestStarted));
     }
 
     /** Waits for the answer's status and headers. */
-    Head awaitHead(long limitMs) throws HttpFailure.Lost {
+    Head awaitHead(long limitMs) throws HttpFailure {
         return switch (next(limitMs, "no answer within ")) {
             case Head head -> head;
+            case Withheld withheld ->
+                throw new HttpFailure.NotSent(
+                        "not written to " + call.target() + ": the condition of the call does not hold", null);
             case Piece piece -> throw new IllegalStateException("content before the status");
             case End end -> throw new IllegalStateException("end before the status");
             case Failed failed -> throw failedBeforeHead(failed);
@@ -76,6 +83,7 @@
             case Piece piece -> taken(piece);
             case End end -> null;
             case Head head -> throw new IllegalStateException("second status");
+            case Withheld withheld -> throw new IllegalStateException("content of a call that was not written");
             case Failed failed -> throw new HttpFailure.Lost("the answer ended early", failed.cause);
         };
     }
@@ -253,6 +261,9 @@
     /** An event passed from the I/O thread to the calling thread. */
     sealed interface Event {}
 
+    /** Nothing was written, because the call's condition does not hold. */
+    private record Withheld() implements Event {}
+
     /** The answer's status and headers. */
     record Head(int status, HeaderMap headers) implements Event {
         boolean keepAlive() {
--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * An HTTP request with its limits.
@@ -20,6 +21,7 @@
  * @param deadlineHeader name of a header with the time limit of the whole call, less the time used if it is sent again
  * @param unframedAnswer whether to accept an answer without Content-Length and Transfer-Encoding, which ends when
  *     its connection closes
+ * @param condition must hold when the request is written, see {@link #onlyWhile}; empty for none
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
@@ -32,7 +34,8 @@
         int maxAnswerBytes,
         Reuse reuse,
         Optional<String> deadlineHeader,
-        boolean unframedAnswer) {
+        boolean unframedAnswer,
+        Optional<BooleanSupplier> condition) {
     private static final long DEFAULT_TOTAL_MS = 5_000;
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
     private static final byte[] NO_BODY = {};
@@ -55,6 +58,7 @@
         Objects.requireNonNull(target);
         Objects.requireNonNull(body);
         Objects.requireNonNull(limits);
+        Objects.requireNonNull(condition);
         headers = Map.copyOf(headers);
         if (!path.startsWith("/")) {
             throw new IllegalArgumentException("path must start with a slash: " + path);
@@ -73,7 +77,8 @@
                 DEFAULT_MAX_ANSWER_BYTES,
                 Reuse.ONCE,
                 Optional.empty(),
-                false);
+                false,
+                Optional.empty());
     }
 
     /** Returns a GET call. */
@@ -90,20 +95,18 @@
     public HttpCall withHeader(String name, String value) {
         Map<String, String> all = new LinkedHashMap<>(headers);
         all.put(name, value);
-        return new HttpCall(
-                method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
+        return copy(method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy with another body. */
     public HttpCall withBody(byte[] content) {
-        return new HttpCall(
+        return copy(
                 method, target, path, headers, content, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy with other limits. */
     public HttpCall withLimits(HttpLimits other) {
-        return new HttpCall(
-                method, target, path, headers, body, other, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
+        return copy(method, target, path, headers, body, other, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy that opens a new connection. */
@@ -117,29 +120,78 @@
     }
 
     private HttpCall withReuse(Reuse other) {
-        return new HttpCall(
-                method, target, path, headers, body, limits, maxAnswerBytes, other, deadlineHeader, unframedAnswer);
+        return copy(method, target, path, headers, body, limits, maxAnswerBytes, other, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy that tells the server its time limit in milliseconds in this header. */
     public HttpCall withDeadlineHeader(String name) {
-        return new HttpCall(
+        return copy(
                 method, target, path, headers, body, limits, maxAnswerBytes, reuse, Optional.of(name), unframedAnswer);
     }
 
     /** Returns a copy that accepts an answer delimited by the end of its connection. */
     public HttpCall withUnframedAnswer() {
-        return new HttpCall(method, target, path, headers, body, limits, maxAnswerBytes, reuse, deadlineHeader, true);
+        return copy(method, target, path, headers, body, limits, maxAnswerBytes, reuse, deadlineHeader, true);
     }
 
     /** Returns a copy with another size limit of the answer, in bytes. */
     public HttpCall withMaxAnswerBytes(int max) {
-        return new HttpCall(method, target, path, headers, body, limits, max, reuse, deadlineHeader, unframedAnswer);
+        return copy(method, target, path, headers, body, limits, max, reuse, deadlineHeader, unframedAnswer);
     }
 
     /** Returns a copy with these headers in place of all others. */
     public HttpCall withHeaders(Map<String, String> all) {
+        return copy(method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
+    }
+
+    /**
+     * Returns a copy that is sent only if the condition holds when its request is written, and fails as
+     * {@link HttpFailure.NotSent} otherwise.
+     *
+     * @param holds called on the I/O thread after the connection is open; must not block or throw
+     */
+    public HttpCall onlyWhile(BooleanSupplier holds) {
+        return new HttpCall(
+                method,
+                target,
+                path,
+                headers,
+                body,
+                limits,
+                maxAnswerBytes,
+                reuse,
+                deadlineHeader,
+                unframedAnswer,
+                Optional.of(holds));
+    }
+
+    /** Returns whether the request may be written now. */
+    boolean mayBeWritten() {
+        return condition.isEmpty() || condition.get().getAsBoolean();
+    }
+
+    private HttpCall copy(
+            String method,
+            InetSocketAddress target,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            HttpLimits limits,
+            int maxAnswerBytes,
+            Reuse reuse,
+            Optional<String> deadlineHeader,
+            boolean unframedAnswer) {
         return new HttpCall(
-                method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
+                method,
+                target,
+                path,
+                headers,
+                body,
+                limits,
+                maxAnswerBytes,
+                reuse,
+                deadlineHeader,
+                unframedAnswer,
+                condition);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
@@ -12,7 +12,8 @@
     /**
      * Makes a call and returns the complete answer, whatever its status.
      *
-     * @throws HttpFailure.NotSent if no byte of the request was written to a connection
+     * @throws HttpFailure.NotSent if no byte of the request was written to a connection, for example because the call's
+     *     condition did not hold
      * @throws HttpFailure.ReusedConnectionLost if a reused connection failed before the answer and the call was not
      *     sent again, because it may not be repeated or its time to connect had passed
      * @throws HttpFailure.Lost if the request was at least partly written and no complete answer was received
