Send no store call that has not begun when its deadline passes

Callers saw: a write that was answered as unknown could be sent to the store after the answer, and a read after it had been answered as unavailable. A lease renewal or an order record then reached the store later than its sender believed. On arm64 BudgetedStoreTest.everyCallEndsAtItsDeadline showed it once: the read was seen by the store before the write whose caller had timed out earlier.

Cause: BudgetedStore hands each call to a virtual thread. If that thread starts late, the caller's wait has ended, and nothing told the thread. A call whose permit was granted late, or whose caller's thread was late, was sent after its deadline too.

Change: CallStart decides once, by one compare-and-set, whether a call begins or is given up. The thread asks it before the call and checks the deadline there; the caller asks it when its wait ends. A call that never begins is reported as Unavailable, also to an interrupted caller, counts as store.calls.KIND.refused and no longer as sent, timed out or failed in the wait for it, and releases its permit at once, by whoever gave it up. A call that has begun keeps its permit until it ends, and a write that gets no answer stays unknown. The clock and the starting of threads come in through the constructor.

--- a/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
@@ -10,14 +10,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.external.StoreRequest.Priority;
 
 /**
  * Limits the concurrency and the duration of one process's calls to the object API.
  *
  * <p>At most a fixed number of calls are open at once, and calls of a higher priority go first. Identical reads that
- * wait at the same time share one call. A call that has not ended by its deadline fails: a read, or a call that is
- * still waiting for a permit, with {@link PlatformException.Unavailable}; a write that was sent, with {@link
+ * wait at the same time share one call. A call that has not ended by its deadline fails: a read, or a call that has not
+ * begun and is never sent, with {@link PlatformException.Unavailable}; a write that has begun, with {@link
  * PlatformException.OutcomeUnknown}. Watches are counted but take no permit, because they are idle most of the time.
  *
  * <pre>{@code
@@ -36,8 +38,15 @@
     private final long deadlineMs;
     private final MetricRegistry metrics;
     private final ReadCoalescer reads;
+    private final MonotonicClock clock;
+    private final Threads threads;
     private final AtomicInteger openWatches = new AtomicInteger();
 
+    /** Runs each call on a thread of its own. */
+    interface Threads {
+        void start(String name, Runnable call);
+    }
+
     /**
      * Creates a budgeted store.
      *
@@ -45,10 +54,24 @@
      * @param deadlineMs longest duration of a call including its wait for a permit, in milliseconds
      */
     public BudgetedStore(ObjectStore store, int maxCalls, long deadlineMs, MetricRegistry metrics) {
-        this(store, maxCalls, deadlineMs, metrics, new ReadCoalescer(WAIT_FOR_RUNNING_READ_MS));
+        this(
+                store,
+                maxCalls,
+                deadlineMs,
+                metrics,
+                new ReadCoalescer(WAIT_FOR_RUNNING_READ_MS),
+                MonotonicClock.system(),
+                (name, call) -> Thread.ofVirtual().name(name).start(call));
     }
 
-    BudgetedStore(ObjectStore store, int maxCalls, long deadlineMs, MetricRegistry metrics, ReadCoalescer reads) {
+    BudgetedStore(
+            ObjectStore store,
+            int maxCalls,
+            long deadlineMs,
+            MetricRegistry metrics,
+            ReadCoalescer reads,
+            MonotonicClock clock,
+            Threads threads) {
         if (deadlineMs < 1) {
             throw new IllegalArgumentException("deadline must be at least 1 ms, got " + deadlineMs + " ms");
         }
@@ -57,6 +80,8 @@
         this.deadlineMs = deadlineMs;
         this.metrics = Objects.requireNonNull(metrics);
         this.reads = reads;
+        this.clock = clock;
+        this.threads = threads;
         metrics.gauge("store.watches.open", () -> openWatches::get);
         metrics.gauge("store.calls.waiting", () -> budget::waiting);
     }
@@ -66,18 +91,18 @@
         return new View(priority);
     }
 
-    private <T> T call(String kind, Priority priority, boolean write, long deadlineNanos, Callable<T> task)
+    private <T> T call(String kind, Priority priority, boolean write, long endMs, Callable<T> task)
             throws PlatformException {
         CompletableFuture<Void> permit = budget.acquire(priority);
         try {
-            permit.get(remaining(deadlineNanos), TimeUnit.NANOSECONDS);
+            permit.get(remaining(endMs), TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException | InterruptedException e) {
             cancelOrRelease(permit);
             restoreInterrupt(e);
             metrics.counter("store.calls." + kind + ".refused").inc();
             throw new PlatformException.Unavailable(kind + " waited past its deadline for a permit", e);
         }
-        return await(kind, write, deadlineNanos, start(kind, task, budget::release));
+        return run(kind, write, endMs, task, budget::release);
     }
 
     private void cancelOrRelease(CompletableFuture<Void> permit) {
@@ -88,37 +113,60 @@
 
     // Runs the call on its own thread, so that a call that hangs does not block its caller past the deadline. The
     // permit is held until the call itself ends, which bounds the number of open calls.
-    private <T> CompletableFuture<T> start(String kind, Callable<T> task, Runnable onEnd) {
+    private <T> T run(String kind, boolean write, long endMs, Callable<T> task, Runnable onEnd)
+            throws PlatformException {
         CompletableFuture<T> result = new CompletableFuture<>();
-        metrics.counter("store.calls." + kind).inc();
-        Thread.ofVirtual().name("store-" + kind).start(() -> {
-            Timer.Context timed = metrics.timer("store.time." + kind).time();
-            try {
-                result.complete(task.call());
-            } catch (Exception e) {
-                result.completeExceptionally(e);
-            } finally {
-                timed.stop();
-                onEnd.run();
+        CallStart start = new CallStart(clock, endMs, () -> {
+            metrics.counter("store.calls." + kind + ".refused").inc();
+            onEnd.run();
+            result.completeExceptionally(notBegun(kind, null));
+        });
+        threads.start("store-" + kind, () -> {
+            if (start.begin()) {
+                perform(kind, task, onEnd, result);
             }
         });
-        return result;
+        return await(kind, write, endMs, result, start::giveUp);
     }
 
-    private <T> T await(String kind, boolean write, long deadlineNanos, CompletableFuture<T> result)
+    private <T> void perform(String kind, Callable<T> task, Runnable onEnd, CompletableFuture<T> result) {
+        metrics.counter("store.calls." + kind).inc();
+        Timer.Context timed = metrics.timer("store.time." + kind).time();
+        try {
+            result.complete(task.call());
+        } catch (Exception e) {
+            result.completeExceptionally(e);
+        } finally {
+            timed.stop();
+            onEnd.run();
+        }
+    }
+
+    // At the end of the wait, giveUp tells whether the call never begins.
+    private <T> T await(String kind, boolean write, long endMs, CompletableFuture<T> result, BooleanSupplier giveUp)
             throws PlatformException {
         try {
-            return result.get(remaining(deadlineNanos), TimeUnit.NANOSECONDS);
+            return result.get(remaining(endMs), TimeUnit.MILLISECONDS);
         } catch (ExecutionException e) {
+            if (giveUp.getAsBoolean()) {
+                throw notBegun(kind, e);
+            }
             metrics.counter("store.failures." + kind).inc();
             throw failure(kind, write, e.getCause());
         } catch (TimeoutException | InterruptedException e) {
             restoreInterrupt(e);
+            if (giveUp.getAsBoolean()) {
+                throw notBegun(kind, e);
+            }
             metrics.counter("store.timeouts." + kind).inc();
             throw failure(kind, write, e);
         }
     }
 
+    private static PlatformException.Unavailable notBegun(String kind, Exception cause) {
+        return new PlatformException.Unavailable(kind + " was given up before it began", cause);
+    }
+
     private static PlatformException failure(String kind, boolean write, Throwable cause) {
         if (cause instanceof PlatformException known) {
             return known;
@@ -134,12 +182,12 @@
         }
     }
 
-    private static long remaining(long deadlineNanos) {
-        return Math.max(1, deadlineNanos - System.nanoTime());
+    private long remaining(long endMs) {
+        return Math.max(1, endMs - clock.nowMs());
     }
 
-    private static long deadlineAfter(long ms) {
-        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+    private long endAfter(long ms) {
+        return clock.nowMs() + ms;
     }
 
     private final class View implements ObjectStore {
@@ -151,23 +199,23 @@
 
         @Override
         public Optional<StoredObject> read(ObjectKey key) throws PlatformException {
-            long deadlineNanos = deadlineAfter(deadlineMs);
+            long endMs = endAfter(deadlineMs);
             CompletableFuture<Optional<StoredObject>> shared = reads.join(
                     priority + " " + key,
-                    () -> call("read", priority, false, deadlineNanos, () -> store.read(key)),
+                    () -> call("read", priority, false, endMs, () -> store.read(key)),
                     metrics.counter("store.reads.shared"));
-            return await("read", false, deadlineNanos, shared);
+            // The call is given up by the reader that makes it.
+            return await("read", false, endMs, shared, () -> false);
         }
 
         @Override
         public long write(ObjectKey key, long expectedVersion, byte[] value) throws PlatformException {
-            return call(
-                    "write", priority, true, deadlineAfter(deadlineMs), () -> store.write(key, expectedVersion, value));
+            return call("write", priority, true, endAfter(deadlineMs), () -> store.write(key, expectedVersion, value));
         }
 
         @Override
         public void delete(ObjectKey key, long expectedVersion) throws PlatformException {
-            call("delete", priority, true, deadlineAfter(deadlineMs), () -> {
+            call("delete", priority, true, endAfter(deadlineMs), () -> {
                 store.delete(key, expectedVersion);
                 return true;
             });
@@ -175,15 +223,18 @@
 
         @Override
         public Listing list(String prefix) throws PlatformException {
-            return call("list", priority, false, deadlineAfter(deadlineMs), () -> store.list(prefix));
+            return call("list", priority, false, endAfter(deadlineMs), () -> store.list(prefix));
         }
 
         @Override
         public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
             openWatches.incrementAndGet();
-            CompletableFuture<Listing> result =
-                    start("watch", () -> store.watch(prefix, sinceRevision, waitMs), openWatches::decrementAndGet);
-            return await("watch", false, deadlineAfter(waitMs + WATCH_SLACK_MS), result);
+            return run(
+                    "watch",
+                    false,
+                    endAfter(waitMs + WATCH_SLACK_MS),
+                    () -> store.watch(prefix, sinceRevision, waitMs),
+                    openWatches::decrementAndGet);
         }
     }
 }
--- a/library/src/test/java/org/magnoliabridge/external/BudgetedStoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/external/BudgetedStoreTest.java
@@ -20,6 +20,7 @@
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.external.StoreRequest.Priority;
 
 @Timeout(20)
@@ -84,7 +85,14 @@
     @Test
     void identicalReadsAreShared() throws Exception {
         Gated store = new Gated();
-        BudgetedStore budget = new BudgetedStore(store, 8, 10_000, metrics, new ReadCoalescer(10_000));
+        BudgetedStore budget = new BudgetedStore(
+                store,
+                8,
+                10_000,
+                metrics,
+                new ReadCoalescer(10_000),
+                MonotonicClock.system(),
+                (name, call) -> Thread.ofVirtual().start(call));
         try (ExecutorService pool = Executors.newVirtualThreadPerTaskExecutor()) {
             List<Future<Optional<StoredObject>>> reads = new ArrayList<>();
             reads.add(pool.submit(read(budget, Priority.STATUS, "a")));
