Make everyCallEndsAtItsDeadline independent of when threads start

Seen: on a busy machine the test failed, because the read was seen by the store before the write, whose thread started later than its 50 ms.

Cause: the test took for granted that a thread starts within the deadline of its call.

Change: the clock of the store stands still and the starter of threads waits until the call has reached the store, which is what the test is about: a call that was sent and is never answered. Its caller still waits for 50 ms of real time. All checks stay, in the same order; added is that the last write counts as refused.

--- a/library/src/test/java/org/magnoliabridge/external/BudgetedStoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/external/BudgetedStoreTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -114,13 +116,25 @@
     @Test
     void everyCallEndsAtItsDeadline() {
         Gated store = new Gated();
-        ObjectStore silent = new BudgetedStore(store, 2, 50, metrics).at(Priority.DECISION);
+        // The clock stands still and each call has reached the store before its caller waits, so that neither the
+        // order of the calls nor their outcome depends on how soon their threads run.
+        AtomicInteger started = new AtomicInteger();
+        BudgetedStore.Threads threads = (name, call) -> {
+            Thread.ofVirtual().start(call);
+            int calls = started.incrementAndGet();
+            while (store.calls.size() < calls) {
+                LockSupport.parkNanos(100_000);
+            }
+        };
+        ObjectStore silent =
+                new BudgetedStore(store, 2, 50, metrics, new ReadCoalescer(50), () -> 0, threads).at(Priority.DECISION);
         assertThrows(PlatformException.OutcomeUnknown.class, () -> silent.write(KEY, 0, new byte[0]));
         assertThrows(PlatformException.Unavailable.class, () -> silent.read(KEY));
         // Both permits are still held by the unanswered calls, so this one is never sent.
         assertThrows(PlatformException.Unavailable.class, () -> silent.write(KEY, 0, new byte[0]));
         assertThat(store.calls, contains("write " + KEY, "read " + KEY));
         assertThat(metrics.counter("store.timeouts.write").getCount(), is(1L));
+        assertThat(metrics.counter("store.calls.write.refused").getCount(), is(1L));
         store.gate.countDown();
     }
 
