Count a core's store request against its deadline from when it is made

Callers saw: a request of a decision core could be sent to the store after the core had given it up. LeaseCore and OrdersCore take a request without a reply for lost after 2.5 s and go on with a read; the deadline of the call (1.6 or 2 s) counted from the start of the request's thread, so a thread that started a second late could send a lease renewal after that.

Cause: StoreRunner starts a thread for each request, and the deadline was taken on that thread.

Change: BudgetedStore.fromNow gives a view for one call with the deadline of the moment at which it is asked for; StoreRunner asks on the control thread. A request whose thread starts after the deadline is refused as Unavailable. A read that is too late is refused before other readers can join it, who may have time left.

--- a/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.external.StoreRequest.Priority;
 
@@ -44,6 +45,9 @@
 
     /** Runs each call on a thread of its own. */
     interface Threads {
+        /** Starts a virtual thread for each call. */
+        Threads VIRTUAL = (name, call) -> Thread.ofVirtual().name(name).start(call);
+
         void start(String name, Runnable call);
     }
 
@@ -61,7 +65,7 @@
                 metrics,
                 new ReadCoalescer(WAIT_FOR_RUNNING_READ_MS),
                 MonotonicClock.system(),
-                (name, call) -> Thread.ofVirtual().name(name).start(call));
+                Threads.VIRTUAL);
     }
 
     BudgetedStore(
@@ -88,7 +92,13 @@
 
     /** Returns a view whose calls have the given priority. */
     public ObjectStore at(Priority priority) {
-        return new View(priority);
+        return new View(priority, () -> endAfter(deadlineMs));
+    }
+
+    /** Returns a view for a call whose deadline counts from now, however late the call is made. */
+    ObjectStore fromNow(Priority priority) {
+        long endMs = endAfter(deadlineMs);
+        return new View(priority, () -> endMs);
     }
 
     private <T> T call(String kind, Priority priority, boolean write, long endMs, Callable<T> task)
@@ -192,14 +202,21 @@
 
     private final class View implements ObjectStore {
         private final Priority priority;
+        private final LongSupplier end;
 
-        View(Priority priority) {
+        View(Priority priority, LongSupplier end) {
             this.priority = Objects.requireNonNull(priority);
+            this.end = end;
         }
 
         @Override
         public Optional<StoredObject> read(ObjectKey key) throws PlatformException {
-            long endMs = endAfter(deadlineMs);
+            long endMs = end.getAsLong();
+            if (clock.nowMs() >= endMs) {
+                // Readers with time left could join this read, which would not be sent.
+                metrics.counter("store.calls.read.refused").inc();
+                throw notBegun("read", null);
+            }
             CompletableFuture<Optional<StoredObject>> shared = reads.join(
                     priority + " " + key,
                     () -> call("read", priority, false, endMs, () -> store.read(key)),
@@ -210,12 +227,12 @@
 
         @Override
         public long write(ObjectKey key, long expectedVersion, byte[] value) throws PlatformException {
-            return call("write", priority, true, endAfter(deadlineMs), () -> store.write(key, expectedVersion, value));
+            return call("write", priority, true, end.getAsLong(), () -> store.write(key, expectedVersion, value));
         }
 
         @Override
         public void delete(ObjectKey key, long expectedVersion) throws PlatformException {
-            call("delete", priority, true, endAfter(deadlineMs), () -> {
+            call("delete", priority, true, end.getAsLong(), () -> {
                 store.delete(key, expectedVersion);
                 return true;
             });
@@ -223,7 +240,7 @@
 
         @Override
         public Listing list(String prefix) throws PlatformException {
-            return call("list", priority, false, endAfter(deadlineMs), () -> store.list(prefix));
+            return call("list", priority, false, end.getAsLong(), () -> store.list(prefix));
         }
 
         @Override
--- a/library/src/main/java/org/magnoliabridge/external/StoreRunner.java
+++ b/library/src/main/java/org/magnoliabridge/external/StoreRunner.java
@@ -1,27 +1,31 @@
 package org.magnoliabridge.external;
 
-import java.util.EnumMap;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.external.StoreRequest.Priority;
 
 /** Runs the store requests of decision cores on virtual threads and posts the replies to the control loop. */
 public final class StoreRunner {
-    private final Map<Priority, ObjectStore> stores = new EnumMap<>(Priority.class);
+    private final BudgetedStore budget;
     private final ControlLoop loop;
+    private final BudgetedStore.Threads threads;
 
     public StoreRunner(BudgetedStore budget, ControlLoop loop) {
-        for (Priority priority : Priority.values()) {
-            stores.put(priority, budget.at(priority));
-        }
+        this(budget, loop, BudgetedStore.Threads.VIRTUAL);
+    }
+
+    StoreRunner(BudgetedStore budget, ControlLoop loop, BudgetedStore.Threads threads) {
+        this.budget = budget;
         this.loop = loop;
+        this.threads = threads;
     }
 
-    /** Starts a request; the reply is passed to the consumer on the control thread. */
+    /** Starts a request, whose deadline counts from now; the reply is passed to the consumer on the control thread. */
     public void run(StoreRequest request, Priority priority, Consumer<StoreReply> reply) {
-        Thread.ofVirtual().name("store-request").start(() -> {
-            StoreReply answer = perform(stores.get(priority), request);
+        // The core that sent the request does not wait longer because the thread starts late.
+        ObjectStore store = budget.fromNow(priority);
+        threads.start("store-request", () -> {
+            StoreReply answer = perform(store, request);
             loop.post(() -> reply.accept(answer));
         });
     }
--- a/library/src/test/java/org/magnoliabridge/external/LateCallTest.java
+++ b/library/src/test/java/org/magnoliabridge/external/LateCallTest.java
@@ -12,6 +12,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
@@ -151,6 +154,28 @@
         assertThat(counter("store.calls.write.refused"), is((long) rounds - sent));
     }
 
+    /** Guards against readers that fail because they joined a read that was too late to be sent. */
+    @Test
+    void readPastItsDeadlineIsNotShared() throws Exception {
+        AtomicLong nowMs = new AtomicLong();
+        // Longer than the time limit of the test.
+        long longMs = 60_000;
+        BudgetedStore budget = new BudgetedStore(
+                store, 4, longMs, metrics, new ReadCoalescer(longMs), nowMs::get, BudgetedStore.Threads.VIRTUAL);
+        ObjectStore late = budget.fromNow(Priority.LEASE);
+        nowMs.addAndGet(longMs);
+        store.gate = new CountDownLatch(1);
+        try (ExecutorService pool = Executors.newVirtualThreadPerTaskExecutor()) {
+            Future<?> running = pool.submit(() -> budget.at(Priority.LEASE).read(KEY));
+            await(() -> store.calls.size() == 1);
+            assertNotSent(() -> late.read(KEY));
+            store.gate.countDown();
+            running.get();
+        }
+        assertThat(store.calls, contains("read"));
+        assertThat(counter("store.calls.read.refused"), is(1L));
+    }
+
     private BudgetedStore budget(int maxCalls, MonotonicClock clock, BudgetedStore.Threads threads) {
         return budget(maxCalls, clock, threads, DEADLINE_MS);
     }
