--- a/library/src/main/java/org/magnoliabridge/routing/Endpoint.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Endpoint.java
@@ -27,8 +27,8 @@
         Objects.requireNonNull(id);
         Objects.requireNonNull(service);
         Objects.requireNonNull(dataCentre);
-        if (SocketAddresses.parse(address).isEmpty()) {
-            throw new IllegalArgumentException("address must be an IP address with a port: " + address);
+        if (SocketAddresses.parse(address).filter(a -> a.getPort() > 0).isEmpty()) {
+            throw new IllegalArgumentException("address must be an IP address with a port above 0: " + address);
         }
     }
 
