--- a/library/src/main/java/org/magnoliabridge/external/HttpEndpointOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpEndpointOrders.java
@@ -36,7 +36,8 @@
         body.put("kind", order.kind().wireName());
         body.put("desired", order.running() ? RUNNING : STOPPED);
         HttpAnswer answer =
-                http.change(http.send("PUT", "/endpoints/" + order.endpoint().value(), PlatformHttp.bytes(body)));
+                http.change(http.send("PUT", "/endpoints/" + order.endpoint().value(), PlatformHttp.bytes(body))
+                        .onlyWhile(permit::isValid));
         if (answer.status() != 201) {
             PlatformHttp.requireAccepted(answer);
         }
--- a/library/src/main/java/org/magnoliabridge/external/HttpEngineOrders.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpEngineOrders.java
@@ -26,7 +26,8 @@
         body.put("action", "load_version");
         body.put("version", load.version().value());
         PlatformHttp http = new PlatformHttp(caller, load.address(), limits);
-        HttpAnswer answer = http.change(http.send("POST", "/v1/orders", PlatformHttp.bytes(body)));
+        HttpAnswer answer = http.change(
+                http.send("POST", "/v1/orders", PlatformHttp.bytes(body)).onlyWhile(load.permit()::isValid));
         PlatformHttp.requireAccepted(answer);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/external/HttpUsageReports.java
+++ b/library/src/main/java/org/magnoliabridge/external/HttpUsageReports.java
@@ -15,7 +15,8 @@
 
     @Override
     public void report(Report report) throws PlatformException {
-        HttpAnswer answer = http.change(http.send("PUT", "/usage/" + report.window(), report.record()));
+        HttpAnswer answer = http.change(
+                http.send("PUT", "/usage/" + report.window(), report.record()).onlyWhile(report.permit()::isValid));
         if (answer.status() != 200) {
             throw PlatformHttp.rejected(answer);
         }
