Make no store call for another node once its limit has passed

Callers saw: a node that relays a write waits 450 ms for the other node and then reports the write as unknown. If the other node's thread started late, the write was sent to the store after that. A read was sent although it had been answered as unavailable.

Cause: StoreRelay started a thread for each call, and nothing stopped the thread once the limit of 350 ms had passed.

Change: the call and the limit decide by CallStart whether it begins. A write that has not begun within the limit is answered as unavailable at once, which the relaying node gets in time and can ask the next one. A write that has begun is answered by the store only, as before. Serving moves to PeerStoreCalls, which gets its clock and threads through the constructor; StoreRelayTest, which tested nothing else, moves with it.

The two existing tests wait until the call has reached the store, on a clock that stands still, because a call whose thread is late is now answered otherwise; their checks are the same.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -128,7 +128,10 @@
                         context.settings().nodeId(),
                         cluster.membership(),
                         cluster.peers(),
-                        context.platform().objects(),
+                        new PeerStoreCalls(
+                                context.platform().objects(),
+                                context.clock(),
+                                call -> Thread.ofVirtual().name("store-relay").start(call)),
                         context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
         BatchCore core = new BatchCore(context.process().toString(), context.wallClock(), cluster::hasEnded);
--- a/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/StoreRelay.java
@@ -3,12 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreMessages;
 import org.magnoliabridge.external.StoreReply;
@@ -18,16 +14,11 @@
 import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.telemetry.LogFields;
 
-/** Relays store calls of this node through other nodes, and makes store calls for other nodes. */
+/** Relays store calls of this node through other nodes, and lets {@link PeerStoreCalls} make theirs. */
 final class StoreRelay implements RelayedStore.Relay {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // Time limit of a call to another node, in addition to the wait time of a watch.
     private static final long PEER_CALL_TIMEOUT_MS = 450;
-    // Sooner than the other node's time limit: a late answer tells that the store is late here too, and silence does
-    // not.
-    private static final long SERVE_LIMIT_MS = 350;
-    private static final StoreMessages.Result UNAVAILABLE =
-            new StoreMessages.Result.Replied(new StoreReply.Unavailable());
 
     private final NodeId self;
     private final MembershipDriver membership;
@@ -37,19 +28,20 @@
     /**
      * Creates a relay and starts to make store calls for other nodes.
      *
-     * @param direct the store without relaying, so that a call of another node is never relayed to a third node
+     * @param served makes the calls of other nodes
      * @param path tells whether the store serves this node; if not, calls of other nodes are answered as unavailable
      */
-    StoreRelay(NodeId self, MembershipDriver membership, PeerCalls peers, ObjectStore direct, StoreRouteSelector path) {
+    StoreRelay(
+            NodeId self, MembershipDriver membership, PeerCalls peers, PeerStoreCalls served, StoreRouteSelector path) {
         this.self = self;
         this.membership = membership;
         this.peers = peers;
         this.choice = new RelayPeers(self, () -> ThreadLocalRandom.current().nextLong());
         peers.serve(PeerCalls.Method.STORE_CALL, (from, body, answer) -> {
             if (path.isStoreUnavailable()) {
-                answer.accept(StoreMessages.pack(UNAVAILABLE));
+                PeerStoreCalls.refuse(answer);
             } else {
-                serve(direct, from, body, answer);
+                served.serve(from, body, answer);
             }
         });
     }
@@ -100,7 +92,7 @@
         throw new PlatformException.Unavailable("no other node replies to the call", null);
     }
 
-    private static boolean mayChangeStore(StoreMessages.Call call) {
+    static boolean mayChangeStore(StoreMessages.Call call) {
         return call instanceof StoreMessages.Call.Request request
                 && (request.request() instanceof StoreRequest.Write
                         || request.request() instanceof StoreRequest.Delete);
@@ -111,22 +103,4 @@
         return membership.members().stream()
                 .allMatch(m -> m.id().equals(self) || m.state().liveness() == Liveness.DEAD);
     }
-
-    /** Makes a call for another node. Answers that the store is unavailable if it does not answer a read in time. */
-    static void serve(ObjectStore direct, NodeId from, byte[] body, Consumer<byte[]> answer) {
-        StoreMessages.Call call;
-        try {
-            call = StoreMessages.call(body);
-        } catch (PlatformException.Malformed e) {
-            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed store call");
-            return;
-        }
-        CompletableFuture<StoreMessages.Result> made = new CompletableFuture<>();
-        Thread.ofVirtual().name("store-relay").start(() -> made.complete(RelayedStore.perform(direct, call)));
-        long waitMs = call instanceof StoreMessages.Call.Watch watch ? watch.waitMs() : 0;
-        CompletableFuture<StoreMessages.Result> result = mayChangeStore(call)
-                ? made
-                : made.completeOnTimeout(UNAVAILABLE, waitMs + SERVE_LIMIT_MS, TimeUnit.MILLISECONDS);
-        CompletableFuture<Void> unused = result.thenAccept(r -> answer.accept(StoreMessages.pack(r)));
-    }
 }
--- a/daemon/src/test/java/org/magnoliabridge/daemon/StoreRelayTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/PeerStoreCallsTest.java
@@ -4,11 +4,16 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.external.ObjectKey;
@@ -19,11 +24,13 @@
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.NodeId;
 
-class StoreRelayTest {
+class PeerStoreCallsTest {
     private static final NodeId FROM = new NodeId("n2");
     private static final ObjectKey KEY = new ObjectKey("batches/b1");
 
     private final CountDownLatch storeAnswers = new CountDownLatch(1);
+    private final AtomicInteger calls = new AtomicInteger();
+    private int started;
 
     @AfterEach
     void release() {
@@ -47,6 +54,33 @@
         assertThat(reply(write), is(new StoreReply.Written(2)));
     }
 
+    /** Guards against a write that is sent after the node that asked for it has given it up. */
+    @Test
+    void writeWhoseThreadStartsTooLateIsNotSent() throws Exception {
+        List<Runnable> held = new ArrayList<>();
+        CompletableFuture<byte[]> write = serve(new StoreRequest.Write(KEY, 1, new byte[0]), held::add);
+        storeAnswers.countDown();
+        // Answered although the thread has not started, so the other node can ask a third one.
+        assertThat(reply(write), is(new StoreReply.Unavailable()));
+        held.forEach(Runnable::run);
+        assertThat(calls.get(), is(0));
+    }
+
+    /** Guards against a call that is sent after its limit because the timer is late too. */
+    @Test
+    void writeThatWouldBeginAfterItsLimitIsNotSent() throws Exception {
+        AtomicLong nowMs = new AtomicLong();
+        PeerStoreCalls late = new PeerStoreCalls(new LateStore(), nowMs::get, call -> {
+            nowMs.addAndGet(PeerStoreCalls.SERVE_LIMIT_MS);
+            call.run();
+        });
+        storeAnswers.countDown();
+        CompletableFuture<byte[]> write = new CompletableFuture<>();
+        late.serve(FROM, pack(new StoreRequest.Write(KEY, 1, new byte[0])), write::complete);
+        assertThat(reply(write), is(new StoreReply.Unavailable()));
+        assertThat(calls.get(), is(0));
+    }
+
     private StoreReply reply(StoreRequest request) throws Exception {
         return reply(serve(request));
     }
@@ -57,12 +91,26 @@
     }
 
     private CompletableFuture<byte[]> serve(StoreRequest request) {
+        return serve(request, call -> {
+            Thread.ofVirtual().start(call);
+            started++;
+            while (calls.get() < started) {
+                LockSupport.parkNanos(100_000);
+            }
+        });
+    }
+
+    private CompletableFuture<byte[]> serve(StoreRequest request, Executor threads) {
         CompletableFuture<byte[]> answer = new CompletableFuture<>();
-        byte[] call = StoreMessages.pack(new StoreMessages.Call.Request(request));
-        StoreRelay.serve(new LateStore(), FROM, call, answer::complete);
+        // The clock stands still, so a call is too late only if its thread starts after the time limit of the answer.
+        new PeerStoreCalls(new LateStore(), () -> 0, threads).serve(FROM, pack(request), answer::complete);
         return answer;
     }
 
+    private static byte[] pack(StoreRequest request) {
+        return StoreMessages.pack(new StoreMessages.Call.Request(request));
+    }
+
     /** A store that answers no call until the test lets it. */
     private final class LateStore implements ObjectStore {
         @Override
@@ -91,6 +139,7 @@
         }
 
         private <T> T late(T result) {
+            calls.incrementAndGet();
             try {
                 storeAnswers.await();
                 return result;
