Keep a watch alive when an object's name overflows the stack

An object whose name has many slashes did that here: the pattern of ObjectKey kept a state for each segment and overflowed a stack of 256 KB, and ObjectWatch caught no StackOverflowError, so that its thread ended without a word and the list was never read again.

The pattern is possessive now and needs no state, and the watch treats a stack overflow like any other failure of its listener.

--- a/library/src/main/java/org/magnoliabridge/external/ObjectKey.java
+++ b/library/src/main/java/org/magnoliabridge/external/ObjectKey.java
@@ -8,7 +8,9 @@
  * @param value for example {@code leases/orders-midlands}
  */
 public record ObjectKey(String value) implements Comparable<ObjectKey> {
-    private static final Pattern VALID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*(/[A-Za-z0-9][A-Za-z0-9._-]*)*");
+    // Possessive, because a pattern that keeps a state for each segment overflows the stack on a long key.
+    private static final Pattern VALID =
+            Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*+(?:/[A-Za-z0-9][A-Za-z0-9._-]*+)*+");
 
     public ObjectKey {
         if (value == null || !VALID.matcher(value).matches() || value.contains("..")) {
--- a/library/src/main/java/org/magnoliabridge/external/ObjectWatch.java
+++ b/library/src/main/java/org/magnoliabridge/external/ObjectWatch.java
@@ -70,7 +70,7 @@
                 backoff.reset();
             } catch (PlatformException.RevisionTooOld e) {
                 revision = NO_REVISION;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
                 // The listener may not have processed the changes of this poll, so everything is listed again.
                 LOG.log(Level.SEVERE, "listener of the watch on " + prefix + " failed", e);
                 revision = NO_REVISION;
