Fail a call whose answer begins with an interim status

Status 103 showed another fault: Undertow's client knows interim answers with status 100 only and took 103 for the answer. With a length of 0 it was complete, its connection went back to the pool, and the next call on it got the final answer of the call before. Nothing in the protocol makes an endpoint or the store send status 103; a faulty one may.

Now such a call ends as lost, and its connection is closed. The failure also names its cause in the log.

--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -27,6 +27,9 @@
 /** One request and its answer on a connection; passes events from the I/O thread to the calling thread. */
 final class Exchange {
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+    // Undertow's client skips an interim answer with status 100 only; after another one it takes the final answer for
+    // content, or for that of the next call.
+    private static final int FIRST_FINAL_STATUS = 200;
     private static final int READ_BYTES = 8 * 1024;
     private static final int MAX_QUEUED_PIECES = 64;
     private static final int RESUME_BELOW_PIECES = 16;
@@ -89,7 +92,8 @@
     private HttpFailure.Lost failedBeforeHead(Failed failed) {
         return connection.reused() && !failed.answerBegun
                 ? new HttpFailure.ReusedConnectionLost(failed.cause)
-                : new HttpFailure.Lost("the connection failed before the answer", failed.cause);
+                : new HttpFailure.Lost(
+                        "the connection failed before the answer: " + failed.cause.getMessage(), failed.cause);
     }
 
     /** Waits for the next piece of content; returns null when the answer is complete. */
@@ -214,6 +218,10 @@
     private void answerStarted(ClientExchange exchange) {
         connection.limit().received();
         ClientResponse response = exchange.getResponse();
+        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+            failed(new IOException("expected the final answer, found status " + response.getResponseCode()));
+            return;
+        }
         events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
         if (!call.unframedAnswer() && !isFramed(response)) {
             failed(new IOException("the answer has neither a length nor chunks"));
