Report a lease object that is not a lease record

It is still not acquired, since its token is unknown; now it is logged. LeaseCoreTest.unreadableLeaseIsReportedAndNotAcquired.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LeaseDriver.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.core.SuspensionDetector;
@@ -20,6 +21,8 @@
 final class LeaseDriver {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    private static final int UNREADABLE_LOG_S = 10;
+
     private final String scope;
     private final LeaseCore core;
     private final ControlLoop loop;
@@ -85,7 +88,9 @@
         if (detected != handledSuspensions) {
             handledSuspensions = detected;
             metrics.counter("lease." + scope + ".suspensions").inc();
-            LOG.atWarning().log("this process was suspended or the wall clock was set ahead; lease %s ends", scope);
+            LOG.atWarning().log(
+                    "this process was suspended or the wall clock was set ahead; its term of lease %s ends, if any",
+                    scope);
             execute(core.onSuspension(clock.nowMs()));
         }
     }
@@ -111,6 +116,9 @@
                     metrics.counter("lease." + scope + ".ended").inc();
                     LOG.atInfo().with(LogFields.FENCING, stop.fencing().value()).log("lease %s ended", scope);
                 }
+                case LeaseEffect.Unreadable unreadable ->
+                    LOG.atSevere().atMostEvery(UNREADABLE_LOG_S, TimeUnit.SECONDS).log(
+                            "lease object %s is not a lease record; no node can acquire the lease", scope);
                 case LeaseEffect.Released done -> released.complete(null);
             }
         }
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -291,6 +291,9 @@
         Optional<LeaseRecord> record = LeaseRecord.decode(found.object().value());
         Optional<UnconfirmedWrites.Attempt> own = record.flatMap(r -> unconfirmedWrites.find(r.writer()));
         recordVersion(nowMs, found.object().version(), record);
+        if (record.isEmpty()) {
+            effects.add(new LeaseEffect.Unreadable());
+        }
         if (own.isPresent()) {
             extendLease(nowMs, own.get());
         } else if (view.held()
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseEffect.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseEffect.java
@@ -23,6 +23,9 @@
     /** This process must stop sending with the token: the lease was lost, was released or has expired. */
     record MustStop(FencingToken fencing) implements LeaseEffect {}
 
+    /** The lease object is not a lease record, so no process can acquire the lease; an operator must restore it. */
+    record Unreadable() implements LeaseEffect {}
+
     /** The lease was released, or this process did not hold it; a shutdown need not wait for the lease any longer. */
     record Released() implements LeaseEffect {}
 }
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -5,11 +5,13 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.external.MemoryStore;
 import org.magnoliabridge.external.ObjectKey;
+import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.external.StoreRunner;
@@ -64,6 +66,17 @@
         assertThat(allEffects, hasItem(new LeaseEffect.MustStop(new FencingToken(1))));
     }
 
+    /** Guards against a lease that no node acquires, without a word, because another writer left an odd object. */
+    @Test
+    void unreadableLeaseIsReportedAndNotAcquired() throws PlatformException {
+        store.write(KEY, ObjectStore.ABSENT, "{\"holder\":7}".getBytes(StandardCharsets.UTF_8));
+        LeaseCore core = core("node-0");
+        run(core, 0, core.onTick(0));
+        run(core, 60_000, core.onTick(60_000));
+        assertThat(core.view().held(), is(false));
+        assertThat(allEffects, hasItem(new LeaseEffect.Unreadable()));
+    }
+
     /** Guards against reuse of a fencing token after the lease object was deleted. */
     @Test
     void deletedLeaseDoesNotRestartTheToken() throws PlatformException {
