Begin no call with an idempotency key after its caller was answered

Callers saw: on a node whose control thread was late, a call with a key was answered as unknown 1 s after its deadline. The control thread then still claimed the key in the store for it, although nobody waited, and undid the claim at a later write. The call was never sent to the service, so its outcome was known: not run.

Cause: LedgerDriver posts the call to the control thread; nothing stopped the posted task when the caller's wait had ended.

Change: the wait and the posted task decide by CallStart whether the call begins. One that does not is answered as not run, deadline exceeded, which is what the core answers for a call that it finds too late.

Evidence: LedgerDriverTest.callThatIsNotBegunByItsDeadlineIsNotRun failed before (UNKNOWN) and passes now. The 40 tests of daemon's package pass.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
@@ -25,6 +25,7 @@
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.IdempotentCalls;
+import org.magnoliabridge.external.CallStart;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ledger.LedgerCore;
@@ -41,6 +42,7 @@
     private static final long ANSWER_MARGIN_MS = 1_000;
     private static final long RETRY_AFTER_MS = 1_000;
     private static final int OK = 200;
+    private static final LedgerEffect.Outcome TOO_LATE = new LedgerEffect.NotRun(LedgerEffect.Reason.DEADLINE_EXCEEDED);
 
     private final LedgerCore core;
     private final PlainCaller plain;
@@ -90,11 +92,14 @@
         long remainingMs = Math.max(1, request.deadlineMs() - clock.nowMs());
         long wallDeadlineMs = wallClock.getAsLong() + remainingMs;
         LedgerInput input = new LedgerInput.Call(callId, ledgerKey, digest(request), wallDeadlineMs);
+        CallStart start = new CallStart(clock, request.deadlineMs(), () -> call.outcome.complete(TOO_LATE));
         loop.post(() -> {
-            pending.put(callId, call);
-            handle(input);
+            if (start.begin()) {
+                pending.put(callId, call);
+                handle(input);
+            }
         });
-        return answer(await(call, remainingMs), outcomePath, scoped);
+        return answer(await(call, remainingMs, start), outcomePath, scoped);
     }
 
     // Two teams may use the same key, so the key that is sent to the service starts with the team.
@@ -133,13 +138,17 @@
         return LedgerKey.digestOf(all.toByteArray());
     }
 
-    private static LedgerEffect.Outcome await(PendingCall call, long remainingMs) throws CallException {
+    private static LedgerEffect.Outcome await(PendingCall call, long remainingMs, CallStart start)
+            throws CallException {
         try {
             return call.outcome.get(remainingMs + ANSWER_MARGIN_MS, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new CallException(new Failure.OutcomeUnknown(), ExecutionStatus.UNKNOWN, e);
-        } catch (ExecutionException | TimeoutException e) {
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            if (e instanceof InterruptedException) {
+                Thread.currentThread().interrupt();
+            }
+            if (start.giveUp()) {
+                return TOO_LATE;
+            }
             throw new CallException(new Failure.OutcomeUnknown(), ExecutionStatus.UNKNOWN, e);
         }
     }
--- a/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
@@ -14,6 +14,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.calls.CallDependencies;
@@ -54,6 +56,7 @@
     private final ControlLoop loop = new ControlLoop("test");
     private final FakeService service = new FakeService();
     private final FakeStore objects = new FakeStore();
+    private final LedgerCore core = new LedgerCore(new NodeId("n1"), new Incarnation(1), 4);
     private final LedgerDriver driver = driver();
 
     @AfterEach
@@ -104,7 +107,32 @@
         assertThat(service.calls, hasSize(0));
     }
 
+    /** Guards against a claim that is recorded after its caller has been answered, because the control thread is late. */
+    @Test
+    void callThatIsNotBegunByItsDeadlineIsNotRun() throws Exception {
+        CountDownLatch controlThread = new CountDownLatch(1);
+        loop.post(() -> await(controlThread));
+        CallException refused = assertThrows(CallException.class, () -> call("oak", "k1", "{}", 1));
+        assertThat(refused.executionStatus(), is(ExecutionStatus.NOT_RUN));
+        assertThat(refused.failure(), instanceOf(Failure.DeadlineExceeded.class));
+        controlThread.countDown();
+        assertThat("calls of the core", loop.submit(core::pending).get(10, TimeUnit.SECONDS), is(0));
+        assertThat(service.calls, hasSize(0));
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private PlainAnswer call(String team, String key, String body) throws CallException {
+        return call(team, key, body, DEADLINE_MS);
+    }
+
+    private PlainAnswer call(String team, String key, String body, long deadlineMs) throws CallException {
         PlainRequest request = new PlainRequest(
                 new ServiceId("benchdesk"),
                 new TeamId(team),
@@ -114,7 +142,7 @@
                 body.getBytes(StandardCharsets.UTF_8),
                 false,
                 PlainRequest.DEFAULT_ATTEMPTS,
-                clock.nowMs() + DEADLINE_MS,
+                clock.nowMs() + deadlineMs,
                 new RequestId("r1"),
                 Optional.empty());
         return driver.call(key, Optional.empty(), request, new Cancellation());
@@ -132,7 +160,7 @@
                 new CallMetrics(metrics),
                 new TracerSpans(Tracing.disabled().tracer()));
         return new LedgerDriver(
-                new LedgerCore(new NodeId("n1"), new Incarnation(1), 4),
+                core,
                 new PlainCaller(new PlainServiceAdapter(service), dependencies),
                 loop,
                 clock,
