Do not end a resumed stream with a response of another type

Error responses, foreign bytes, wrong or missing event ids, cuts and resets already broke the caller's connection off here; BrokenAnswerTest shows it with raw sockets for about 30 second answers, of streams and of batch items, and PlatformNodeTest.streamIsAbortedIfItsNextEndpointFails through a node.

One way was open: a response with status 200, the request's id and a seal, but of another content type. Without a body it ended the stream, or the item, as complete; with events it was passed on.

--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.calls;
 
 import java.io.IOException;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.magnoliabridge.http.HttpAnswer;
@@ -68,6 +69,8 @@
         private final Attempts attempts;
         private EventSplitter splitter;
         private boolean begun;
+        private String mediaType = "";
+        private boolean otherMediaType;
         private OptionalLong lastEventId = OptionalLong.empty();
         private Optional<Failure> fault = Optional.empty();
 
@@ -138,6 +141,7 @@
         private Attempt send(EndpointSource.Slot slot) {
             attempts.attemptStarted();
             splitter = new EventSplitter(this::onEvent);
+            otherMediaType = false;
             try {
                 HttpAnswer answer =
                         client.stream(request, slot, attempts.streamLimits(), begun ? lastEventId.orElse(0) : 0, this);
@@ -153,6 +157,9 @@
             if (fault.isPresent()) {
                 return new Attempt.Broken(fault.get());
             }
+            if (otherMediaType) {
+                return broken(slot, "the response is not of type " + mediaType);
+            }
             if (!begun || !splitter.atBoundary()) {
                 return broken(slot, "the stream ended within an event");
             }
@@ -188,12 +195,23 @@
         public boolean head(HttpAnswer head) {
             attempts.answered();
             if (begun) {
-                return true;
+                // Without a body, a page or a document would look like the end of the stream.
+                otherMediaType = !mediaType(head).equals(mediaType);
+                return !otherMediaType;
             }
             begun = true;
+            mediaType = mediaType(head);
             return deliver(() -> receiver.begin(client.answer(head)));
         }
 
+        private static String mediaType(HttpAnswer head) {
+            String type = head.header("content-type").orElse("");
+            int parameters = type.indexOf(';');
+            return (parameters < 0 ? type : type.substring(0, parameters))
+                    .strip()
+                    .toLowerCase(Locale.ROOT);
+        }
+
         @Override
         public boolean piece(byte[] piece) {
             boolean taken = splitter.accept(piece);
