--- a/library/src/main/java/org/magnoliabridge/settings/SocketAddresses.java
+++ b/library/src/main/java/org/magnoliabridge/settings/SocketAddresses.java
@@ -9,8 +9,10 @@
 
 /** Parses and formats IP addresses with ports; rejects host names, so no name lookup takes place. */
 public final class SocketAddresses {
+    // A number over 255 makes the JDK take the address for a host name and look it up.
+    private static final String UP_TO_255 = "(?:25[0-5]|2[0-4]\\d|[01]?\\d?\\d)";
     private static final Pattern ADDRESS_AND_PORT =
-            Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+])" + ":(\\d{1,5})");
+            Pattern.compile("(" + UP_TO_255 + "(?:\\." + UP_TO_255 + "){3}|\\[[0-9a-fA-F:]+])" + ":(\\d{1,5})");
     private static final int MAX_PORT = 65_535;
 
     private SocketAddresses() {}
