--- a/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
@@ -107,7 +107,7 @@
         assertThat(service.calls, hasSize(0));
     }
 
-    /** Guards against a claim that is recorded after its caller has been answered, because the control thread is late. */
+    /** Guards against a claim that a late control thread records after its caller has been answered. */
     @Test
     void callThatIsNotBegunByItsDeadlineIsNotRun() throws Exception {
         CountDownLatch controlThread = new CountDownLatch(1);
--- a/library/src/main/java/org/magnoliabridge/core/SuspensionDetector.java
+++ b/library/src/main/java/org/magnoliabridge/core/SuspensionDetector.java
@@ -6,8 +6,8 @@
 /**
  * Detects that the machine was suspended, during which its monotonic clock may stand still while other machines go on.
  *
- * <p>A suspension shows as an advance of the wall clock against the monotonic clock. A step of the wall clock ahead looks
- * the same and counts too; one back that hides a suspension is not detected.
+ * <p>A suspension shows as an advance of the wall clock against the monotonic clock. A step of the wall clock ahead
+ * looks the same and counts too; a suspension that a step back hides is not detected.
  */
 public final class SuspensionDetector {
     // Well above the resolution of the clocks and the time between two readings, below the margins of a lease.
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseView.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseView.java
@@ -8,8 +8,8 @@
  *
  * @param held whether the process believes that it holds the lease
  * @param fencing the token to send with every order; meaningful only while the lease is held
- * @param sendFromMs the earliest time at which the holder may send; sends of the previous holder have ended by then, and
- *     the lease duration has passed if this process held the lease before the previous holder
+ * @param sendFromMs the earliest time at which the holder may send; sends of the previous holder have ended by then,
+ *     and the lease duration has passed if this process held the lease before the previous holder
  * @param sendUntilMs the time from which the holder must not send
  */
 public record LeaseView(boolean held, FencingToken fencing, long sendFromMs, long sendUntilMs) {
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseSimulation.java
@@ -174,6 +174,7 @@
                     endAndRestart(CALL_LIMIT_MS + STORE_LIMIT_MS + durationMs);
                 }
                 case KILL -> endAndRestart(0);
+                default -> throw new IllegalStateException("unknown fault " + fault);
             }
             if (nowMs < stillUntilMs) {
                 at(stillUntilMs, () -> thawedMs = nowMs);
--- a/library/src/test/java/org/magnoliabridge/orders/OrderSenderTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/OrderSenderTest.java
@@ -74,7 +74,7 @@
         assertThat("the lease was acquired after the suspension", send(orders), is(OrderOutcome.ACCEPTED));
     }
 
-    /** Guards against a lease that is released while an order is under way, which then arrives after the next holder's. */
+    /** Guards against an order that is under way when its lease is released and arrives after the next holder's. */
     @Test
     void gateIsIdleOnlyAfterTheOrdersUnderWayHaveEnded() {
         gate.update(HELD, 0);
