--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -46,6 +46,22 @@
                         .with(LogFields.ENDPOINT, e.endpoint().value())
                         .log("run ended after %d ms at event %d: %s", e.tookMs(), e.lastEvent(), e.outcome());
             }
+            case BatchEvent.ScoreRequested e ->
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.ITEM, e.item().value())
+                        .with(LogFields.REQUEST, e.request().value())
+                        .with(LogFields.ENDPOINT, e.endpoint().value())
+                        .with(LogFields.AGE_MS, e.waitedMs())
+                        .log("score of the item's text requested");
+            case BatchEvent.ScoreEnded e -> {
+                metrics.timer("batch.score_time").update(e.tookMs(), TimeUnit.MILLISECONDS);
+                LOG.atInfo()
+                        .with(LogFields.BATCH, e.batch().value())
+                        .with(LogFields.ITEM, e.item().value())
+                        .with(LogFields.ENDPOINT, e.endpoint().value())
+                        .log("call for the score ended after %d ms: %s", e.tookMs(), e.outcome());
+            }
             case BatchEvent.Migrated e -> {
                 metrics.counter("batch.moved").inc();
                 LOG.atInfo()
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -21,6 +21,7 @@
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.ReadAnswer;
 import org.magnoliabridge.batch.RunOutcome;
+import org.magnoliabridge.batch.Scorers;
 import org.magnoliabridge.batch.StartGate;
 import org.magnoliabridge.batch.StoreCheck;
 import org.magnoliabridge.batch.StoredBatches;
@@ -40,16 +41,14 @@
 /** Runs the batch core: decisions on the control thread, runs and store calls on virtual threads. */
 final class BatchScheduler implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    // How long a run waits for a check of the store; shorter than the time after which a run has stalled.
-    private static final long MAX_HOLD_MS = 400;
-    private static final long HOLD_STEP_MS = 20;
-
     private final GatewayContext context;
     private final BatchCore core;
     private final Engines engines;
     private final Dispatcher dispatcher;
     private final StoredBatches stored;
     private final StartGate gate = new StartGate();
+    private final SendHold hold;
+    private final ScoreCalls scoreCalls;
     private final StoreCheck check;
     private final BatchLog log;
     private final Map<ItemRunId, RunningThread> runs = new ConcurrentHashMap<>();
@@ -65,10 +64,17 @@
     private record RunningThread(Thread thread, ReceivedEvents events) {}
 
     BatchScheduler(
-            GatewayContext context, BatchCore core, Engines engines, Dispatcher dispatcher, StoredBatches stored) {
+            GatewayContext context,
+            BatchCore core,
+            Engines engines,
+            Scorers scorers,
+            Dispatcher dispatcher,
+            StoredBatches stored) {
         this.context = context;
         this.core = core;
         this.engines = engines;
+        this.hold = new SendHold(gate, context.clock(), context.metrics());
+        this.scoreCalls = new ScoreCalls(scorers, hold, context, this::observe, this::handle);
         this.dispatcher = dispatcher;
         this.stored = stored;
         this.check = new StoreCheck(stored, gate, context.clock(), new StoreCheck.Receiver() {
@@ -84,6 +90,7 @@
         });
         this.log = new BatchLog(context.metrics());
         context.metrics().gauge("batch.runs", () -> runs::size);
+        context.metrics().gauge("batch.score_calls", () -> scoreCalls::size);
     }
 
     /** Returns whether this node runs batches; control thread only. */
@@ -215,6 +222,8 @@
                     run.thread().interrupt();
                 }
             }
+            case BatchEffect.StartScoring start -> scoreCalls.start(start.call());
+            case BatchEffect.StopScoring stop -> scoreCalls.stop(stop.call());
             case BatchEffect.Store store ->
                 context.store()
                         .run(
@@ -241,7 +250,7 @@
     private void run(ItemRun run, ReceivedEvents events) {
         RunOutcome outcome;
         try {
-            outcome = maySend(run) ? engines.run(run, events::add) : new RunOutcome.Withheld();
+            outcome = hold.maySend(run.batch().id()) ? engines.run(run, events::add) : new RunOutcome.Withheld();
         } catch (InterruptedException e) {
             outcome = new RunOutcome.Stopped();
         } catch (RuntimeException e) {
@@ -250,38 +259,18 @@
             outcome = new RunOutcome.Broken("unexpected failure");
         }
         runs.remove(run.id());
-        observe(run.endpoint(), outcome);
+        observation(outcome).ifPresent(observed -> observe(run.endpoint(), observed));
         RunOutcome result = outcome;
         context.loop().post(() -> handle(new BatchInput.RunEnded(run.id(), result, events.all())));
     }
 
-    // The last decision before a run is sent; the run may have waited for its thread or for the control thread.
-    private boolean maySend(ItemRun run) throws InterruptedException {
-        long untilMs = context.clock().nowMs() + MAX_HOLD_MS;
-        while (true) {
-            long nowMs = context.clock().nowMs();
-            switch (gate.decide(nowMs, run.batch().id())) {
-                case SEND -> {
-                    return true;
-                }
-                case ENDED -> {
-                    context.metrics().counter("batch.withheld.ended").inc();
-                    return false;
-                }
-                case CHECK_FIRST -> {
-                    if (nowMs >= untilMs) {
-                        context.metrics().counter("batch.withheld.unchecked").inc();
-                        return false;
-                    }
-                }
-                default -> throw new IllegalStateException("unknown decision");
-            }
-            Thread.sleep(HOLD_STEP_MS);
-        }
+    private void observe(Endpoint endpoint, Observation observed) {
+        dispatcher.post(
+                new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), observed)));
     }
 
-    private void observe(Endpoint endpoint, RunOutcome outcome) {
-        Optional<Observation> observation = switch (outcome) {
+    private static Optional<Observation> observation(RunOutcome outcome) {
+        return switch (outcome) {
             case RunOutcome.Completed completed -> Optional.of(Observation.ANSWERED);
             case RunOutcome.Impossible impossible -> Optional.of(Observation.ANSWERED);
             case RunOutcome.Unreachable unreachable -> Optional.of(Observation.UNREACHABLE);
@@ -292,8 +281,6 @@
             case RunOutcome.Withheld withheld -> Optional.empty();
             case RunOutcome.Stopped stopped -> Optional.empty();
         };
-        observation.ifPresent(observed -> dispatcher.post(
-                new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), observed))));
     }
 
     private void load(List<BatchHead> heads) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
@@ -19,6 +19,7 @@
 import org.magnoliabridge.calls.CallMetrics;
 import org.magnoliabridge.calls.EngineAdapter;
 import org.magnoliabridge.calls.GenerationCaller;
+import org.magnoliabridge.calls.GracePeriod;
 import org.magnoliabridge.calls.HttpEngineAdapter;
 import org.magnoliabridge.calls.PlainCaller;
 import org.magnoliabridge.calls.PlainServiceAdapter;
@@ -81,6 +82,7 @@
     private final CallerServer server;
     private final VersionPeriodEstimator versions = new VersionPeriodEstimator();
     private final AtomicLong lastRequest = new AtomicLong();
+    private final GracePeriod grace = new GracePeriod();
 
     /** Starts to serve callers. */
     DataPlane(NodeContext context, ControlPlane control, Spans spans, UsageSink usage, Closer closer) {
@@ -101,7 +103,8 @@
                 this::nextRequestId,
                 background,
                 new CallMetrics(context.metrics()),
-                spans);
+                spans,
+                grace);
         GenerationCaller generations = new GenerationCaller(engines, dependencies);
         PlainCaller plain = new PlainCaller(new PlainServiceAdapter(context.http()), dependencies);
         ledger = ledger(plain);
@@ -138,6 +141,11 @@
         connect();
     }
 
+    /** Returns which calls are still sent to plain services while the node shuts down. */
+    GracePeriod grace() {
+        return grace;
+    }
+
     CallerServer server() {
         return server;
     }
@@ -206,7 +214,7 @@
     }
 
     private void applyConfiguration(ConfigSnapshot config) {
-        server.activeGenerations().cancelWithInactiveKey(config.keys());
+        server.activeCalls().cancelWithInactiveKey(config.keys());
         config.bundle().ifPresent(bundle -> dispatcher.post(policies(bundle)));
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -24,6 +26,8 @@
 import org.magnoliabridge.calls.CallDependencies;
 import org.magnoliabridge.calls.CallLimits;
 import org.magnoliabridge.calls.CallMetrics;
+import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.GracePeriod;
 import org.magnoliabridge.calls.PlainCaller;
 import org.magnoliabridge.calls.RetryBudget;
 import org.magnoliabridge.calls.StreamCaller;
@@ -31,6 +35,7 @@
 import org.magnoliabridge.core.Closer;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.edge.ActiveCalls;
 import org.magnoliabridge.edge.DrainGate;
 import org.magnoliabridge.external.Backoff;
 import org.magnoliabridge.external.BudgetedStore;
@@ -48,6 +53,7 @@
 import org.magnoliabridge.gateway.GatewayRoute;
 import org.magnoliabridge.gateway.GatewayService;
 import org.magnoliabridge.gateway.RouteKind;
+import org.magnoliabridge.gateway.RouteTable;
 import org.magnoliabridge.http.HttpCaller;
 import org.magnoliabridge.http.UndertowHttpCaller;
 import org.magnoliabridge.ids.DataCentre;
@@ -56,8 +62,10 @@
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.routing.AdmissionCore;
+import org.magnoliabridge.routing.AdmissionInput;
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
+import org.magnoliabridge.routing.EndpointInput;
 import org.magnoliabridge.routing.RoutingSettings;
 import org.magnoliabridge.settings.SocketAddresses;
 import org.magnoliabridge.telemetry.LogFields;
@@ -88,6 +96,8 @@
     // Remaining grace period at which new requests are refused, and at which the process must have ended.
     private static final long REFUSE_BEFORE_END_MS = 2_500;
     private static final long END_BEFORE_KILL_MS = 800;
+    // Time in which cancelled requests are answered.
+    private static final long CANCEL_MS = 300;
     // Far above normal use; limits this node's share of the store's rate limits while the store is slow.
     private static final int STORE_CALLS = 32;
     // Long enough for a call that times out at the store and is then retried through another node.
@@ -97,6 +107,8 @@
     private final Closer closer;
     private final CurrentPolicy policy = new CurrentPolicy();
     private final DrainGate gate = new DrainGate();
+    private final GracePeriod grace = new GracePeriod();
+    private final ActiveCalls calls = new ActiveCalls();
     private final AdmissionCore admission;
     private final FleetDriver fleet;
     private final NeighbourChoice fleetNeighbour;
@@ -118,6 +130,7 @@
                 context.random());
         Dispatcher dispatcher = closer.register(
                 new Dispatcher(admission, context.loop(), context.clock(), context.metrics(), endpoint -> {}));
+        context.platform().onLeaving((endpoint, address) -> endpointLeaves(dispatcher, endpoint, address));
         fleet = new FleetDriver(context, dispatcher);
         fleetNeighbour = new NeighbourChoice(
                 context.settings().nodeId(), context.settings().dataCentre());
@@ -135,8 +148,8 @@
                         context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
         BatchCore core = new BatchCore(context.process().toString(), context.wallClock(), cluster::hasEnded);
-        scheduler = closer.register(
-                new BatchScheduler(context, core, context.platform().engines(), dispatcher, stored));
+        scheduler = closer.register(new BatchScheduler(
+                context, core, context.platform().engines(), context.platform().scorers(), dispatcher, stored));
         role = new BatchRole(
                 context.settings().nodeId(),
                 cluster.membership(),
@@ -212,7 +225,9 @@
     /** Leaves the directory, hands over to other nodes and finishes open requests within the grace period. */
     public void drain() throws InterruptedException {
         GatewaySettings.Bounds bounds = context.settings().bounds();
-        long endMs = context.clock().nowMs() + bounds.graceMs() - END_BEFORE_KILL_MS;
+        long nowMs = context.clock().nowMs();
+        long endMs = nowMs + bounds.graceMs() - END_BEFORE_KILL_MS;
+        grace.begin(nowMs, endMs);
         LOG.atInfo().log("drain begins");
         draining = true;
         ready = false;
@@ -225,7 +240,9 @@
         gate.drain();
         int open = gate.awaitIdle(Math.max(1, endMs - context.clock().nowMs()));
         if (open > 0) {
-            LOG.atSevere().with(LogFields.COUNT, (long) open).log("grace period is over; aborting open requests");
+            LOG.atSevere().with(LogFields.COUNT, (long) open).log("grace period is over; cancelling open requests");
+            calls.cancelAll();
+            gate.awaitIdle(CANCEL_MS);
         }
         LOG.atInfo().log("drain ended, duties and counts handed over: %b", handedOver.isDone());
     }
@@ -244,7 +261,8 @@
                 this::nextRequestId,
                 task -> Thread.ofVirtual().name("background").start(task),
                 new CallMetrics(context.metrics()),
-                context.spans());
+                context.spans(),
+                grace);
         GatewayServices services = new GatewayServices(
                 policy,
                 new PlainCaller(context.platform().services(), dependencies),
@@ -252,6 +270,7 @@
                 batches,
                 team -> duties.usage().requestStarted(team, context.wallClock().getAsLong()),
                 gate,
+                calls,
                 () -> ready,
                 this::addresses,
                 context.settings().bounds().addressTtlMs(),
@@ -293,6 +312,15 @@
         });
     }
 
+    private void endpointLeaves(Dispatcher dispatcher, EndpointId endpoint, InetSocketAddress address) {
+        LOG.atInfo()
+                .atMostEvery(1, TimeUnit.SECONDS)
+                .with(LogFields.ENDPOINT, endpoint.value())
+                .log("endpoint says that it is leaving");
+        dispatcher.post(new AdmissionInput.Endpoints(new EndpointInput.Observed(
+                endpoint, SocketAddresses.format(address), EndpointSource.Observation.DRAINING)));
+    }
+
     private ObjectStore fleetStore() {
         // The same content means the same to routing, whatever heartbeats an entry shows.
         RecentChanges recent = new RecentChanges(e -> context.platform().fleet(new ObjectStore.Listing(0, List.of(e))));
@@ -341,7 +369,7 @@
                 routes.put(route.id(), target(newConfig, route));
             }
         }
-        scheduler.handle(new BatchInput.Routes(routes));
+        scheduler.handle(new BatchInput.Routes(routes, new RouteTable(newConfig.routes())));
     }
 
     private static BatchTarget target(GatewayConfig config, GatewayRoute route) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
@@ -1,10 +1,13 @@
 package org.magnoliabridge.daemon;
 
 import io.undertow.server.HttpHandler;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.magnoliabridge.batch.Engines;
+import org.magnoliabridge.batch.Scorers;
 import org.magnoliabridge.calls.StreamServiceClient;
 import org.magnoliabridge.external.EndpointTotals;
 import org.magnoliabridge.external.EngineOrders;
@@ -15,6 +18,7 @@
 import org.magnoliabridge.external.UsageReports;
 import org.magnoliabridge.fleet.FleetInput;
 import org.magnoliabridge.gateway.GatewayConfig;
+import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.WeightVersion;
 
@@ -62,12 +66,21 @@
     /** Returns the client that orders the total number of endpoints of a service in a data centre. */
     EndpointTotals endpointTotals();
 
+    /**
+     * Sets the listener for endpoints that say in an answer that they are leaving; it is called with the endpoint and its
+     * address on the threads of the calls, and must not block.
+     */
+    void onLeaving(BiConsumer<EndpointId, InetSocketAddress> listener);
+
     /** Returns the client that sends requests to endpoints. */
     StreamServiceClient services();
 
     /** Returns the client that runs batch items at engines. */
     Engines engines();
 
+    /** Returns the client that calls the services that score texts. */
+    Scorers scorers();
+
     /** Returns the HTTP handler of the port for callers. */
     HttpHandler callers(GatewayServices node);
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServices.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServices.java
@@ -8,6 +8,7 @@
 import org.magnoliabridge.calls.PlainCaller;
 import org.magnoliabridge.calls.StreamCaller;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.edge.ActiveCalls;
 import org.magnoliabridge.edge.DrainGate;
 import org.magnoliabridge.gateway.CurrentPolicy;
 import org.magnoliabridge.ids.DataCentre;
@@ -23,6 +24,7 @@
  * @param batches accepts, reads and ends batches
  * @param usage counts requests that began to run, by team
  * @param gate counts open requests and begins the drain
+ * @param calls the calls of open requests, which are cancelled at the end of the drain
  * @param ready whether the node accepts new work
  * @param addresses the nodes that callers in a data centre should use
  * @param addressTtlMs how long callers may cache these addresses, in milliseconds
@@ -35,6 +37,7 @@
         BatchService batches,
         UsageCounter usage,
         DrainGate gate,
+        ActiveCalls calls,
         BooleanSupplier ready,
         AddressSource addresses,
         long addressTtlMs,
--- a/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/Node.java
@@ -111,7 +111,9 @@
      */
     public void drain() throws InterruptedException {
         NodeSettings.Limits limits = context.settings().limits();
-        long endMs = context.clock().nowMs() + limits.drainMs();
+        long nowMs = context.clock().nowMs();
+        long endMs = nowMs + limits.drainMs();
+        data.grace().begin(nowMs, endMs);
         LOG.atInfo().log("drain begins");
         context.loop().post(() -> control.membership().handle(new MembershipInput.Leave()));
         Thread.sleep(Math.min(limits.addressTtlMs(), limits.drainMs()));
@@ -122,7 +124,7 @@
             LOG.atSevere()
                     .with(LogFields.COUNT, (long) open)
                     .log("drain time limit reached; cancelling the open requests");
-            data.server().activeGenerations().cancelAll();
+            data.server().activeCalls().cancelAll();
         }
         await(usage.handOver());
         await(releaseLeases());
--- a/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/LedgerDriverTest.java
@@ -26,6 +26,7 @@
 import org.magnoliabridge.calls.EndpointSource;
 import org.magnoliabridge.calls.ExecutionStatus;
 import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.calls.GracePeriod;
 import org.magnoliabridge.calls.PlainAnswer;
 import org.magnoliabridge.calls.PlainCaller;
 import org.magnoliabridge.calls.PlainRequest;
@@ -158,7 +159,8 @@
                 () -> new RequestId("hop"),
                 Runnable::run,
                 new CallMetrics(metrics),
-                new TracerSpans(Tracing.disabled().tracer()));
+                new TracerSpans(Tracing.disabled().tracer()),
+                new GracePeriod());
         return new LedgerDriver(
                 core,
                 new PlainCaller(new PlainServiceAdapter(service), dependencies),
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
@@ -16,6 +16,7 @@
 import org.magnoliabridge.ids.GroupId;
 import org.magnoliabridge.ids.ItemId;
 import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
@@ -90,10 +91,19 @@
             node.put("prompt_tokens", item.promptTokens());
             node.put("tokens", item.maxTotalTokens());
             node.put("expected_tokens", item.expectedTokens());
+            item.scorer().ifPresent(s -> addScorer(node, s));
         }
         return bytes(array);
     }
 
+    private static void addScorer(ObjectNode item, ScoreRequest scorer) {
+        ObjectNode node = item.putObject("scorer");
+        node.put("id", scorer.id().value());
+        node.put("host", scorer.host());
+        node.put("path", scorer.path());
+        node.put("body", scorer.body());
+    }
+
     /** Parses items. */
     public static List<BatchItem> items(byte[] value) throws MalformedBatchException {
         return read(value, array -> {
@@ -119,6 +129,7 @@
             node.put("text", result.text());
             ArrayNode versions = node.putArray("versions");
             result.versions().forEach(v -> versions.add(v.value()));
+            result.score().ifPresent(s -> node.put("score", s));
         }
         ArrayNode texts = root.putArray("texts");
         segment.texts().forEach(t -> addText(texts, t));
@@ -160,7 +171,8 @@
                         new ItemId(text(node, "item")),
                         node.path("completed").asBoolean(),
                         text(node, "text"),
-                        versions));
+                        versions,
+                        node.hasNonNull("score") ? Optional.of(text(node, "score")) : Optional.empty()));
             }
             List<PartialText> texts = new ArrayList<>();
             for (JsonNode node : root.path("texts")) {
@@ -186,12 +198,21 @@
                     node.path("body").binaryValue(),
                     node.path("prompt_tokens").asLong(),
                     node.path("tokens").asLong(),
-                    node.path("expected_tokens").asLong());
+                    node.path("expected_tokens").asLong(),
+                    node.hasNonNull("scorer") ? Optional.of(scorer(node.get("scorer"))) : Optional.empty());
         } catch (IOException e) {
             throw new MalformedBatchException("body of a batch item is not valid base64", e);
         }
     }
 
+    private static ScoreRequest scorer(JsonNode node) throws IOException, MalformedBatchException {
+        return new ScoreRequest(
+                new RequestId(text(node, "id")),
+                text(node, "host"),
+                text(node, "path"),
+                node.path("body").binaryValue());
+    }
+
     private static <T> T read(byte[] value, Reader<T> reader) throws MalformedBatchException {
         try {
             return reader.read(JSON.readTree(value));
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -57,7 +57,8 @@
     private final Map<Long, RunningBatch> pendingRequests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
     private final RunTracker runs = new RunTracker(placement, detector, effects);
-    private final RunOutcomeHandler outcomeHandler = new RunOutcomeHandler(runs, effects);
+    private final Scoring scoring;
+    private final RunOutcomeHandler outcomeHandler;
     private final Map<ModelId, WeightVersion> newestVersions = new HashMap<>();
     private Map<RouteId, BatchTarget> routes = Map.of();
     private long lastTag;
@@ -85,6 +86,8 @@
         this.reads = new PendingReads(mechanisms.contains(BatchMechanism.CURRENT_CHECK));
         this.runner = Objects.requireNonNull(runner);
         this.wallClock = Objects.requireNonNull(wallClock);
+        this.scoring = new Scoring(wallClock, mechanisms, effects);
+        this.outcomeHandler = new RunOutcomeHandler(runs, scoring, effects);
     }
 
     /** Handles an input and returns the resulting effects in order. */
@@ -95,12 +98,19 @@
             case BatchInput.End end -> end(nowMs, end.batch());
             case BatchInput.EndRequested requested -> endRequested(nowMs, requested.request());
             case BatchInput.SteppedDown steppedDown -> stepDown();
-            case BatchInput.Routes update -> routes = update.targets();
-            case BatchInput.Engines update -> placement.replaceEngines(update.engines());
+            case BatchInput.Routes update -> {
+                routes = update.targets();
+                scoring.replaceRoutes(update.scorers());
+            }
+            case BatchInput.Engines update -> {
+                placement.replaceEngines(update.engines());
+                scoring.replaceEndpoints(update.engines());
+            }
             case BatchInput.NewestVersion update ->
                 newestVersions.merge(update.model(), update.version(), (a, b) -> b.isAfter(a) ? b : a);
             case BatchInput.Progress progress -> runs.recordProgress(nowMs, progress.events(), this::target);
             case BatchInput.RunEnded ended -> runEnded(nowMs, ended);
+            case BatchInput.ScoreEnded ended -> scoring.ended(nowMs, ended);
             case BatchInput.StoreReplied reply -> storeReplied(nowMs, reply);
             case BatchInput.Read read -> read(nowMs, read);
             case BatchInput.ReadBody body -> readBody(body);
@@ -111,6 +121,7 @@
             }
         }
         place(nowMs);
+        scoring.update(nowMs);
         reads.answerReady(nowMs, effects);
         append(nowMs);
         List<BatchEffect> result = List.copyOf(effects);
@@ -160,6 +171,11 @@
         return runs.size();
     }
 
+    /** Returns the number of items that wait for the scores of their texts. */
+    public int itemsAwaitingScore() {
+        return scoring.waiting();
+    }
+
     /** Returns the number of items that wait for an engine. */
     public long waitingItems(long nowMs) {
         return batches.values().stream()
@@ -187,7 +203,7 @@
         log(new BatchEvent.Opened(head.id(), head.items(), (int) started, open.newlyAccepted()));
         for (RunningItem item : batch.items()) {
             if (item.transcript.complete()) {
-                batch.finish(nowMs, item, item.transcript.result(item.item.id()));
+                scoring.textCompleted(nowMs, batch, item);
             } else {
                 runs.reassign(batch, item);
             }
@@ -249,6 +265,7 @@
                     batch.head().items(),
                     "dismissed"));
         }
+        scoring.dropAll();
         batches.clear();
         pendingRequests.clear();
         reads.answerAllUnsure(effects);
@@ -422,6 +439,7 @@
                     batch.head().items(),
                     e.getMessage()));
             stopRuns(batch);
+            scoring.drop(batch);
             batches.remove(batch.head().id());
         }
     }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchEffect.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEffect.java
@@ -10,6 +10,12 @@
     /** Close the connection of a run; its end is still reported with {@link BatchInput.RunEnded}. */
     record StopRun(ItemRunId run) implements BatchEffect {}
 
+    /** Start a call for a score and report its end with {@link BatchInput.ScoreEnded}. */
+    record StartScoring(ScoreCall call) implements BatchEffect {}
+
+    /** Close the connection of a call for a score; its end is still reported with {@link BatchInput.ScoreEnded}. */
+    record StopScoring(ScoreCallId call) implements BatchEffect {}
+
     /** Send a request to the store and report the reply with {@link BatchInput.StoreReplied} and the same tag. */
     record Store(long tag, StoreRequest request) implements BatchEffect {}
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEvent.java
@@ -3,6 +3,7 @@
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.RequestId;
 
 /** A log event about a batch or an item. */
 public sealed interface BatchEvent {
@@ -28,6 +29,18 @@
     record RunEnded(BatchId batch, ItemId item, EndpointId endpoint, String outcome, long lastEvent, long tookMs)
             implements BatchEvent {}
 
+    /**
+     * The score of an item's complete text was requested.
+     *
+     * @param waitedMs time since the text was complete
+     */
+    record ScoreRequested(BatchId batch, ItemId item, RequestId request, EndpointId endpoint, long waitedMs)
+            implements BatchEvent {}
+
+    /** A call for a score ended. */
+    record ScoreEnded(BatchId batch, ItemId item, EndpointId endpoint, String outcome, long tookMs)
+            implements BatchEvent {}
+
     /** A run is stopped so that its item continues at another engine, or the run continues for a later batch. */
     record Migrated(BatchId batch, ItemId item, EndpointId endpoint, String reason) implements BatchEvent {}
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.magnoliabridge.external.StoreReply;
+import org.magnoliabridge.gateway.RouteTable;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
 import org.magnoliabridge.ids.ModelId;
@@ -35,11 +37,22 @@
     /** This node must stop running batches; another node runs them, or none does. */
     record SteppedDown() implements BatchInput {}
 
-    /** The target of each batch route in the current configuration. */
-    record Routes(Map<RouteId, BatchTarget> targets) implements BatchInput {
+    /**
+     * The current configuration.
+     *
+     * @param targets the target of each batch route
+     * @param scorers the routes of requests that score texts
+     */
+    record Routes(Map<RouteId, BatchTarget> targets, RouteTable scorers) implements BatchInput {
         public Routes {
+            Objects.requireNonNull(scorers);
             targets = Map.copyOf(targets);
         }
+
+        /** Creates a configuration without routes of requests that score texts. */
+        public Routes(Map<RouteId, BatchTarget> targets) {
+            this(targets, new RouteTable(List.of()));
+        }
     }
 
     /** The newest weight version of a model; some of its engines may not have loaded it yet. */
@@ -52,7 +65,7 @@
         }
     }
 
-    /** The engines that items may be assigned to. */
+    /** The engines that items may be assigned to, and the endpoints of the services that score texts. */
     record Engines(List<EngineState> engines) implements BatchInput {
         public Engines {
             engines = List.copyOf(engines);
@@ -70,6 +83,9 @@
         }
     }
 
+    /** A call for a score has ended. */
+    record ScoreEnded(ScoreCallId call, ScoreOutcome outcome) implements BatchInput {}
+
     /** The reply to the store request of the {@link BatchEffect.Store} with the same tag. */
     record StoreReplied(long tag, StoreReply reply) implements BatchInput {}
 
--- a/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchItem.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.Objects;
-import java.util.regex.Pattern;
+import java.util.Optional;
 import org.magnoliabridge.ids.GroupId;
 import org.magnoliabridge.ids.ItemId;
 
@@ -17,6 +17,7 @@
  * @param promptTokens tokens of the prompt
  * @param maxTotalTokens prompt tokens plus the largest number of output tokens
  * @param expectedTokens the trainer's estimate of the output tokens, which is often far off; 0 if it gives none
+ * @param scorer the request that scores the complete text, if the item needs a score
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record BatchItem(
@@ -27,26 +28,29 @@
         byte[] body,
         long promptTokens,
         long maxTotalTokens,
-        long expectedTokens) {
-    // A space or line break in a path or header would end it, and what follows would be sent as another request.
-    private static final Pattern PATH = Pattern.compile("/[\\x21-\\x7e]*");
-    private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
-    private static final Pattern HEADER_VALUE = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
+        long expectedTokens,
+        Optional<ScoreRequest> scorer) {
+    /** Creates an item that needs no score. */
+    public BatchItem(
+            ItemId id,
+            GroupId group,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long promptTokens,
+            long maxTotalTokens,
+            long expectedTokens) {
+        this(id, group, path, headers, body, promptTokens, maxTotalTokens, expectedTokens, Optional.empty());
+    }
 
     public BatchItem {
         Objects.requireNonNull(id);
         Objects.requireNonNull(group);
         Objects.requireNonNull(body);
+        Objects.requireNonNull(scorer);
         headers = Map.copyOf(headers);
-        if (!PATH.matcher(path).matches()) {
-            throw new IllegalArgumentException("path must start with a slash and hold visible ASCII only");
-        }
-        headers.forEach((name, value) -> {
-            if (!HEADER_NAME.matcher(name).matches()
-                    || !HEADER_VALUE.matcher(value).matches()) {
-                throw new IllegalArgumentException("header name or value holds characters that HTTP does not allow");
-            }
-        });
+        RequestText.requirePath(path);
+        headers.forEach(RequestText::requireHeader);
     }
 
     /** Returns the number of tokens that the item is expected to hold in an engine's cache at its end. */
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMechanism.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMechanism.java
@@ -10,6 +10,8 @@
     CURRENT_CHECK,
     /** A resumed text continues with the event after its last one. */
     RESUME,
+    /** A complete text waits for its score. */
+    AWAIT_SCORE,
     /** A batch that may have been accepted is not rejected as not run. */
     UNDECIDED
 }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -141,6 +141,7 @@
                     for (ItemResult result : results.results()) {
                         pack(packer, result);
                     }
+                    packScores(packer, results.results());
                 }
                 case ReadAnswer.Body found -> {
                     packer.packInt(BODY);
@@ -161,7 +162,7 @@
                 for (int left = reader.unpacker().unpackArrayHeader(); left > 0; left--) {
                     results.add(result(reader));
                 }
-                yield new ReadAnswer.Results(total, results);
+                yield new ReadAnswer.Results(total, withScores(reader, results));
             }
             case BODY -> new ReadAnswer.Body(reader.binary());
             case MISSING -> new ReadAnswer.Missing();
@@ -177,6 +178,27 @@
         }
     }
 
+    // The scores follow the results, where a node that knows none does not read.
+    private static void packScores(MessageBufferPacker packer, List<ItemResult> results) throws IOException {
+        packer.packArrayHeader(results.size());
+        for (ItemResult result : results) {
+            packer.packString(result.score().orElse(""));
+        }
+    }
+
+    private static List<ItemResult> withScores(BoundedReader reader, List<ItemResult> results) throws IOException {
+        if (!reader.unpacker().hasNext()) {
+            return results;
+        }
+        List<ItemResult> scored = new ArrayList<>();
+        int scores = reader.unpacker().unpackArrayHeader();
+        for (int i = 0; i < results.size(); i++) {
+            String score = i < scores ? reader.text() : "";
+            scored.add(score.isEmpty() ? results.get(i) : results.get(i).withScore(score));
+        }
+        return scored;
+    }
+
     private static ItemResult result(BoundedReader reader) throws IOException, InvalidIdException {
         ItemId item = ItemId.parse(reader.text());
         boolean completed = reader.unpacker().unpackBoolean();
--- a/library/src/main/java/org/magnoliabridge/batch/RunOutcomeHandler.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunOutcomeHandler.java
@@ -15,15 +15,18 @@
     private static final long WITHHELD_RETRY_MS = 100;
 
     private final RunTracker runs;
+    private final Scoring scoring;
     private final List<BatchEffect> effects;
 
     /**
      * Creates a handler.
      *
+     * @param scoring receives the items whose texts are complete
      * @param effects receives the requested effects
      */
-    RunOutcomeHandler(RunTracker runs, List<BatchEffect> effects) {
+    RunOutcomeHandler(RunTracker runs, Scoring scoring, List<BatchEffect> effects) {
         this.runs = runs;
+        this.scoring = scoring;
         this.effects = effects;
     }
 
@@ -59,7 +62,7 @@
 
     private void complete(long nowMs, RunningBatch batch, RunningItem item) {
         if (item.transcript.isUsableFor(batch.head())) {
-            batch.finish(nowMs, item, item.transcript.result(item.item.id()));
+            scoring.textCompleted(nowMs, batch, item);
         } else {
             // The weights changed during a text that must come from a single version.
             item.transcript = Transcript.EMPTY;
--- a/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
@@ -40,7 +40,12 @@
     }
 
     boolean isReady(long nowMs) {
-        return !finished && !awaitingFence && run.isEmpty() && nowMs >= notBeforeMs;
+        return !finished && !transcript.complete() && !awaitingFence && run.isEmpty() && nowMs >= notBeforeMs;
+    }
+
+    /** Returns whether the text is complete and its score is not known. */
+    boolean awaitsScore() {
+        return !finished && transcript.complete();
     }
 
     /** Returns all known events of the item, including those of its current run. */
@@ -55,8 +60,12 @@
         return transcript.events().size() + runEvents.size();
     }
 
-    /** Returns the number of events that are still expected; at least 1, as an item may exceed its estimate. */
+    /** Returns the number of events that are still expected; at least 1 until the text is complete. */
     long eventsLeft(BatchTarget target) {
+        if (transcript.complete()) {
+            return 0;
+        }
+        // An item may exceed its estimate.
         long done = transcript.lastEvent();
         return Math.max(target.expectedEvents(item) - done, 1 + done / 4);
     }
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/ScoreOutcome.java
@@ -0,0 +1,35 @@
+package org.magnoliabridge.batch;
+
+import java.util.Objects;
+
+/** How a call for a score ended. */
+public sealed interface ScoreOutcome {
+    /** The service answered with success; {@code score} is the seal of its answer. */
+    record Scored(String score) implements ScoreOutcome {
+        public Scored {
+            Objects.requireNonNull(score);
+        }
+    }
+
+    /** The service failed; the call counts as an attempt. */
+    record Failed() implements ScoreOutcome {}
+
+    /**
+     * The service did not run the call.
+     *
+     * @param leaving whether the endpoint no longer accepts new work
+     */
+    record Refused(boolean leaving) implements ScoreOutcome {}
+
+    /** The endpoint could not be reached; the call did not run there. */
+    record Unreachable() implements ScoreOutcome {}
+
+    /** There was no answer in time, or one that cannot be used. */
+    record Broken(String reason) implements ScoreOutcome {}
+
+    /** The call was not sent, because its batch has ended or may have. */
+    record Withheld() implements ScoreOutcome {}
+
+    /** The call was stopped by this node. */
+    record Stopped() implements ScoreOutcome {}
+}
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/batch/Scoring.java
@@ -0,0 +1,305 @@
+package org.magnoliabridge.batch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.magnoliabridge.gateway.GatewayRoute;
+import org.magnoliabridge.gateway.RouteTable;
+import org.magnoliabridge.gateway.ServiceChoice;
+import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.ids.TeamId;
+
+/**
+ * Obtains the scores of complete texts: an item with a {@link ScoreRequest} has a result only with its score.
+ *
+ * <p>Load pattern: the texts of a step complete in bursts, and the service that scores them has few slots, which it
+ * shares with callers' requests that arrive at other nodes. Calls therefore use at most two thirds of the slots of an
+ * endpoint and wait here beyond that, so that a caller's request never queues behind a whole burst. The team with the
+ * fewest calls in flight comes first, then the text that has waited longest. Items that wait for a score occupy no
+ * engine.
+ *
+ * <p>A call may be repeated, so one without an answer is sent to another endpoint, with twice the time.
+ */
+final class Scoring {
+    /** Time without an answer after which a call is first repeated, in milliseconds. */
+    static final long SILENCE_MS = 1_500;
+
+    private static final int MAX_DOUBLINGS = 3;
+    private static final long RETRY_MS = 50;
+    private static final long MAX_RETRY_MS = 500;
+    // A tenth of the interval between checks of the store.
+    private static final long WITHHELD_RETRY_MS = 100;
+
+    private final LongSupplier wallClock;
+    private final Set<BatchMechanism> mechanisms;
+    private final List<BatchEffect> effects;
+    private final EngineBackoff backoff = new EngineBackoff();
+    private final List<Pending> pending = new ArrayList<>();
+    private final Map<ScoreCallId, Call> calls = new HashMap<>();
+    private final Map<EndpointId, Integer> callsAt = new HashMap<>();
+    private final Map<TeamId, Integer> callsOf = new HashMap<>();
+    private RouteTable routes = new RouteTable(List.of());
+    private List<EngineState> endpoints = List.of();
+    private long lastCall;
+
+    /** An item whose text is complete and whose score is not known. */
+    private static final class Pending {
+        private final RunningBatch batch;
+        private final RunningItem item;
+        private final ScoreRequest request;
+        private final long sinceMs;
+        private final Set<EndpointId> avoided = new HashSet<>();
+        private Optional<ScoreCallId> call = Optional.empty();
+        private int failures;
+        private int unanswered;
+        private long notBeforeMs = Long.MIN_VALUE;
+
+        Pending(RunningBatch batch, RunningItem item, ScoreRequest request, long sinceMs) {
+            this.batch = batch;
+            this.item = item;
+            this.request = request;
+            this.sinceMs = sinceMs;
+        }
+
+        TeamId team() {
+            return batch.head().team();
+        }
+
+        boolean isObsolete() {
+            return item.finished || batch.head().ended();
+        }
+
+        boolean isReady(long nowMs) {
+            return call.isEmpty() && nowMs >= notBeforeMs && !batch.log().loading();
+        }
+    }
+
+    private record Call(Pending pending, EndpointId endpoint, long startedMs) {}
+
+    /**
+     * Creates an instance without items.
+     *
+     * @param wallClock milliseconds since the epoch
+     * @param effects receives the requested effects
+     */
+    Scoring(LongSupplier wallClock, Set<BatchMechanism> mechanisms, List<BatchEffect> effects) {
+        this.wallClock = Objects.requireNonNull(wallClock);
+        this.mechanisms = mechanisms;
+        this.effects = effects;
+    }
+
+    /** Replaces the routes of the configuration. */
+    void replaceRoutes(RouteTable current) {
+        routes = current;
+    }
+
+    /** Replaces the endpoints that calls may be sent to. */
+    void replaceEndpoints(List<EngineState> current) {
+        endpoints = List.copyOf(current);
+    }
+
+    /** Returns the number of items that wait for their scores. */
+    int waiting() {
+        return pending.size();
+    }
+
+    /** Finishes an item whose text is complete, at once if it needs no score. */
+    void textCompleted(long nowMs, RunningBatch batch, RunningItem item) {
+        Optional<ScoreRequest> request = item.item.scorer();
+        if (request.isEmpty() || !mechanisms.contains(BatchMechanism.AWAIT_SCORE)) {
+            batch.finish(nowMs, item, item.transcript.result(item.item.id()));
+        } else {
+            pending.add(new Pending(batch, item, request.get(), nowMs));
+        }
+    }
+
+    /** Drops the items of a batch that this node no longer runs, and stops their calls. */
+    void drop(RunningBatch batch) {
+        dropIf(p -> p.batch == batch);
+    }
+
+    /** Drops all items and stops their calls. */
+    void dropAll() {
+        dropIf(p -> true);
+    }
+
+    /** Stops calls that are no longer needed, and starts those that an endpoint can take. */
+    void update(long nowMs) {
+        if (pending.isEmpty()) {
+            return;
+        }
+        dropIf(Pending::isObsolete);
+        Set<Pending> considered = new HashSet<>();
+        Optional<Pending> next = startNext(nowMs, considered);
+        while (next.isPresent()) {
+            considered.add(next.get());
+            next = startNext(nowMs, considered);
+        }
+    }
+
+    /** Handles the end of a call. */
+    void ended(long nowMs, BatchInput.ScoreEnded ended) {
+        Call call = calls.remove(ended.call());
+        if (call == null) {
+            return;
+        }
+        callsAt.computeIfPresent(call.endpoint(), (id, n) -> n == 1 ? null : n - 1);
+        callsOf.computeIfPresent(call.pending().team(), (team, n) -> n == 1 ? null : n - 1);
+        Pending entry = call.pending();
+        entry.call = Optional.empty();
+        log(new BatchEvent.ScoreEnded(
+                entry.batch.head().id(),
+                entry.item.item.id(),
+                call.endpoint(),
+                ended.outcome().toString(),
+                nowMs - call.startedMs()));
+        if (pending.contains(entry) && !entry.isObsolete()) {
+            handle(nowMs, entry, call.endpoint(), ended.outcome());
+        }
+    }
+
+    private void handle(long nowMs, Pending entry, EndpointId endpoint, ScoreOutcome outcome) {
+        switch (outcome) {
+            case ScoreOutcome.Scored scored -> {
+                backoff.recordSuccess(endpoint);
+                ItemResult result = entry.item.transcript.result(entry.item.item.id());
+                entry.batch.finish(nowMs, entry.item, result.withScore(scored.score()));
+                pending.remove(entry);
+            }
+            case ScoreOutcome.Failed failed -> {
+                entry.failures++;
+                retryLater(nowMs, entry, endpoint);
+                if (entry.failures >= maxAttempts(entry)) {
+                    giveUp(nowMs, entry);
+                }
+            }
+            case ScoreOutcome.Refused refused -> {
+                backoff.recordRefusal(nowMs, endpoint);
+                retryLater(nowMs, entry, endpoint);
+            }
+            case ScoreOutcome.Unreachable unreachable -> retryLater(nowMs, entry, endpoint);
+            case ScoreOutcome.Broken broken -> {
+                entry.unanswered++;
+                retryLater(nowMs, entry, endpoint);
+            }
+            case ScoreOutcome.Withheld withheld -> entry.notBeforeMs = nowMs + WITHHELD_RETRY_MS;
+            case ScoreOutcome.Stopped stopped -> entry.notBeforeMs = nowMs + RETRY_MS;
+        }
+    }
+
+    private void giveUp(long nowMs, Pending entry) {
+        entry.batch.finish(nowMs, entry.item, ItemResult.givenUp(entry.item.item.id()));
+        log(new BatchEvent.GivenUp(
+                entry.batch.head().id(), entry.item.item.id(), "all attempts to score its text failed"));
+        pending.remove(entry);
+    }
+
+    private static void retryLater(long nowMs, Pending entry, EndpointId endpoint) {
+        entry.avoided.add(endpoint);
+        entry.notBeforeMs = nowMs + Math.min(MAX_RETRY_MS, RETRY_MS * entry.avoided.size());
+    }
+
+    // Both the batch's route and the route of the call state a number of attempts; an item is not given up before
+    // either.
+    private int maxAttempts(Pending entry) {
+        int ofBatch = entry.batch.head().maxAttempts();
+        return route(entry).map(r -> Math.max(r.maxAttempts(), ofBatch)).orElse(ofBatch);
+    }
+
+    private Optional<GatewayRoute> route(Pending entry) {
+        return routes.find(entry.request.host(), entry.request.rawPath());
+    }
+
+    // Returns the item that was considered, empty if none is left.
+    private Optional<Pending> startNext(long nowMs, Set<Pending> considered) {
+        Optional<Pending> next = pending.stream()
+                .filter(p -> p.isReady(nowMs) && !considered.contains(p))
+                .min(Comparator.comparingInt((Pending p) -> callsOf.getOrDefault(p.team(), 0))
+                        .thenComparingLong(p -> p.sinceMs));
+        next.ifPresent(p -> choose(nowMs, p).ifPresent(e -> start(nowMs, p, e)));
+        return next;
+    }
+
+    private Optional<EngineState> choose(long nowMs, Pending entry) {
+        Optional<ServiceId> service = route(entry)
+                .map(r -> ServiceChoice.choose(r.services(), entry.request.id().value()));
+        if (service.isEmpty()) {
+            return Optional.empty();
+        }
+        List<EngineState> serving = endpoints.stream()
+                .filter(e -> e.endpoint().service().equals(service.get()))
+                .toList();
+        if (serving.stream().allMatch(e -> entry.avoided.contains(e.endpoint().id()))) {
+            entry.avoided.clear();
+        }
+        List<EngineState> free = serving.stream()
+                .filter(e -> !entry.avoided.contains(e.endpoint().id()))
+                .filter(e -> calls(e) < maxCalls(e))
+                .filter(e -> !backoff.isBackingOff(nowMs, e.endpoint().id()))
+                .toList();
+        return leastUsed(free);
+    }
+
+    // Starts at another endpoint each time, so that endpoints in equal use take turns.
+    private Optional<EngineState> leastUsed(List<EngineState> free) {
+        Optional<EngineState> best = Optional.empty();
+        for (int i = 0; i < free.size(); i++) {
+            EngineState candidate = free.get((int) ((lastCall + i) % free.size()));
+            if (best.isEmpty() || utilization(candidate) < utilization(best.get())) {
+                best = Optional.of(candidate);
+            }
+        }
+        return best;
+    }
+
+    private double utilization(EngineState endpoint) {
+        return (double) calls(endpoint) / maxCalls(endpoint);
+    }
+
+    private int calls(EngineState endpoint) {
+        return callsAt.getOrDefault(endpoint.endpoint().id(), 0);
+    }
+
+    private static int maxCalls(EngineState endpoint) {
+        return Math.max(1, endpoint.slots() * 2 / 3);
+    }
+
+    private void start(long nowMs, Pending entry, EngineState endpoint) {
+        BatchHead head = entry.batch.head();
+        ScoreCallId id = new ScoreCallId(++lastCall);
+        EndpointId endpointId = endpoint.endpoint().id();
+        long limitMs = Math.max(1, head.giveUpAtMs() - wallClock.getAsLong());
+        long silenceMs = Math.min(limitMs, SILENCE_MS << Math.min(MAX_DOUBLINGS, entry.unanswered));
+        entry.call = Optional.of(id);
+        calls.put(id, new Call(entry, endpointId, nowMs));
+        callsAt.merge(endpointId, 1, Integer::sum);
+        callsOf.merge(head.team(), 1, Integer::sum);
+        effects.add(new BatchEffect.StartScoring(
+                new ScoreCall(id, head, entry.item.item.id(), entry.request, endpoint.endpoint(), silenceMs, limitMs)));
+        log(new BatchEvent.ScoreRequested(
+                head.id(), entry.item.item.id(), entry.request.id(), endpointId, nowMs - entry.sinceMs));
+    }
+
+    private void dropIf(Predicate<Pending> predicate) {
+        pending.removeIf(p -> {
+            boolean drop = predicate.test(p);
+            if (drop) {
+                p.call.ifPresent(c -> effects.add(new BatchEffect.StopScoring(c)));
+            }
+            return drop;
+        });
+    }
+
+    private void log(BatchEvent event) {
+        effects.add(new BatchEffect.Log(event));
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -32,8 +32,13 @@
         dependencies.retryBudget().onCall();
     }
 
-    /** Waits for a slot, at an endpoint that this request has not tried yet if there is one. */
+    /**
+     * Waits for a slot, at an endpoint that this request has not tried yet if there is one.
+     *
+     * @throws CallException also if the node shuts down and the request might outlast it
+     */
     EndpointSource.Slot acquire() throws CallException {
+        requireTimeToEnd();
         EndpointSource.SlotRequest slotRequest = new EndpointSource.SlotRequest(
                 request.service(),
                 request.team(),
@@ -46,13 +51,29 @@
                 excluded);
         try {
             EndpointSource.Slot slot = dependencies.endpoints().acquire(slotRequest, cancellation);
-            excluded.add(slot.endpoint());
-            return slot;
+            return usable(slot);
         } catch (CallException e) {
             throw new CallException(e.failure(), progress.executionStatus(), e);
         }
     }
 
+    private EndpointSource.Slot usable(EndpointSource.Slot slot) throws CallException {
+        try {
+            requireTimeToEnd();
+        } catch (CallException e) {
+            slot.close();
+            throw e;
+        }
+        excluded.add(slot.endpoint());
+        return slot;
+    }
+
+    private void requireTimeToEnd() throws CallException {
+        if (!dependencies.grace().maySend(dependencies.clock().nowMs(), remainingMs())) {
+            throw toException(new Failure.Draining());
+        }
+    }
+
     /** Counts an attempt; called before the request is sent. */
     void attemptStarted() {
         progress.attemptStarted();
--- a/library/src/main/java/org/magnoliabridge/calls/CallDependencies.java
+++ b/library/src/main/java/org/magnoliabridge/calls/CallDependencies.java
@@ -11,6 +11,7 @@
  * @param endpoints assigns a slot at an endpoint to each attempt
  * @param retryBudget limits the retries of this hop
  * @param requestIds generates a request id for each attempt at an engine
+ * @param grace which requests are still sent while the node shuts down
  * @param background sends cancel requests, so that they do not delay the call
  */
 public record CallDependencies(
@@ -21,4 +22,5 @@
         Supplier<RequestId> requestIds,
         Executor background,
         CallMetrics metrics,
-        Spans spans) {}
+        Spans spans,
+        GracePeriod grace) {}
--- a/library/src/main/java/org/magnoliabridge/edge/ActiveGenerations.java
+++ b/library/src/main/java/org/magnoliabridge/edge/ActiveCalls.java
@@ -7,16 +7,17 @@
 import org.magnoliabridge.ids.KeyId;
 import org.magnoliabridge.keys.KeyTable;
 
-/** The running generations, kept so that they can be cancelled when their key is withdrawn. Thread-safe. */
-public final class ActiveGenerations {
+/** The running calls, kept so that they can be cancelled when their key is withdrawn or the node stops. Thread-safe. */
+public final class ActiveCalls {
     private final Map<Cancellation, Optional<KeyId>> calls = new ConcurrentHashMap<>();
 
     /** Adds a call; it must be removed when it has ended. */
-    void add(Cancellation call, Optional<KeyId> key) {
+    public void add(Cancellation call, Optional<KeyId> key) {
         calls.put(call, key);
     }
 
-    void remove(Cancellation call) {
+    /** Removes a call that has ended. */
+    public void remove(Cancellation call) {
         calls.remove(call);
     }
 
--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -50,11 +50,11 @@
     private final RolloutRoutes rollouts;
     private final AddressRoute addresses;
 
-    CallerHandler(EdgeDependencies dependencies, DrainGate gate, ActiveGenerations activeGenerations) {
+    CallerHandler(EdgeDependencies dependencies, DrainGate gate, ActiveCalls activeCalls) {
         this.dependencies = dependencies;
         this.gate = gate;
         timer = dependencies.metrics().timer("edge.requests");
-        chat = new ChatRoute(dependencies, activeGenerations);
+        chat = new ChatRoute(dependencies, activeCalls);
         plain = new PlainRoute(dependencies);
         rollouts = new RolloutRoutes(dependencies);
         addresses = new AddressRoute(dependencies.addresses());
--- a/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
@@ -25,7 +25,7 @@
 
     private final Undertow undertow;
     private final DrainGate gate = new DrainGate();
-    private final ActiveGenerations activeGenerations = new ActiveGenerations();
+    private final ActiveCalls activeCalls = new ActiveCalls();
 
     /** Starts the server on an address; port 0 lets the system choose a port. */
     public CallerServer(EdgeDependencies dependencies, InetSocketAddress listen) {
@@ -41,7 +41,7 @@
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_LIMIT_MS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_LIMIT_MS)
-                .setHandler(new CallerHandler(dependencies, gate, activeGenerations))
+                .setHandler(new CallerHandler(dependencies, gate, activeCalls))
                 .build();
         undertow.start();
     }
@@ -57,8 +57,8 @@
     }
 
     /** Returns the running generations; the owner notifies them of each new key table. */
-    public ActiveGenerations activeGenerations() {
-        return activeGenerations;
+    public ActiveCalls activeCalls() {
+        return activeCalls;
     }
 
     /** Closes the server at once and aborts open requests; drain the gate first. */
--- a/library/src/main/java/org/magnoliabridge/edge/ChatRoute.java
+++ b/library/src/main/java/org/magnoliabridge/edge/ChatRoute.java
@@ -23,11 +23,11 @@
     private static final long DEFAULT_DEADLINE_MS = 60_000;
 
     private final EdgeDependencies dependencies;
-    private final ActiveGenerations activeGenerations;
+    private final ActiveCalls activeCalls;
 
-    ChatRoute(EdgeDependencies dependencies, ActiveGenerations activeGenerations) {
+    ChatRoute(EdgeDependencies dependencies, ActiveCalls activeCalls) {
         this.dependencies = dependencies;
-        this.activeGenerations = activeGenerations;
+        this.activeCalls = activeCalls;
     }
 
     void handle(EdgeRequest request, Reply reply, Cancellation cancellation) throws CallException, IOException {
@@ -48,7 +48,7 @@
                 body.maxTokens(),
                 request.deadlineMs().orElse(nowMs + DEFAULT_DEADLINE_MS),
                 Optional.of(request.trace()));
-        activeGenerations.add(cancellation, principal.key());
+        activeCalls.add(cancellation, principal.key());
         try {
             Generation answer = body.stream()
                     ? sendStream(request, body, generation, reply, cancellation, principal.key())
@@ -58,7 +58,7 @@
                     .delivered(new UsageSink.Delivery(
                             principal.team(), service.id(), 1, answer.promptTokens(), answer.tokens()));
         } finally {
-            activeGenerations.remove(cancellation);
+            activeCalls.remove(cancellation);
         }
     }
 
@@ -111,7 +111,7 @@
         }
     }
 
-    // Checked for each token, so that a withdrawal ends the stream even if activeGenerations was not notified.
+    // Checked for each token, so that a withdrawal ends the stream even if activeCalls was not notified.
     private boolean isActive(Optional<KeyId> key) {
         return key.map(id -> dependencies.config().get().keys().isActive(id)).orElse(true);
     }
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -155,7 +155,7 @@
         call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
         call.deadlineHeader()
                 .ifPresent(
-                        name -> headers.put(new HttpString(name), call.limits().totalMs()));
+                        d -> headers.put(new HttpString(d.name()), call.limits().totalMs() + d.extraMs()));
         if (!headers.contains(Headers.HOST)) {
             headers.put(Headers.HOST, hostHeader(call.target()));
         }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -18,7 +18,7 @@
  * @param limits time limits
  * @param maxAnswerBytes size limit of a complete answer; of one line if the answer is streamed as lines
  * @param reuse whether the call may use a pooled connection, and may be sent again if that connection is lost
- * @param deadlineHeader name of a header with the time limit of the whole call, less the time used if it is sent again
+ * @param deadlineHeader tells the server a time limit, less the time used if the call is sent again
  * @param unframedAnswer whether to accept an answer without Content-Length and Transfer-Encoding, which ends when
  *     its connection closes
  * @param condition must hold when the request is written, see {@link #onlyWhile}; empty for none
@@ -33,13 +33,24 @@
         HttpLimits limits,
         int maxAnswerBytes,
         Reuse reuse,
-        Optional<String> deadlineHeader,
+        Optional<DeadlineHeader> deadlineHeader,
         boolean unframedAnswer,
         Optional<BooleanSupplier> condition) {
     private static final long DEFAULT_TOTAL_MS = 5_000;
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
     private static final byte[] NO_BODY = {};
 
+    /**
+     * A header with a time limit in milliseconds.
+     *
+     * @param extraMs added to the time limit of the call, for work that outlasts one call
+     */
+    public record DeadlineHeader(String name, long extraMs) {
+        public DeadlineHeader {
+            Objects.requireNonNull(name);
+        }
+    }
+
     /** How a call uses pooled connections, which the server may have closed without notice. */
     public enum Reuse {
         /** Opens a new connection; for calls that must not be executed twice and should not fail needlessly. */
@@ -125,8 +136,13 @@
 
     /** Returns a copy that tells the server its time limit in milliseconds in this header. */
     public HttpCall withDeadlineHeader(String name) {
-        return copy(
-                method, target, path, headers, body, limits, maxAnswerBytes, reuse, Optional.of(name), unframedAnswer);
+        return withDeadlineHeader(name, 0);
+    }
+
+    /** Returns a copy that tells the server its time limit plus {@code extraMs} in this header, in milliseconds. */
+    public HttpCall withDeadlineHeader(String name, long extraMs) {
+        Optional<DeadlineHeader> deadline = Optional.of(new DeadlineHeader(name, extraMs));
+        return copy(method, target, path, headers, body, limits, maxAnswerBytes, reuse, deadline, unframedAnswer);
     }
 
     /** Returns a copy that accepts an answer delimited by the end of its connection. */
@@ -180,7 +196,7 @@
             HttpLimits limits,
             int maxAnswerBytes,
             Reuse reuse,
-            Optional<String> deadlineHeader,
+            Optional<DeadlineHeader> deadlineHeader,
             boolean unframedAnswer) {
         return new HttpCall(
                 method,
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -32,6 +32,7 @@
 
     private final Map<EndpointId, Entry> entries = new TreeMap<>();
     private final Map<Identity, Long> departures = new HashMap<>();
+    private final Set<Identity> listed = new HashSet<>();
     // Asked for several times a second, while states change seldom.
     private final Map<ServiceId, List<Endpoint>> eligible = new HashMap<>();
 
@@ -126,10 +127,11 @@
         return counts;
     }
 
-    private List<Endpoint> applyList(Collection<EndpointInput.ListedEndpoint> listed, long nowMs) {
+    private List<Endpoint> applyList(Collection<EndpointInput.ListedEndpoint> items, long nowMs) {
         List<Endpoint> leaving = new ArrayList<>();
         Set<EndpointId> listedIds = new HashSet<>();
-        for (EndpointInput.ListedEndpoint item : listed) {
+        listed.clear();
+        for (EndpointInput.ListedEndpoint item : items) {
             Endpoint endpoint = item.endpoint();
             listedIds.add(endpoint.id());
             Entry entry = entries.get(endpoint.id());
@@ -138,6 +140,7 @@
                 entries.put(endpoint.id(), entry);
             }
             entry.slots = item.slots();
+            listed.add(entry.identity());
             if (departures.containsKey(entry.identity())) {
                 departures.put(entry.identity(), nowMs);
                 entry.state = EndpointState.LEAVING;
@@ -199,7 +202,8 @@
                 eligible.clear();
             }
         }
-        departures.values().removeIf(recordedMs -> nowMs - recordedMs > RETENTION_MS);
+        // The list is applied only when it changes.
+        departures.entrySet().removeIf(d -> !listed.contains(d.getKey()) && nowMs - d.getValue() > RETENTION_MS);
         entries.values().removeIf(e -> e.state == EndpointState.LEAVING && !departures.containsKey(e.identity()));
         entries.values().removeIf(e -> e.state == EndpointState.UNLISTED && nowMs - e.unlistedAtMs > RETENTION_MS);
     }
--- a/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
@@ -23,7 +23,7 @@
     void answerRoundTrips(@ForAll String text, @ForAll boolean completed) throws MalformedBatchException {
         ItemResult result = new ItemResult(
                 new ItemId("i"), completed, valid(text), List.of(new WeightVersion(2), new WeightVersion(3)));
-        ReadAnswer answer = new ReadAnswer.Results(40, List.of(result));
+        ReadAnswer answer = new ReadAnswer.Results(40, List.of(result, result.withScore("3e1b.07")));
         assertThat(BatchMessages.answer(BatchMessages.pack(answer)), is(answer));
         ResultSegment segment = ResultSegment.of("n1-1", 0, List.of(result));
         assertThat(BatchCodec.segment(BatchCodec.segment(segment)), is(segment));
--- a/library/src/test/java/org/magnoliabridge/batch/BatchSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchSimulation.java
@@ -41,6 +41,8 @@
     private final Map<String, Map<Integer, Long>> firstReadMs = new HashMap<>();
     private final Set<String> ran = new HashSet<>();
     private final Set<String> interruptedItems = new HashSet<>();
+    private final Set<String> failedScores = new HashSet<>();
+    private final Map<String, Long> completedMs = new HashMap<>();
     private final Map<String, Map<Long, Long>> generatedVersions = new HashMap<>();
 
     BatchSimulation(Map<Integer, Fault> faults, Set<BatchMechanism> mechanisms) {
@@ -73,7 +75,7 @@
 
     private void batch(String id, BatchHead head, String prefix) {
         heads.put(id, head);
-        items.put(id, Batches.items(prefix, ITEMS));
+        items.put(id, Batches.scoredItems(prefix, ITEMS));
         positions.put(id, new HashMap<>());
         firstReadMs.put(id, new HashMap<>());
         answers.put(id, new ArrayList<>());
@@ -112,6 +114,9 @@
         }
         for (long n = run.lastEvent() + 1; n <= EVENTS; n++) {
             events.add(Batches.event(n, text(item, n), version));
+            if (n == EVENTS) {
+                completedMs.putIfAbsent(item, now);
+            }
             generatedVersions.computeIfAbsent(item, i -> new HashMap<>()).put(n * 10 + version, version);
             // The first run of every second item fails in the middle.
             if (n == 2 && item.endsWith("1") && interruptedItems.add(item)) {
@@ -121,6 +126,15 @@
         return new RunOutcome.Completed();
     }
 
+    // The first call for the score of every second item fails. A score names its request and when the call arrived.
+    private ScoreOutcome score(ScoreCall call) {
+        String item = call.item().value();
+        if (item.endsWith("0") && failedScores.add(item)) {
+            return new ScoreOutcome.Failed();
+        }
+        return new ScoreOutcome.Scored(call.request().id() + "@" + now);
+    }
+
     private static String text(String item, long event) {
         return item + "#" + event;
     }
@@ -169,6 +183,17 @@
                         .allMatch(v ->
                                 generatedVersions.getOrDefault(item, Map.of()).containsValue(v.value())),
                 "a text names a weight version that generated no part of it");
+        checkScore(item, result.score());
+    }
+
+    private void checkScore(String item, Optional<String> score) {
+        String prefix = "score-" + item + "@";
+        boolean own = score.filter(s -> s.startsWith(prefix)).isPresent();
+        require(own, "a result has no score, or that of another item");
+        long scoredMs = own ? Long.parseLong(score.get().substring(prefix.length())) : Long.MIN_VALUE;
+        require(
+                completedMs.getOrDefault(item, Long.MAX_VALUE) <= scoredMs,
+                "a text was scored before its last event was made");
     }
 
     @Override
@@ -226,7 +251,7 @@
         private void tick() {
             if (isRunner(number) && !running) {
                 running = true;
-                handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
+                handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
                 heads.keySet().forEach(this::load);
             } else if (!isRunner(number) && running) {
                 running = false;
@@ -236,7 +261,8 @@
                 // While both nodes run batches, node 1 reaches no engine and receives results only through the log.
                 boolean disconnected = number == 1 && now < SPLIT_TO_MS;
                 EngineState engine = Batches.engine("e1", 3, now < NEW_WEIGHTS_MS ? 1 : 2);
-                handle(new BatchInput.Engines(disconnected ? List.of() : List.of(engine)));
+                EngineState scorer = Batches.scorer("s1", 3);
+                handle(new BatchInput.Engines(disconnected ? List.of() : List.of(engine, scorer)));
             }
             handle(new BatchInput.Tick());
         }
@@ -338,6 +364,15 @@
                             new RunOutcome.Broken("lost"));
                 }
                 case BatchEffect.StopRun s -> {}
+                case BatchEffect.StartScoring s ->
+                    sendRequest(
+                            host,
+                            "score",
+                            false,
+                            () -> score(s.call()),
+                            outcome -> handle(new BatchInput.ScoreEnded(s.call().id(), outcome)),
+                            new ScoreOutcome.Broken("lost"));
+                case BatchEffect.StopScoring s -> {}
                 case BatchEffect.Answer a -> {
                     Consumer<ReadAnswer> reader = tickets.remove(a.ticket());
                     if (reader != null) {
--- a/library/src/test/java/org/magnoliabridge/batch/Batches.java
+++ b/library/src/test/java/org/magnoliabridge/batch/Batches.java
@@ -6,12 +6,17 @@
 import java.util.Map;
 import java.util.Optional;
 import org.magnoliabridge.gateway.BatchTerms;
+import org.magnoliabridge.gateway.GatewayRoute;
+import org.magnoliabridge.gateway.RouteKind;
+import org.magnoliabridge.gateway.RouteTable;
+import org.magnoliabridge.gateway.WeightedService;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.GroupId;
 import org.magnoliabridge.ids.ItemId;
 import org.magnoliabridge.ids.ModelId;
+import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
@@ -25,6 +30,24 @@
     static final ModelId MODEL = new ModelId("m0");
     static final TeamId TEAM = new TeamId("oak");
 
+    static final ServiceId SCORING_SERVICE = new ServiceId("benchdesk");
+    static final int SCORE_ATTEMPTS = 4;
+
+    /** The route of the requests that score texts. */
+    static final RouteTable SCORERS = new RouteTable(List.of(new GatewayRoute(
+            new RouteId("scores"),
+            "desk.example",
+            "/score/",
+            RouteKind.IDEMPOTENT,
+            1_000,
+            200,
+            2,
+            List.of(new WeightedService(SCORING_SERVICE, 1)),
+            SCORE_ATTEMPTS,
+            false,
+            false,
+            Optional.empty())));
+
     static final BatchTarget TARGET = new BatchTarget(SERVICE, 72, 100_000);
 
     private Batches() {}
@@ -46,6 +69,25 @@
                 false);
     }
 
+    /** Returns the head of a batch of another team. */
+    static BatchHead headOf(String id, String team, int items) {
+        BatchHead head = head(id, items);
+        return new BatchHead(
+                head.id(),
+                new TeamId(team),
+                head.route(),
+                head.host(),
+                head.model(),
+                head.minVersion(),
+                head.wantedGroups(),
+                head.terms(),
+                head.maxAttempts(),
+                head.submittedAtMs(),
+                head.items(),
+                head.parts(),
+                head.ended());
+    }
+
     static BatchHead head(String id, int items) {
         return head(id, items, 1, false);
     }
@@ -71,6 +113,32 @@
                 expectedTokens);
     }
 
+    /** Returns items that need a score, in groups of two. */
+    static List<BatchItem> scoredItems(String prefix, int count) {
+        return items(prefix, count).stream().map(Batches::scored).toList();
+    }
+
+    private static BatchItem scored(BatchItem item) {
+        ScoreRequest scorer = new ScoreRequest(
+                new RequestId("score-" + item.id()), "desk.example", "/score/" + item.id(), new byte[] {1, 2, 3});
+        return new BatchItem(
+                item.id(),
+                item.group(),
+                item.path(),
+                item.headers(),
+                item.body(),
+                item.promptTokens(),
+                item.maxTotalTokens(),
+                item.expectedTokens(),
+                Optional.of(scorer));
+    }
+
+    /** Returns an endpoint of the service that scores texts. */
+    static EngineState scorer(String id, int slots) {
+        Endpoint endpoint = new Endpoint(new EndpointId(id), SCORING_SERVICE, new DataCentre("trent"), "10.0.0.2:8080");
+        return new EngineState(endpoint, slots, Map.of(), false);
+    }
+
     /** Ends a batch in a store that serves every request. */
     static void end(StoredBatches stored, BatchId batch) throws MalformedBatchException {
         Ending ending = new Ending(batch, TEAM, 0);
--- a/library/src/test/java/org/magnoliabridge/batch/EndSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/batch/EndSimulation.java
@@ -410,6 +410,8 @@
                     at(startMs, () -> maySend(s.run(), stopped, startMs + MAX_HOLD_MS));
                 }
                 case BatchEffect.StopRun s -> runs.getOrDefault(s.run(), new boolean[1])[0] = true;
+                case BatchEffect.StartScoring scoring -> throw new IllegalStateException("no item has a scorer");
+                case BatchEffect.StopScoring scoring -> throw new IllegalStateException("no item has a scorer");
                 case BatchEffect.Answer a -> {}
                 case BatchEffect.Log l -> {}
             }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
@@ -19,7 +19,7 @@
     private final BatchCore core = new BatchCore("n1-1", () -> nowMs, process -> false);
 
     RunnerFixture() {
-        handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
+        handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
     }
 
     void handle(BatchInput input) {
@@ -38,6 +38,26 @@
         handle(new BatchInput.RunEnded(run.id(), outcome, List.of(events)));
     }
 
+    void end(ScoreCall call, ScoreOutcome outcome) {
+        handle(new BatchInput.ScoreEnded(call.id(), outcome));
+    }
+
+    /** Returns the calls for scores, in order. */
+    List<ScoreCall> scoreCalls() {
+        return effects.stream()
+                .filter(BatchEffect.StartScoring.class::isInstance)
+                .map(e -> ((BatchEffect.StartScoring) e).call())
+                .toList();
+    }
+
+    /** Returns the calls for scores that were stopped, in order. */
+    List<ScoreCallId> stoppedScoreCalls() {
+        return effects.stream()
+                .filter(BatchEffect.StopScoring.class::isInstance)
+                .map(e -> ((BatchEffect.StopScoring) e).call())
+                .toList();
+    }
+
     void confirmWrites() {
         nowMs += 300;
         handle(new BatchInput.Tick());
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
@@ -242,6 +242,8 @@
             case BatchEffect.Store store ->
                 timed.add(
                         new Timed(nowMs + STORE_MS, new BatchInput.StoreReplied(store.tag(), reply(store.request()))));
+            case BatchEffect.StartScoring scoring -> throw new IllegalStateException("no item has a scorer");
+            case BatchEffect.StopScoring scoring -> throw new IllegalStateException("no item has a scorer");
             case BatchEffect.Answer answer -> answered(answer);
             case BatchEffect.Log log -> {}
         }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
@@ -167,6 +167,8 @@
                     }
                     case BatchEffect.Store request ->
                         handle(new BatchInput.StoreReplied(request.tag(), perform(request.request())));
+                    case BatchEffect.StartScoring scoring -> throw new IllegalStateException("no item has a scorer");
+                    case BatchEffect.StopScoring scoring -> throw new IllegalStateException("no item has a scorer");
                     case BatchEffect.Answer answer -> {}
                     case BatchEffect.Log log -> {}
                 }
--- a/library/src/test/java/org/magnoliabridge/calls/CallFixture.java
+++ b/library/src/test/java/org/magnoliabridge/calls/CallFixture.java
@@ -45,7 +45,8 @@
                 () -> new RequestId("hop-" + ids.incrementAndGet()),
                 task -> Thread.ofVirtual().start(task),
                 new CallMetrics(metrics),
-                NO_SPANS);
+                NO_SPANS,
+                new GracePeriod());
         caller = new GenerationCaller(new HttpEngineAdapter(http, HttpLimits.total(1_000)), dependencies);
     }
 
--- a/library/src/test/java/org/magnoliabridge/edge/CallerServerTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/CallerServerTest.java
@@ -106,7 +106,7 @@
             BufferedReader reader = reader(socket);
             readUntil(reader, "\" 4\"");
             f.config = f.snapshot(Set.of(f.key.id()), Long.MAX_VALUE);
-            f.server.activeGenerations().cancelWithInactiveKey(f.config.keys());
+            f.server.activeCalls().cancelWithInactiveKey(f.config.keys());
             assertThat(readUntil(reader, "error"), containsString("unauthenticated"));
         }
         assertTrue(f.calls.one.cancelled.await(5, TimeUnit.SECONDS));
--- a/library/src/test/java/org/magnoliabridge/edge/EdgeFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/EdgeFixture.java
@@ -70,7 +70,8 @@
                 t.requestIds(),
                 t.background(),
                 t.metrics(),
-                t.spans());
+                t.spans(),
+                t.grace());
         AtomicInteger ids = new AtomicInteger();
         server = new CallerServer(
                 new EdgeDependencies(
--- a/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
@@ -99,6 +99,16 @@
         assertThat(eligible(), is(empty()));
     }
 
+    /** Guards against requests to a leaving endpoint whose list has not changed for longer than the retention time. */
+    @Test
+    void keepsTheDepartureOfAnEndpointThatIsStillListed() {
+        observe(Observation.DRAINING);
+        tick(EndpointTable.RETENTION_MS + 1);
+        tick(EndpointTable.RETENTION_MS + 1);
+        list(endpoint, false);
+        assertThat(eligible(), is(empty()));
+    }
+
     /** Guards against a search of all endpoints each time that a service's endpoints are needed. */
     @Test
     void eligibleEndpointsAreListedOnceUntilAStateChanges() {
