Read configuration through a neighbour, cache stored segments, read the registry seldom

Change: the configuration is read from the neighbour that reads the endpoint list, with a bound on its age; stored segments, which never change, are cached; the registry is read from a listing that may be stale, and less often the more nodes there are; a lease is read by candidates only; a relayed watch waits 0.5 s.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -28,15 +28,11 @@
 /** The membership of the cluster and the calls to the other nodes. */
 final class GatewayCluster {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    // Nodes find each other when they start; later reads of the registry find those that this node missed at its own
-    // start or while it could not read the registry.
-    private static final long REGISTRY_PERIOD_MS = 10_000;
-
     private final GatewayContext context;
     private final MembershipDriver membership;
     private final PeerCalls peers;
     private final StoreAccess storeAccess;
-    private long registryReadAtMs;
+    private final RegistryReads registryReads;
 
     /** Opens the peer port and starts to join the cluster. */
     GatewayCluster(GatewayContext context, Closer closer) throws IOException {
@@ -63,7 +59,7 @@
         closer.register(new PeerListener(settings.listen().peers(), connections));
         peers = new PeerCalls(membership, context.loop(), context.metrics());
         storeAccess = new StoreAccess(context.clock().nowMs());
-        registryReadAtMs = context.clock().nowMs();
+        registryReads = new RegistryReads(context.clock().nowMs());
         context.loop().post(() -> publishNodes(joined.peerAddresses()));
     }
 
@@ -91,8 +87,9 @@
                 context.path().isStoreUnavailable(), context.clock().nowMs());
         membership.handle(new MembershipInput.StoreServing(storeServes));
         membership.handle(new MembershipInput.Tick());
-        if (context.clock().nowMs() - registryReadAtMs >= REGISTRY_PERIOD_MS) {
-            registryReadAtMs = context.clock().nowMs();
+        long nowMs = context.clock().nowMs();
+        if (registryReads.isDue(nowMs, membership.members().size())) {
+            registryReads.read(nowMs);
             Thread.ofVirtual().name("node-registry").start(this::readRegistry);
         }
     }
@@ -105,7 +102,7 @@
     private void readRegistry() {
         try {
             Map<NodeId, String> nodes =
-                    new NodeRegistry(context.budget().at(Priority.STATUS), context.newBackoff()).nodes();
+                    new NodeRegistry(context.budget().at(Priority.STATUS), context.newBackoff()).recentNodes();
             context.loop().post(() -> publishNodes(nodes));
         } catch (PlatformException e) {
             LOG.atInfo().withCause(e).log("cannot read the node registry; retrying later");
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -93,6 +93,10 @@
     // Leaving endpoints must receive no work later than 2 s after the store's notification. Endpoint heartbeats change
     // the list all the time, so the pause determines how often a node polls.
     private static final ObjectWatch.Times FLEET_WATCH = new ObjectWatch.Times(3_000, 700, 500);
+    private static final NeighbourReader.Times FLEET_READS = new NeighbourReader.Times(800, 600, 500);
+    // A change is known to a reader at once, and to the others at their next question; a reader that has stopped is
+    // noticed in time for the others to read the store.
+    static final NeighbourReader.Times CONFIG_READS = new NeighbourReader.Times(1_100, 1_000, 400);
     // Remaining grace period at which new requests are refused, and at which the process must have ended.
     private static final long REFUSE_BEFORE_END_MS = 2_500;
     private static final long END_BEFORE_KILL_MS = 800;
@@ -111,7 +115,7 @@
     private final ActiveCalls calls = new ActiveCalls();
     private final AdmissionCore admission;
     private final FleetDriver fleet;
-    private final NeighbourChoice fleetNeighbour;
+    private final NeighbourChoice neighbour;
     private final ConfigFollower config;
     private final GatewayCluster cluster;
     private final BatchScheduler scheduler;
@@ -132,7 +136,7 @@
                 new Dispatcher(admission, context.loop(), context.clock(), context.metrics(), endpoint -> {}));
         context.platform().onLeaving((endpoint, address) -> endpointLeaves(dispatcher, endpoint, address));
         fleet = new FleetDriver(context, dispatcher);
-        fleetNeighbour = new NeighbourChoice(
+        neighbour = new NeighbourChoice(
                 context.settings().nodeId(), context.settings().dataCentre());
         config = new ConfigFollower(context, policy);
         cluster = new GatewayCluster(context, closer);
@@ -290,7 +294,7 @@
         config.onChange(this::applyRoutes);
         fleet.onChange(this::fleetChanged);
         closer.register(new ObjectWatch(
-                context.budget().at(Priority.DECISION),
+                configStore(),
                 context.platform().configPrefix(),
                 CONFIG_WATCH,
                 config,
@@ -324,16 +328,26 @@
     private ObjectStore fleetStore() {
         // The same content means the same to routing, whatever heartbeats an entry shows.
         RecentChanges recent = new RecentChanges(e -> context.platform().fleet(new ObjectStore.Listing(0, List.of(e))));
+        return neighbourReader(Priority.STATUS, PeerCalls.Method.READ_CHANGES, recent, FLEET_READS);
+    }
+
+    private ObjectStore configStore() {
+        RecentChanges recent = new RecentChanges(ObjectStore.Entry::version);
+        return neighbourReader(Priority.DECISION, PeerCalls.Method.READ_CONFIGURATION, recent, CONFIG_READS);
+    }
+
+    private ObjectStore neighbourReader(
+            Priority priority, PeerCalls.Method method, RecentChanges recent, NeighbourReader.Times times) {
         NeighbourReader reader = new NeighbourReader(
-                context.budget().at(Priority.STATUS),
-                (node, call, limitMs) -> cluster.peers()
-                        .call(node, PeerCalls.Method.READ_CHANGES, call, limitMs)
-                        .get(),
-                fleetNeighbour::neighbour,
+                context.budget().at(priority),
+                (node, call, limitMs) ->
+                        cluster.peers().call(node, method, call, limitMs).get(),
+                neighbour::neighbour,
                 recent,
+                times,
                 context.clock(),
                 context.metrics());
-        cluster.peers().serve(PeerCalls.Method.READ_CHANGES, reader::answer);
+        cluster.peers().serve(method, reader::answer);
         return reader;
     }
 
@@ -343,7 +357,7 @@
         if (!draining) {
             role.tick();
         }
-        fleetNeighbour.update(role.runner(), cluster.membership().members());
+        neighbour.update(role.runner(), cluster.membership().members());
         duties.tick(
                 role.isSelf() && !draining,
                 scheduler.open(),
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -29,23 +29,29 @@
     // A neighbour in the same data centre answers within a few milliseconds unless it is overloaded.
     private static final long ANSWER_LIMIT_MS = 200;
     private static final long RETRY_NEIGHBOUR_MS = 3_000;
-    private static final long UNCHANGED_PAUSE_MS = 500;
     // Reads are recorded only while other nodes ask. Longer than RETRY_NEIGHBOUR_MS, after which they ask again.
     private static final long RECORD_AFTER_CALL_MS = 10_000;
-    private static final long MAX_WAIT_FOR_OTHERS_MS = 600;
-    // Longer than the pause between two reads of the store, and than a read that waits; bounds the age of what a
-    // neighbour passes on.
-    static final long MAX_AGE_MS = 800;
 
     private final ObjectStore store;
     private final Calls calls;
     private final Supplier<Optional<NodeId>> neighbour;
     private final RecentChanges recent;
+    private final Times times;
     private final MonotonicClock clock;
     private final MetricRegistry metrics;
     private volatile long askAgainAtMs = Long.MIN_VALUE;
     private volatile long recordUntilMs = Long.MIN_VALUE;
 
+    /**
+     * Times of a reader, in milliseconds.
+     *
+     * @param maxAgeMs highest age of what a neighbour passes on; longer than the pause between two reads of the store, and
+     *     than a read that waits
+     * @param maxWaitMs longest wait of a read of the store that other nodes depend on
+     * @param pauseMs time between two questions to a neighbour while nothing changes
+     */
+    record Times(long maxAgeMs, long maxWaitMs, long pauseMs) {}
+
     /** Makes calls to a neighbour. */
     interface Calls {
         /** Returns the packed result of a packed watch call. */
@@ -63,12 +69,14 @@
             Calls calls,
             Supplier<Optional<NodeId>> neighbour,
             RecentChanges recent,
+            Times times,
             MonotonicClock clock,
             MetricRegistry metrics) {
         this.store = store;
         this.calls = calls;
         this.neighbour = neighbour;
         this.recent = recent;
+        this.times = times;
         this.clock = clock;
         this.metrics = metrics;
     }
@@ -78,7 +86,7 @@
         recordUntilMs = clock.nowMs() + RECORD_AFTER_CALL_MS;
         try {
             if (StoreMessages.call(call) instanceof StoreMessages.Call.Watch watch) {
-                StoreReply reply = recent.since(clock.nowMs(), watch.sinceRevision(), MAX_AGE_MS)
+                StoreReply reply = recent.since(clock.nowMs(), watch.sinceRevision(), times.maxAgeMs())
                         .<StoreReply>map(StoreReply.Listed::new)
                         .orElseGet(StoreReply.Unavailable::new);
                 answer.accept(StoreMessages.pack(new StoreMessages.Result.Replied(reply)));
@@ -122,7 +130,7 @@
             return store.watch(prefix, sinceRevision, waitMs);
         }
         // Others depend on a read that ends soon, also while nothing changes.
-        long shortWaitMs = Math.min(waitMs, MAX_WAIT_FOR_OTHERS_MS);
+        long shortWaitMs = Math.min(waitMs, times.maxWaitMs());
         Listing changes = store.watch(prefix, sinceRevision, shortWaitMs);
         // Without a change the store has waited before it answered.
         long asOfMs = changes.entries().isEmpty() ? startMs + shortWaitMs : startMs;
@@ -166,10 +174,10 @@
         }
     }
 
-    private static void pauseIfUnchanged(Listing changes, long waitMs) {
+    private void pauseIfUnchanged(Listing changes, long waitMs) {
         if (changes.entries().isEmpty()) {
             try {
-                Thread.sleep(Math.min(waitMs, UNCHANGED_PAUSE_MS));
+                Thread.sleep(Math.min(waitMs, times.pauseMs()));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NodeRegistry.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NodeRegistry.java
@@ -53,8 +53,17 @@
 
     /** Returns the peer addresses of all registered nodes. */
     Map<NodeId, String> nodes() throws PlatformException {
+        return nodes(store.list(NODES));
+    }
+
+    /** Returns the peer addresses of the nodes that were registered some seconds ago, or later. */
+    Map<NodeId, String> recentNodes() throws PlatformException {
+        return nodes(store.listStale(NODES));
+    }
+
+    private Map<NodeId, String> nodes(ObjectStore.Listing listing) throws PlatformException {
         Map<NodeId, String> nodes = new TreeMap<>();
-        for (ObjectStore.Entry entry : store.list(NODES).entries()) {
+        for (ObjectStore.Entry entry : listing.entries()) {
             Optional<StoredObject> object = entry.object().isPresent() ? entry.object() : store.read(entry.key());
             object.ifPresent(o -> add(nodes, o));
         }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -31,7 +31,8 @@
         ANNOUNCE_RUNNER(4),
         STORE_CALL(5),
         READ_CHANGES(6),
-        STOP_BATCH(7);
+        STOP_BATCH(7),
+        READ_CONFIGURATION(8);
 
         private final int number;
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
@@ -24,6 +24,8 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private static final int MAX_WATCH_FAILURES = 2;
+    // Another node may die while the watch waits there, and the next one is asked only after its time limit.
+    static final long MAX_RELAYED_WAIT_MS = 500;
 
     private final ObjectStore direct;
     private final AtomicInteger watchFailures = new AtomicInteger();
@@ -101,6 +103,11 @@
         return call(() -> direct.list(prefix), peer -> listing(reply(peer, new StoreRequest.List(prefix))));
     }
 
+    @Override
+    public Listing listStale(String prefix) throws PlatformException {
+        return call(() -> direct.listStale(prefix), peer -> listing(reply(peer, new StoreRequest.List(prefix))));
+    }
+
     @Override
     public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
         DirectCall<Listing> directWatch = () -> direct.watch(prefix, sinceRevision, waitMs);
@@ -108,8 +115,9 @@
             return watchDirectly(directWatch);
         }
         return call(directWatch, peer -> {
-            StoreMessages.Call watch = new StoreMessages.Call.Watch(prefix, sinceRevision, waitMs);
-            return switch (peer.call(watch, waitMs)) {
+            long relayedWaitMs = Math.min(waitMs, MAX_RELAYED_WAIT_MS);
+            StoreMessages.Call watch = new StoreMessages.Call.Watch(prefix, sinceRevision, relayedWaitMs);
+            return switch (peer.call(watch, relayedWaitMs)) {
                 case StoreMessages.Result.TooOld tooOld -> throw new PlatformException.RevisionTooOld(sinceRevision);
                 case StoreMessages.Result.Replied replied -> listing(replied.reply());
             };
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -27,6 +27,8 @@
     private static final long POLL_MS = 700;
     private static final long WAIT_MS = 1;
     private static final long LEAVING_NOTICE_MS = 2_000;
+    private static final long CONFIGURATION_NOTICE_MS = 2_000;
+    private static final NeighbourReader.Times TIMES = new NeighbourReader.Times(800, 600, 500);
 
     private final NodeId first = new NodeId("first");
     private final Store store = new Store();
@@ -34,6 +36,7 @@
     private boolean silent;
     private final NeighbourReader reader = reader(Optional.empty());
     private final NeighbourReader follower = reader(Optional.of(first));
+    private NeighbourReader asked = reader;
 
     @Test
     void changesComeFromTheNeighbour() throws PlatformException {
@@ -64,8 +67,7 @@
     }
 
     // The reader pauses 700 ms after each read, the follower after each change it has got. The reader stops reading,
-    // and
-    // is silent once what it has read is too old to be passed on.
+    // and is silent once what it has read is too old to be passed on.
     private long knownAfterMs(long latencyMs, long stopsAtMs, long phaseMs) throws PlatformException {
         nowMs += 20_000;
         silent = false;
@@ -85,7 +87,7 @@
                 nextMs = nowMs + POLL_MS;
             }
             nowMs = Math.max(nowMs, pollAtMs);
-            silent = nowMs > startMs + stopsAtMs && nowMs - readAtMs > NeighbourReader.MAX_AGE_MS;
+            silent = nowMs > startMs + stopsAtMs && nowMs - readAtMs > TIMES.maxAgeMs();
             revision = follower.watch(PREFIX, revision, WAIT_MS).revision();
             if (revision >= changed) {
                 return nowMs - startMs;
@@ -94,6 +96,31 @@
         return Long.MAX_VALUE;
     }
 
+    /** Guards against a node that follows a configuration that was replaced 2 s ago, because its reader has stopped. */
+    @Test
+    void aConfigurationIsKnownInTimeWhileTheReaderStops() throws PlatformException {
+        NeighbourReader.Times times = GatewayNode.CONFIG_READS;
+        asked = reader(Optional.empty(), times);
+        NeighbourReader asking = reader(Optional.of(first), times);
+        for (long phaseMs = 0; phaseMs < times.pauseMs(); phaseMs += 20) {
+            nowMs += 20_000;
+            silent = false;
+            long revision = asking.watch(PREFIX, store.revision, WAIT_MS).revision();
+            nowMs += 4_000;
+            asked.watch(PREFIX, revision, WAIT_MS);
+            // The reader has stopped just before the change, and is silent once its last read is too old.
+            long startMs = nowMs;
+            store.put("changed");
+            nowMs += phaseMs;
+            while (revision < store.revision) {
+                silent = nowMs - startMs > times.maxAgeMs();
+                revision = asking.watch(PREFIX, revision, WAIT_MS).revision();
+                nowMs += revision < store.revision ? times.pauseMs() : 0;
+            }
+            assertThat("phase " + phaseMs + " ms", nowMs - startMs, is(lessThan(CONFIGURATION_NOTICE_MS)));
+        }
+    }
+
     @Test
     void silentNeighbourIsReplacedByTheStoreForAWhile() throws PlatformException {
         long revision = warmUp();
@@ -132,7 +159,7 @@
             assertThat(follower.watch(PREFIX, revision, WAIT_MS).entries().size(), is(0));
         }
         assertThat(store.watches - before, is(reads));
-        nowMs += NeighbourReader.MAX_AGE_MS + 1;
+        nowMs += TIMES.maxAgeMs() + 1;
         follower.watch(PREFIX, revision, WAIT_MS);
         assertThat("the store is read once the neighbour's read is old", store.watches - before, is(reads + 1));
     }
@@ -165,11 +192,16 @@
     }
 
     private NeighbourReader reader(Optional<NodeId> neighbour) {
+        return reader(neighbour, TIMES);
+    }
+
+    private NeighbourReader reader(Optional<NodeId> neighbour, NeighbourReader.Times times) {
         return new NeighbourReader(
                 store,
                 (node, call, timeoutMs) -> call(call, timeoutMs),
                 () -> neighbour,
                 new RecentChanges(e -> e.object().map(o -> (Object) o.version()).orElse("deleted")),
+                times,
                 () -> nowMs,
                 new MetricRegistry());
     }
@@ -180,7 +212,7 @@
             throw new ExecutionException(new PeerSilentException(first, "READ_CHANGES"));
         }
         List<byte[]> answers = new ArrayList<>();
-        reader.answer(first, call, answers::add);
+        asked.answer(first, call, answers::add);
         return answers.getFirst();
     }
 
--- a/daemon/src/test/java/org/magnoliabridge/daemon/RelayedStoreTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/RelayedStoreTest.java
@@ -26,12 +26,14 @@
     private Optional<PlatformException> failure = Optional.empty();
     private StoreReply reply = new StoreReply.Written(9);
     private long nowMs;
+    private long lastWaitMs;
     private final RelayedStore store = new RelayedStore(new DirectStore(), new StoreRouteSelector(), () -> nowMs);
 
     @BeforeEach
     void join() {
         store.setRelay((call, waitMs) -> {
             relayed.add(call);
+            lastWaitMs = waitMs;
             return new StoreMessages.Result.Replied(reply);
         });
     }
@@ -91,6 +93,18 @@
         assertThat(relayed.size(), is(0));
     }
 
+    /** Guards against a configuration that is seconds late because the node that relays its watch has died. */
+    @Test
+    void relayedWatchWaitsShortly() throws PlatformException {
+        failure = Optional.of(new PlatformException.Unavailable("status 503", null));
+        store.write(KEY, 1, VALUE);
+        reply = new StoreReply.Listed(new ObjectStore.Listing(3, List.of()));
+        assertThat(store.watch("config", 2, 3_000).revision(), is(3L));
+        StoreMessages.Call.Watch watch = (StoreMessages.Call.Watch) relayed.getLast();
+        assertThat(watch.waitMs(), is(RelayedStore.MAX_RELAYED_WAIT_MS));
+        assertThat(lastWaitMs, is(RelayedStore.MAX_RELAYED_WAIT_MS));
+    }
+
     private final class DirectStore implements ObjectStore {
         @Override
         public Optional<StoredObject> read(ObjectKey key) throws PlatformException {
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -2,18 +2,20 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.PlatformException;
-import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ItemId;
 
 /** Reads, accepts and ends batches in the object store; calls block. */
 public final class StoredBatches {
@@ -21,6 +23,7 @@
 
     private final ObjectStore store;
     private final MonotonicClock clock;
+    private final SegmentCache segments = new SegmentCache();
 
     public StoredBatches(ObjectStore store, MonotonicClock clock) {
         this.store = Objects.requireNonNull(store);
@@ -68,15 +71,31 @@
 
     /** Returns all committed results in order. */
     public List<ItemResult> results(BatchId batch) throws PlatformException, MalformedBatchException {
-        ResultLog log = new ResultLog(batch, "", true);
-        while (log.loading()) {
-            StoreRequest.Read next =
-                    (StoreRequest.Read) log.next(clock.nowMs(), false, List::of).orElseThrow();
-            Optional<StoredObject> found = store.read(next.key());
-            StoreReply reply = found.<StoreReply>map(StoreReply.Found::new).orElseGet(StoreReply.NotFound::new);
-            log.reply(clock.nowMs(), reply);
+        Map<ItemId, ItemResult> results = new LinkedHashMap<>();
+        int number = 0;
+        Optional<List<ItemResult>> segment = segment(batch, number);
+        while (segment.isPresent()) {
+            // A second result of an item has no position.
+            segment.get().forEach(r -> results.putIfAbsent(r.item(), r));
+            segment = segment(batch, ++number);
         }
-        return log.committed();
+        return List.copyOf(results.values());
+    }
+
+    private Optional<List<ItemResult>> segment(BatchId batch, int number)
+            throws PlatformException, MalformedBatchException {
+        ObjectKey key = BatchKeys.results(batch, number);
+        Optional<List<ItemResult>> cached = segments.find(key);
+        if (cached.isPresent()) {
+            return cached;
+        }
+        Optional<StoredObject> object = store.read(key);
+        if (object.isEmpty()) {
+            return Optional.empty();
+        }
+        List<ItemResult> results = BatchCodec.segment(object.get().value()).results();
+        segments.put(key, results);
+        return Optional.of(results);
     }
 
     /**
--- a/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
@@ -243,6 +243,11 @@
             return call("list", priority, false, end.getAsLong(), () -> store.list(prefix));
         }
 
+        @Override
+        public Listing listStale(String prefix) throws PlatformException {
+            return call("list", priority, false, end.getAsLong(), () -> store.listStale(prefix));
+        }
+
         @Override
         public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
             openWatches.incrementAndGet();
--- a/library/src/main/java/org/magnoliabridge/external/ObjectStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/ObjectStore.java
@@ -34,6 +34,11 @@
     /** Returns all keys and versions under a prefix, and the store's revision at that moment. */
     Listing list(String prefix) throws PlatformException;
 
+    /** Returns a listing that may be some seconds old, at a lower price where the store has one. */
+    default Listing listStale(String prefix) throws PlatformException {
+        return list(prefix);
+    }
+
     /**
      * Waits for changes under a prefix after a revision.
      *
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -168,7 +168,8 @@
         if (inFlight != null || nowMs < nextActionMs || released) {
             return;
         }
-        if (readNeeded) {
+        boolean involved = candidate || releasing || view.held();
+        if (readNeeded && involved) {
             call(nowMs, new StoreRequest.Read(key), Optional.empty());
         } else if (releasing) {
             actWhileReleasing(nowMs);
