--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -94,6 +94,11 @@
                 : dependencies.limits().within(remainingMs());
     }
 
+    /** Returns whether the request may be sent to another endpoint after the current attempt. */
+    boolean mayRepeat() {
+        return !isLast();
+    }
+
     private boolean isLast() {
         return !request.idempotent() || attempts >= request.maxAttempts();
     }
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -11,8 +11,8 @@
 /**
  * Calls services that respond with a stream of events, and delivers each event as soon as it is complete.
  *
- * <p>If a stream of an idempotent request breaks off, another endpoint resumes it after the last delivered event. Calls
- * block, so they are made on traffic threads.
+ * <p>If a stream of an idempotent request breaks off, or its endpoint sends bytes but no complete event for the progress
+ * limit, another endpoint resumes it after the last delivered event. Calls block, so they are made on traffic threads.
  */
 public final class StreamCaller {
     private static final int OK = 200;
@@ -71,6 +71,8 @@
         private boolean begun;
         private String mediaType = "";
         private boolean otherMediaType;
+        private boolean stalled;
+        private long lastEventMs;
         private OptionalLong lastEventId = OptionalLong.empty();
         private Optional<Failure> fault = Optional.empty();
 
@@ -142,6 +144,8 @@
             attempts.attemptStarted();
             splitter = new EventSplitter(this::onEvent);
             otherMediaType = false;
+            stalled = false;
+            lastEventMs = dependencies.clock().nowMs();
             try {
                 HttpAnswer answer =
                         client.stream(request, slot, attempts.streamLimits(), begun ? lastEventId.orElse(0) : 0, this);
@@ -160,6 +164,9 @@
             if (otherMediaType) {
                 return broken(slot, "the response is not of type " + mediaType);
             }
+            if (stalled) {
+                return broken(slot, "the endpoint sends bytes but no event");
+            }
             if (!begun || !splitter.atBoundary()) {
                 return broken(slot, "the stream ended within an event");
             }
@@ -215,6 +222,12 @@
         @Override
         public boolean piece(byte[] piece) {
             boolean taken = splitter.accept(piece);
+            stalled = attempts.mayRepeat()
+                    && dependencies.clock().nowMs() - lastEventMs
+                            > dependencies.limits().progressMs();
+            if (stalled) {
+                return false;
+            }
             if (!taken && fault.isEmpty()) {
                 fault = Optional.of(new Failure.IncompleteAnswer("the endpoint's events cannot be followed"));
             }
@@ -229,6 +242,7 @@
                 return false;
             }
             lastEventId = id;
+            lastEventMs = dependencies.clock().nowMs();
             return deliver(() -> receiver.event(bytes));
         }
 
--- a/library/src/test/java/org/magnoliabridge/calls/StreamCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/StreamCallerTest.java
@@ -146,6 +146,47 @@
         assertThat(received, hasSize(3));
     }
 
+    /** Guards against a stalled stream that is kept because its endpoint sends a byte now and then. */
+    @Test
+    void resumesAStreamWhoseEndpointSendsBytesButNoEvents() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\n");
+            // The fixture's limit is 1 s; the request's deadline is 5 s.
+            for (int i = 0; i < 100; i++) {
+                chunk(out, ":\n");
+                Thread.sleep(100);
+            }
+            return FakeBackEnd.endStream(out);
+        };
+        secondScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 2\ndata: b\n\n");
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(true).isEmpty(), is(true));
+        assertThat(received, contains("200", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"));
+        assertThat(two.requests("/"), hasSize(1));
+    }
+
+    /** Guards against a slow but sound stream that is moved although each of its events comes in time. */
+    @Test
+    void keepsASlowStreamWhoseEventsComeInTime() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            for (int i = 1; i <= 6; i++) {
+                chunk(out, "id: " + i + "\n");
+                Thread.sleep(300);
+                chunk(out, "data: a\n\n");
+                Thread.sleep(300);
+            }
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(true).isEmpty(), is(true));
+        assertThat(received, hasSize(7));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
     /** Guards against resuming a stream at another endpoint after the caller has disconnected. */
     @Test
     void endsTheCallWhenTheCallerDisconnects() {
