Answer followers that are ahead of their reader, read ended batches through the runner

Change: a record of changes answers a follower that is ahead with no changes; the runner reads batches that it does not hold from the store, where their segments are cached for all nodes.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchLog.java
@@ -46,22 +46,8 @@
                         .with(LogFields.ENDPOINT, e.endpoint().value())
                         .log("run ended after %d ms at event %d: %s", e.tookMs(), e.lastEvent(), e.outcome());
             }
-            case BatchEvent.ScoreRequested e ->
-                LOG.atInfo()
-                        .with(LogFields.BATCH, e.batch().value())
-                        .with(LogFields.ITEM, e.item().value())
-                        .with(LogFields.REQUEST, e.request().value())
-                        .with(LogFields.ENDPOINT, e.endpoint().value())
-                        .with(LogFields.AGE_MS, e.waitedMs())
-                        .log("score of the item's text requested");
-            case BatchEvent.ScoreEnded e -> {
-                metrics.timer("batch.score_time").update(e.tookMs(), TimeUnit.MILLISECONDS);
-                LOG.atInfo()
-                        .with(LogFields.BATCH, e.batch().value())
-                        .with(LogFields.ITEM, e.item().value())
-                        .with(LogFields.ENDPOINT, e.endpoint().value())
-                        .log("call for the score ended after %d ms: %s", e.tookMs(), e.outcome());
-            }
+            case BatchEvent.ScoreRequested e -> writeScoreRequested(e);
+            case BatchEvent.ScoreEnded e -> writeScoreEnded(e);
             case BatchEvent.Migrated e -> {
                 metrics.counter("batch.moved").inc();
                 LOG.atInfo()
@@ -90,6 +76,25 @@
         }
     }
 
+    private static void writeScoreRequested(BatchEvent.ScoreRequested event) {
+        LOG.atInfo()
+                .with(LogFields.BATCH, event.batch().value())
+                .with(LogFields.ITEM, event.item().value())
+                .with(LogFields.REQUEST, event.request().value())
+                .with(LogFields.ENDPOINT, event.endpoint().value())
+                .with(LogFields.AGE_MS, event.waitedMs())
+                .log("score of the item's text requested");
+    }
+
+    private void writeScoreEnded(BatchEvent.ScoreEnded event) {
+        metrics.timer("batch.score_time").update(event.tookMs(), TimeUnit.MILLISECONDS);
+        LOG.atInfo()
+                .with(LogFields.BATCH, event.batch().value())
+                .with(LogFields.ITEM, event.item().value())
+                .with(LogFields.ENDPOINT, event.endpoint().value())
+                .log("call for the score ended after %d ms: %s", event.tookMs(), event.outcome());
+    }
+
     private void writeTakenOver(BatchEvent.TextsTakenOver event) {
         metrics.counter("batch.texts_taken").inc(event.items());
         LOG.atInfo()
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -98,6 +98,11 @@
         return active;
     }
 
+    /** Returns whether this node runs a batch, or holds one that has ended; control thread only. */
+    boolean runs(BatchId batch) {
+        return core.hasBatch(batch);
+    }
+
     /** Returns the batches that are open at this node; control thread only. */
     List<BatchHead> open() {
         return core.open();
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -214,9 +214,19 @@
         }
     }
 
+    // A batch that ended before this node became the runner is read here, where its segments are cached for all nodes.
     private void onRead(byte[] body, Consumer<byte[]> answer) {
         try {
-            serve(BatchMessages.read(body), result -> answer.accept(BatchMessages.pack(result)));
+            ReadRequest request = BatchMessages.read(body);
+            Consumer<ReadAnswer> packed = result -> answer.accept(BatchMessages.pack(result));
+            boolean known = scheduler.runs(request.batch());
+            if (known || !scheduler.isActive() || request.item().isPresent()) {
+                serve(request, packed);
+            } else {
+                Thread.ofVirtual()
+                        .name("batch-read")
+                        .start(() -> packed.accept(readStored(request.batch(), request.team(), request.after())));
+            }
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).log("malformed batch read from a peer");
         }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
@@ -67,8 +67,8 @@
     EndpointTotals endpointTotals();
 
     /**
-     * Sets the listener for endpoints that say in an answer that they are leaving; it is called with the endpoint and its
-     * address on the threads of the calls, and must not block.
+     * Sets the listener for endpoints that say in an answer that they are leaving. It is called with the endpoint and
+     * its address on the threads of the calls, and must not block.
      */
     void onLeaving(BiConsumer<EndpointId, InetSocketAddress> listener);
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourChoice.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourChoice.java
@@ -12,8 +12,8 @@
 import org.magnoliabridge.membership.Rendezvous;
 
 /**
- * Chooses the node that reads the endpoint list and the configuration for the other nodes of its data centre: the one with
- * the most processor capacity. Control thread only, but for {@link #neighbour}.
+ * Chooses the node that reads the endpoint list and the configuration for the other nodes of its data centre: the one
+ * with the most processor capacity. Control thread only, but for {@link #neighbour}.
  *
  * <p>The node that runs the batches reads the store and is not chosen, because it is the busiest. A suspect node stays
  * chosen: while it does not answer, its neighbours read the store.
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -45,8 +45,8 @@
     /**
      * Times of a reader, in milliseconds.
      *
-     * @param maxAgeMs highest age of what a neighbour passes on; longer than the pause between two reads of the store, and
-     *     than a read that waits
+     * @param maxAgeMs highest age of what a neighbour passes on; longer than the pause between two reads of the store,
+     *     and than a read that waits
      * @param maxWaitMs longest wait of a read of the store that other nodes depend on
      * @param pauseMs time between two questions to a neighbour while nothing changes
      */
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -135,6 +135,26 @@
         assertThat("the neighbour is not asked again immediately", store.watches, is(before + 2));
     }
 
+    /**
+     * Guards against followers that keep reading the store because their own last read is newer than the reader's.
+     * Replays the load: after its start each node has read the store itself.
+     */
+    @Test
+    void followerThatIsAheadOfTheReaderAsksItToo() throws PlatformException {
+        warmUp();
+        // Changes of other prefixes raise the revision all the time.
+        store.revision += 5;
+        long ahead = store.revision;
+        int before = store.watches;
+        ObjectStore.Listing unchanged = follower.watch(PREFIX, ahead, WAIT_MS);
+        assertThat(unchanged.entries().size(), is(0));
+        assertThat(unchanged.revision(), is(ahead));
+        assertThat("the store is not read", store.watches, is(before));
+        store.put("e1");
+        reader.watch(PREFIX, ahead - 5, WAIT_MS);
+        assertThat(follower.watch(PREFIX, ahead, WAIT_MS).entries().size(), is(1));
+    }
+
     /** Guards against a node that asks its neighbour all the time while nothing changes. */
     @Test
     void unchangedListIsReturnedAfterAPause() throws PlatformException {
--- a/library/src/main/java/org/magnoliabridge/batch/SegmentCache.java
+++ b/library/src/main/java/org/magnoliabridge/batch/SegmentCache.java
@@ -11,8 +11,7 @@
  * Caches the results of segments that this node has read from the store; a stored segment never changes. Thread-safe.
  *
  * <p>Load pattern: after a change of the runner, trainers and their monitors keep reading batches that ended before it.
- * The new runner does not hold these, so that every node answers from the store, again and again, from the first segment
- * on.
+ * The new runner does not hold these and answers from the store, again and again, from the first segment on.
  */
 final class SegmentCache {
     // A fraction of the heap of a small node, about 120 MB.
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -11,8 +11,9 @@
 /**
  * Calls services that respond with a stream of events, and delivers each event as soon as it is complete.
  *
- * <p>If a stream of an idempotent request breaks off, or its endpoint sends bytes but no complete event for the progress
- * limit, another endpoint resumes it after the last delivered event. Calls block, so they are made on traffic threads.
+ * <p>If a stream of an idempotent request breaks off, or its endpoint sends bytes but no complete event for the
+ * progress limit, another endpoint resumes it after the last delivered event. Calls block, so they are made on traffic
+ * threads.
  */
 public final class StreamCaller {
     private static final int OK = 200;
--- a/library/src/main/java/org/magnoliabridge/external/RecentChanges.java
+++ b/library/src/main/java/org/magnoliabridge/external/RecentChanges.java
@@ -25,6 +25,7 @@
     private long firstRevision = UNKNOWN;
     private long revision = UNKNOWN;
     private long asOfMs;
+    private boolean historyLost;
 
     /** The last change of a key, and the revision of the read that showed it. */
     private record Change(long seenAtRevision, ObjectStore.Entry entry) {}
@@ -77,16 +78,21 @@
     }
 
     /**
-     * Returns the changes since a revision.
+     * Returns the changes since a revision. A reader that has read the store itself may be ahead of the recorded reads;
+     * it gets no changes until they reach its revision.
      *
      * @param maxAgeMs highest age of the last read of the store, in milliseconds
      * @return empty if the changes since that revision are not known, or not recent enough
      */
     public synchronized Optional<ObjectStore.Listing> since(long nowMs, long since, long maxAgeMs) {
-        boolean known = firstRevision != UNKNOWN && since >= firstRevision && since <= revision;
+        boolean ahead = since > revision;
+        boolean known = firstRevision != UNKNOWN && since >= firstRevision && !(ahead && historyLost);
         if (!known || nowMs - asOfMs > maxAgeMs) {
             return Optional.empty();
         }
+        if (ahead) {
+            return Optional.of(new ObjectStore.Listing(since, List.of()));
+        }
         List<ObjectStore.Entry> entries = new ArrayList<>();
         for (Change change : changes.values()) {
             if (change.seenAtRevision() > since) {
@@ -112,7 +118,10 @@
 
     private void recordRead(long asOfMs, long newRevision) {
         if (newRevision < revision) {
-            // The store lost history, so the changes up to its revision are not known.
+            // The store lost history, so the changes up to its revision are not known, and a higher revision than this
+            // one
+            // may belong to the lost history.
+            historyLost = true;
             restartAt(newRevision);
         }
         revision = newRevision;
--- a/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
@@ -39,8 +39,8 @@
     }
 
     /**
-     * Guards against reads of an ended batch whose cost in store calls grows with its segments. Replays the load: a batch
-     * of 15 segments that the runner does not hold is read 40 times at one node.
+     * Guards against reads of an ended batch whose cost in store calls grows with its segments. Replays the load: a
+     * batch of 15 segments that the runner does not hold is read 40 times at one node.
      */
     @Test
     void repeatedReadsCostOneCallEach() throws Exception {
