Answer a neighbour's question that does not fit a frame as unavailable

Cause: a configuration of nearly 1 MiB is valid, and a frame between nodes holds 1 MiB with its head; a larger one closes the connection. Found by reading, not seen in a play. Change: the follower then reads the store, as for any other failure. Test: NeighbourReaderTest.largeChangesAreReadFromTheStore.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -29,6 +29,8 @@
     // A neighbour in the same data centre answers within a few milliseconds unless it is overloaded.
     private static final long ANSWER_LIMIT_MS = 200;
     private static final long RETRY_NEIGHBOUR_MS = 3_000;
+    // A frame between nodes holds at most 1 MiB; a larger one closes its connection.
+    static final int MAX_ANSWER_BYTES = 900_000;
     // Reads are recorded only while other nodes ask. Longer than RETRY_NEIGHBOUR_MS, after which they ask again.
     private static final long RECORD_AFTER_CALL_MS = 10_000;
 
@@ -89,7 +91,7 @@
                 StoreReply reply = recent.since(clock.nowMs(), watch.sinceRevision(), times.maxAgeMs())
                         .<StoreReply>map(StoreReply.Listed::new)
                         .orElseGet(StoreReply.Unavailable::new);
-                answer.accept(StoreMessages.pack(new StoreMessages.Result.Replied(reply)));
+                answer.accept(bounded(StoreMessages.pack(new StoreMessages.Result.Replied(reply))));
                 return;
             }
             LOG.atWarning().with(LogFields.PEER, from.value()).log("expected a watch call, found another store call");
@@ -98,6 +100,12 @@
         }
     }
 
+    private static byte[] bounded(byte[] packed) {
+        return packed.length <= MAX_ANSWER_BYTES
+                ? packed
+                : StoreMessages.pack(new StoreMessages.Result.Replied(new StoreReply.Unavailable()));
+    }
+
     @Override
     public Listing list(String prefix) throws PlatformException {
         long startMs = clock.nowMs();
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -37,6 +37,7 @@
     private final NeighbourReader reader = reader(Optional.empty());
     private final NeighbourReader follower = reader(Optional.of(first));
     private NeighbourReader asked = reader;
+    private final List<byte[]> answers = new ArrayList<>();
 
     @Test
     void changesComeFromTheNeighbour() throws PlatformException {
@@ -155,6 +156,18 @@
         assertThat(follower.watch(PREFIX, ahead, WAIT_MS).entries().size(), is(1));
     }
 
+    /** Guards against an answer that does not fit a frame, which would close the connection between the nodes. */
+    @Test
+    void largeChangesAreReadFromTheStore() throws PlatformException {
+        long revision = warmUp();
+        store.put("large", new byte[NeighbourReader.MAX_ANSWER_BYTES]);
+        reader.watch(PREFIX, revision, WAIT_MS);
+        int before = store.watches;
+        assertThat(follower.watch(PREFIX, revision, WAIT_MS).entries().size(), is(1));
+        assertThat("the store is read", store.watches, is(before + 1));
+        assertThat(answers.getLast().length, is(lessThan(NeighbourReader.MAX_ANSWER_BYTES)));
+    }
+
     /** Guards against a node that asks its neighbour all the time while nothing changes. */
     @Test
     void unchangedListIsReturnedAfterAPause() throws PlatformException {
@@ -231,9 +244,8 @@
             nowMs += timeoutMs;
             throw new ExecutionException(new PeerSilentException(first, "READ_CHANGES"));
         }
-        List<byte[]> answers = new ArrayList<>();
         asked.answer(first, call, answers::add);
-        return answers.getFirst();
+        return answers.getLast();
     }
 
     /** A store whose watches return at once. */
@@ -245,7 +257,11 @@
         private boolean waits;
 
         void put(String name) {
-            changes.add(new StoredObject(new ObjectKey(PREFIX + name), ++revision, new byte[0]));
+            put(name, new byte[0]);
+        }
+
+        void put(String name, byte[] value) {
+            changes.add(new StoredObject(new ObjectKey(PREFIX + name), ++revision, value));
         }
 
         @Override
