Share what the last changes wrote twice

CommittedResults holds the rule that a second result of an item has no position, for ResultLog and StoredBatches. PeerCalls names the largest body between nodes, for offers and neighbours. Dispatcher.observed reports what a call without a slot has seen. Attempts: one name for whether a request may be repeated, and one wait for a slot. Two doc comments corrected. No change of behaviour; assertions unchanged.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -32,15 +32,14 @@
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
-import org.magnoliabridge.routing.AdmissionInput;
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
-import org.magnoliabridge.routing.EndpointInput;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs the batch core: decisions on the control thread, runs and store calls on virtual threads. */
 final class BatchScheduler implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     private final GatewayContext context;
     private final BatchCore core;
     private final Engines engines;
@@ -270,8 +269,7 @@
     }
 
     private void observe(Endpoint endpoint, Observation observed) {
-        dispatcher.post(
-                new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint.id(), endpoint.address(), observed)));
+        dispatcher.observed(endpoint.id(), endpoint.address(), observed);
     }
 
     private static Optional<Observation> observation(RunOutcome outcome) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -33,8 +33,6 @@
  */
 final class ClusterBatchService implements BatchService {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    // A peer frame holds at most 1 MiB; the runner reads the items of a larger batch from the store.
-    private static final int MAX_OFFER_BYTES = 900_000;
     // A read from the runner times out after the requested wait plus this margin.
     private static final long READ_SLACK_MS = 300;
     private static final long RETRY_DELAY_MS = 20;
@@ -103,7 +101,8 @@
     // If all offers are lost, the runner finds the batch at its next check of the store.
     private void offer(BatchHead head, List<BatchItem> items, boolean newlyAccepted) {
         byte[] withItems = BatchMessages.pack(new Offer(head, newlyAccepted, Optional.of(items)));
-        byte[] body = withItems.length <= MAX_OFFER_BYTES
+        // The runner reads the items of a larger batch from the store.
+        byte[] body = withItems.length <= PeerCalls.MAX_BODY_BYTES
                 ? withItems
                 : BatchMessages.pack(new Offer(head, newlyAccepted, Optional.empty()));
         Callable<Boolean> own = () -> {
@@ -219,13 +218,13 @@
         try {
             ReadRequest request = BatchMessages.read(body);
             Consumer<ReadAnswer> packed = result -> answer.accept(BatchMessages.pack(result));
-            boolean known = scheduler.runs(request.batch());
-            if (known || !scheduler.isActive() || request.item().isPresent()) {
-                serve(request, packed);
-            } else {
+            boolean onlyStored = scheduler.isActive() && !scheduler.runs(request.batch());
+            if (onlyStored && request.item().isEmpty()) {
                 Thread.ofVirtual()
                         .name("batch-read")
                         .start(() -> packed.accept(readStored(request.batch(), request.team(), request.after())));
+            } else {
+                serve(request, packed);
             }
         } catch (MalformedBatchException e) {
             LOG.atWarning().withCause(e).log("malformed batch read from a peer");
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -28,6 +28,7 @@
 /** The membership of the cluster and the calls to the other nodes. */
 final class GatewayCluster {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     private final GatewayContext context;
     private final MembershipDriver membership;
     private final PeerCalls peers;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -62,10 +62,8 @@
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.routing.AdmissionCore;
-import org.magnoliabridge.routing.AdmissionInput;
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
-import org.magnoliabridge.routing.EndpointInput;
 import org.magnoliabridge.routing.RoutingSettings;
 import org.magnoliabridge.settings.SocketAddresses;
 import org.magnoliabridge.telemetry.LogFields;
@@ -321,8 +319,7 @@
                 .atMostEvery(1, TimeUnit.SECONDS)
                 .with(LogFields.ENDPOINT, endpoint.value())
                 .log("endpoint says that it is leaving");
-        dispatcher.post(new AdmissionInput.Endpoints(new EndpointInput.Observed(
-                endpoint, SocketAddresses.format(address), EndpointSource.Observation.DRAINING)));
+        dispatcher.observed(endpoint, SocketAddresses.format(address), EndpointSource.Observation.DRAINING);
     }
 
     private ObjectStore fleetStore() {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -29,8 +29,6 @@
     // A neighbour in the same data centre answers within a few milliseconds unless it is overloaded.
     private static final long ANSWER_LIMIT_MS = 200;
     private static final long RETRY_NEIGHBOUR_MS = 3_000;
-    // A frame between nodes holds at most 1 MiB; a larger one closes its connection.
-    static final int MAX_ANSWER_BYTES = 900_000;
     // Reads are recorded only while other nodes ask. Longer than RETRY_NEIGHBOUR_MS, after which they ask again.
     private static final long RECORD_AFTER_CALL_MS = 10_000;
 
@@ -101,7 +99,7 @@
     }
 
     private static byte[] bounded(byte[] packed) {
-        return packed.length <= MAX_ANSWER_BYTES
+        return packed.length <= PeerCalls.MAX_BODY_BYTES
                 ? packed
                 : StoreMessages.pack(new StoreMessages.Result.Replied(new StoreReply.Unavailable()));
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NodeRegistry.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NodeRegistry.java
@@ -56,7 +56,7 @@
         return nodes(store.list(NODES));
     }
 
-    /** Returns the peer addresses of the nodes that were registered some seconds ago, or later. */
+    /** Returns the peer addresses of the registered nodes; those of the last seconds may be missing. */
     Map<NodeId, String> recentNodes() throws PlatformException {
         return nodes(store.listStale(NODES));
     }
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -160,12 +160,12 @@
     @Test
     void largeChangesAreReadFromTheStore() throws PlatformException {
         long revision = warmUp();
-        store.put("large", new byte[NeighbourReader.MAX_ANSWER_BYTES]);
+        store.put("large", new byte[PeerCalls.MAX_BODY_BYTES]);
         reader.watch(PREFIX, revision, WAIT_MS);
         int before = store.watches;
         assertThat(follower.watch(PREFIX, revision, WAIT_MS).entries().size(), is(1));
         assertThat("the store is read", store.watches, is(before + 1));
-        assertThat(answers.getLast().length, is(lessThan(NeighbourReader.MAX_ANSWER_BYTES)));
+        assertThat(answers.getLast().length, is(lessThan(PeerCalls.MAX_BODY_BYTES)));
     }
 
     /** Guards against a node that asks its neighbour all the time while nothing changes. */
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -33,9 +33,7 @@
     private final BatchId batch;
     private final String self;
     private final Set<BatchMechanism> mechanisms;
-    private final List<ItemResult> committed = new ArrayList<>();
-    private final Set<ItemId> committedItems = new HashSet<>();
-    private long committedChars;
+    private final CommittedResults committed = new CommittedResults();
     private final Map<ItemId, ItemResult> pending = new LinkedHashMap<>();
     private final StoredTexts texts = new StoredTexts();
     private final Set<String> writers = new HashSet<>();
@@ -82,16 +80,16 @@
 
     /** Returns the committed results in the order of their positions. */
     List<ItemResult> committed() {
-        return committed;
+        return committed.list();
     }
 
     /** Returns the total length of the committed texts. */
     long committedChars() {
-        return committedChars;
+        return committed.chars();
     }
 
     boolean isCommitted(ItemId item) {
-        return committedItems.contains(item);
+        return committed.contains(item);
     }
 
     /** Returns whether the earlier segments are still being read. */
@@ -247,12 +245,7 @@
         if (segment.claim()) {
             applyClaim(nowMs, segment.writer().process());
         }
-        for (ItemResult result : segment.results()) {
-            if (committedItems.add(result.item())) {
-                committed.add(result);
-                committedChars += result.text().length();
-            }
-        }
+        committed.add(segment.results());
         append.ifPresent(rejected -> rejected.results().forEach(r -> pending.putIfAbsent(r.item(), r)));
         append = Optional.empty();
         pending.keySet().removeIf(this::isCommitted);
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -2,9 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.magnoliabridge.core.MonotonicClock;
@@ -15,7 +13,6 @@
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
-import org.magnoliabridge.ids.ItemId;
 
 /** Reads, accepts and ends batches in the object store; calls block. */
 public final class StoredBatches {
@@ -71,15 +68,14 @@
 
     /** Returns all committed results in order. */
     public List<ItemResult> results(BatchId batch) throws PlatformException, MalformedBatchException {
-        Map<ItemId, ItemResult> results = new LinkedHashMap<>();
+        CommittedResults results = new CommittedResults();
         int number = 0;
         Optional<List<ItemResult>> segment = segment(batch, number);
         while (segment.isPresent()) {
-            // A second result of an item has no position.
-            segment.get().forEach(r -> results.putIfAbsent(r.item(), r));
+            results.add(segment.get());
             segment = segment(batch, ++number);
         }
-        return List.copyOf(results.values());
+        return results.list();
     }
 
     private Optional<List<ItemResult>> segment(BatchId batch, int number)
--- a/library/src/main/java/org/magnoliabridge/batch/TextCheckpoints.java
+++ b/library/src/main/java/org/magnoliabridge/batch/TextCheckpoints.java
@@ -65,8 +65,8 @@
         checkedAtMs = nowMs;
         List<PartialText> due = new ArrayList<>();
         for (RunningItem item : batch.items()) {
-            boolean growing = !item.finished && (item.run.isPresent() || item.awaitsScore());
-            if (growing && item.eventCount() >= MIN_STORED_EVENTS) {
+            boolean unfinished = !item.finished && (item.run.isPresent() || item.awaitsScore());
+            if (unfinished && item.eventCount() >= MIN_STORED_EVENTS) {
                 List<Transcript.Event> unstored =
                         batch.log().texts().unstoredEvents(self, item.item.id(), item.allEvents());
                 if (!unstored.isEmpty()) {
--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -39,6 +39,18 @@
      */
     EndpointSource.Slot acquire() throws CallException {
         requireTimeToEnd();
+        EndpointSource.Slot slot = awaitSlot();
+        try {
+            requireTimeToEnd();
+        } catch (CallException e) {
+            slot.close();
+            throw e;
+        }
+        excluded.add(slot.endpoint());
+        return slot;
+    }
+
+    private EndpointSource.Slot awaitSlot() throws CallException {
         EndpointSource.SlotRequest slotRequest = new EndpointSource.SlotRequest(
                 request.service(),
                 request.team(),
@@ -50,24 +62,12 @@
                 Optional.empty(),
                 excluded);
         try {
-            EndpointSource.Slot slot = dependencies.endpoints().acquire(slotRequest, cancellation);
-            return usable(slot);
+            return dependencies.endpoints().acquire(slotRequest, cancellation);
         } catch (CallException e) {
             throw new CallException(e.failure(), progress.executionStatus(), e);
         }
     }
 
-    private EndpointSource.Slot usable(EndpointSource.Slot slot) throws CallException {
-        try {
-            requireTimeToEnd();
-        } catch (CallException e) {
-            slot.close();
-            throw e;
-        }
-        excluded.add(slot.endpoint());
-        return slot;
-    }
-
     private void requireTimeToEnd() throws CallException {
         if (!dependencies.grace().maySend(dependencies.clock().nowMs(), remainingMs())) {
             throw toException(new Failure.Draining());
@@ -82,25 +82,21 @@
 
     /** Returns the time limits of the current attempt; they leave time for a retry if one is possible. */
     HttpLimits limits() {
-        return isLast()
-                ? dependencies.limits().deadlineOnly(remainingMs())
-                : dependencies.limits().within(Math.max(1, remainingMs() / ATTEMPT_TIME_DIVISOR));
+        return mayRepeat()
+                ? dependencies.limits().within(Math.max(1, remainingMs() / ATTEMPT_TIME_DIVISOR))
+                : dependencies.limits().deadlineOnly(remainingMs());
     }
 
     /** Returns the time limits of the current attempt of a stream, which may last until the request's deadline. */
     HttpLimits streamLimits() {
-        return isLast()
-                ? dependencies.limits().deadlineOnly(remainingMs())
-                : dependencies.limits().within(remainingMs());
+        return mayRepeat()
+                ? dependencies.limits().within(remainingMs())
+                : dependencies.limits().deadlineOnly(remainingMs());
     }
 
     /** Returns whether the request may be sent to another endpoint after the current attempt. */
     boolean mayRepeat() {
-        return !isLast();
-    }
-
-    private boolean isLast() {
-        return !request.idempotent() || attempts >= request.maxAttempts();
+        return request.idempotent() && attempts < request.maxAttempts();
     }
 
     /** Logs an attempt without a complete response; the caller logs the outcome of the request. */
--- a/library/src/main/java/org/magnoliabridge/calls/CallDependencies.java
+++ b/library/src/main/java/org/magnoliabridge/calls/CallDependencies.java
@@ -11,8 +11,8 @@
  * @param endpoints assigns a slot at an endpoint to each attempt
  * @param retryBudget limits the retries of this hop
  * @param requestIds generates a request id for each attempt at an engine
- * @param grace which requests are still sent while the node shuts down
  * @param background sends cancel requests, so that they do not delay the call
+ * @param grace which requests are still sent while the node shuts down
  */
 public record CallDependencies(
         EndpointSource endpoints,
--- a/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
@@ -73,6 +73,11 @@
         loop.post(() -> apply(input));
     }
 
+    /** Reports what a call without a slot has observed of an endpoint; may be called from any thread. */
+    public void observed(EndpointId endpoint, String address, Observation observation) {
+        post(new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint, address, observation)));
+    }
+
     @Override
     public Slot acquire(SlotRequest request, Cancellation cancellation) throws CallException {
         long admissionId = lastAdmissionId.incrementAndGet();
