Review: keep a start of the stand-in deployment from failing on a taken port

A port that was free when the settings were written may be taken before the process opens it. The process now gets new ports as long as it has not been ready.

--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -43,25 +43,30 @@
         final String name;
         final String ip;
         final Proxy toStore;
-        final InetSocketAddress front;
-        final InetSocketAddress ready;
+        volatile InetSocketAddress front;
+        volatile InetSocketAddress ready;
         final List<Integer> ends = new ArrayList<>();
         private final Path settings;
         private final Path log;
+        private final String zone;
+        private final int graceS;
+        private volatile boolean wasReady;
         private volatile Process process;
 
         private Node(int number, String zone, int graceS) throws IOException {
             this.name = "edge-" + zone + "-" + number;
             this.ip = net + (10 + number);
             this.toStore = new Proxy(net + "1", store.address());
-            this.front = address(ip);
-            this.ready = address(ip);
+            this.zone = zone;
+            this.graceS = graceS;
             this.settings = folder.resolve(name + ".json");
             this.log = folder.resolve(name + ".log");
-            Files.writeString(settings, render(zone, graceS));
+            Files.writeString(settings, render());
         }
 
-        private String render(String zone, int graceS) throws IOException {
+        private String render() throws IOException {
+            front = address(ip);
+            ready = address(ip);
             Map<String, String> fields = Map.ofEntries(
                     Map.entry("NodeName", name),
                     Map.entry("Zone", zone),
@@ -105,6 +110,10 @@
             try {
                 Thread.sleep(500);
                 if (!closing) {
+                    // A port that was free may have been taken before the process could open it.
+                    if (!wasReady) {
+                        Files.writeString(settings, render());
+                    }
                     start();
                 }
             } catch (IOException | InterruptedException e) {
@@ -115,7 +124,9 @@
         private String lastLine() {
             try {
                 List<String> lines = log();
-                return lines.isEmpty() ? "" : lines.getLast();
+                List<String> causes = lines.stream().filter(l -> l.startsWith("Caused by")).toList();
+                List<String> best = causes.isEmpty() ? lines : causes;
+                return best.isEmpty() ? "" : best.getLast();
             } catch (IOException e) {
                 return e.toString();
             }
@@ -171,6 +182,7 @@
         }
         for (Node node : nodes) {
             await(20_000, node.name + " is not ready", node::isReady);
+            node.wasReady = true;
         }
         note("%d nodes are ready", nodes.size());
     }
