Give a batch up for a removed route only by a newer configuration

Cause: the runner compared the route of a batch with its own configuration, which may be older than the one under which another node accepted the batch: a runner that is cut off the store follows the configuration 3 s late. In the record of the case the runner has version 7 in force and gives up 8 items accepted under version 8, "route removed from the configuration".

Change: the head of a batch holds the version of the configuration under which it was accepted. A route counts as removed only if a newer configuration does not have it. A batch whose route was the last batch route is given up too, at once.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -380,7 +380,7 @@
                 routes.put(route.id(), target(newConfig, route));
             }
         }
-        scheduler.handle(new BatchInput.Routes(routes, new RouteTable(newConfig.routes())));
+        scheduler.handle(new BatchInput.Routes(newConfig.version(), routes, new RouteTable(newConfig.routes())));
     }
 
     private static BatchTarget target(GatewayConfig config, GatewayRoute route) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCodec.java
@@ -39,6 +39,7 @@
         node.put("id", head.id().value());
         node.put("team", head.team().value());
         node.put("route", head.route().value());
+        node.put("config_version", head.configVersion());
         node.put("host", head.host());
         head.model().ifPresent(m -> node.put("model", m.value()));
         head.minVersion().ifPresent(v -> node.put("min_version", v.value()));
@@ -62,6 +63,7 @@
                         new BatchId(text(node, "id")),
                         new TeamId(text(node, "team")),
                         new RouteId(text(node, "route")),
+                        node.path("config_version").asLong(),
                         text(node, "host"),
                         optional(node, "model").map(m -> new ModelId(m.asText())),
                         optional(node, "min_version").map(v -> new WeightVersion(v.asLong())),
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -60,6 +60,7 @@
     private final Scoring scoring;
     private final RunOutcomeHandler outcomeHandler;
     private final Map<ModelId, WeightVersion> newestVersions = new HashMap<>();
+    private long configVersion;
     private Map<RouteId, BatchTarget> routes = Map.of();
     private long lastTag;
 
@@ -99,6 +100,7 @@
             case BatchInput.EndRequested requested -> endRequested(nowMs, requested.request());
             case BatchInput.SteppedDown steppedDown -> stepDown();
             case BatchInput.Routes update -> {
+                configVersion = update.version();
                 routes = update.targets();
                 scoring.replaceRoutes(update.scorers());
             }
@@ -301,9 +303,7 @@
         long wallMs = wallClock.getAsLong();
         for (RunningBatch batch : batches.values()) {
             boolean expired = wallMs >= batch.head().giveUpAtMs();
-            boolean routeRemoved =
-                    !routes.isEmpty() && !routes.containsKey(batch.head().route());
-            if ((expired || routeRemoved) && !batch.head().ended()) {
+            if ((expired || isRouteRemoved(batch.head())) && !batch.head().ended()) {
                 String reason = expired ? "give-up time reached" : "route removed from the configuration";
                 batch.items().stream()
                         .filter(i -> !i.finished)
@@ -312,6 +312,11 @@
         }
     }
 
+    // A node that is cut off the store may receive a batch on a route that its own configuration is too old to have.
+    private boolean isRouteRemoved(BatchHead head) {
+        return configVersion > head.configVersion() && !routes.containsKey(head.route());
+    }
+
     // Reads of an ended batch are rare, and can be answered from the store.
     private void evictEnded(long nowMs) {
         List<RunningBatch> ended = batches.values().stream()
--- a/library/src/main/java/org/magnoliabridge/batch/BatchHead.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchHead.java
@@ -12,6 +12,7 @@
 /**
  * The stored description of a batch; the batch is accepted once its head is stored.
  *
+ * @param configVersion version of the configuration under which the batch was accepted; 0 if not known
  * @param host host name that the batch was submitted to
  * @param model the model that generates the texts, if the batch names one
  * @param minVersion oldest weight version that may generate the texts
@@ -26,6 +27,7 @@
         BatchId id,
         TeamId team,
         RouteId route,
+        long configVersion,
         String host,
         Optional<ModelId> model,
         Optional<WeightVersion> minVersion,
@@ -65,6 +67,7 @@
                 id,
                 team,
                 route,
+                configVersion,
                 host,
                 model,
                 minVersion,
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -40,18 +40,19 @@
     /**
      * The current configuration.
      *
+     * @param version increases with every change, and is above 0
      * @param targets the target of each batch route
      * @param scorers the routes of requests that score texts
      */
-    record Routes(Map<RouteId, BatchTarget> targets, RouteTable scorers) implements BatchInput {
+    record Routes(long version, Map<RouteId, BatchTarget> targets, RouteTable scorers) implements BatchInput {
         public Routes {
             Objects.requireNonNull(scorers);
             targets = Map.copyOf(targets);
         }
 
         /** Creates a configuration without routes of requests that score texts. */
-        public Routes(Map<RouteId, BatchTarget> targets) {
-            this(targets, new RouteTable(List.of()));
+        public Routes(long version, Map<RouteId, BatchTarget> targets) {
+            this(version, targets, new RouteTable(List.of()));
         }
     }
 
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -8,10 +8,12 @@
 import static org.hamcrest.Matchers.not;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.batch.BatchMessages.EndRequest;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
+import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
 
@@ -92,6 +94,42 @@
         assertThat(fixture.read("b", 0).getFirst().completed(), is(false));
     }
 
+    /** Guards against a batch given up by a runner whose configuration is older than the route of the batch. */
+    @Test
+    void batchOnARouteThatTheRunnerDoesNotKnowYetWaitsForIt() {
+        RouteId added = new RouteId("added");
+        fixture.engines(Batches.engine("e1", 2, 1));
+        fixture.open(Batches.headOn("b", added, Batches.CONFIG_VERSION + 2, 2), Batches.items("a", 2), true);
+        fixture.advance(1_000);
+        fixture.handle(new BatchInput.Routes(Batches.CONFIG_VERSION + 1, Map.of(Batches.ROUTE, Batches.TARGET)));
+        fixture.advance(1_000);
+        fixture.confirmWrites();
+        assertThat(fixture.appends(), hasSize(0));
+        fixture.handle(new BatchInput.Routes(Batches.CONFIG_VERSION + 2, Map.of(added, Batches.TARGET)));
+        assertThat(fixture.started(), contains("a-0", "a-1"));
+    }
+
+    /** Guards against items that wait until their time is up although their route has been removed. */
+    @Test
+    void batchIsGivenUpOnceANewerConfigurationHasNoRouteForIt() {
+        fixture.open(Batches.head("b", 2), Batches.items("a", 2), true);
+        fixture.handle(new BatchInput.Routes(Batches.CONFIG_VERSION + 1, Map.of()));
+        fixture.advance(100);
+        fixture.confirmWrites();
+        List<ItemResult> results = fixture.read("b", 0);
+        assertThat(results.stream().map(ItemResult::completed).toList(), contains(false, false));
+    }
+
+    /** Guards against a batch given up by a runner that has not received its configuration yet. */
+    @Test
+    void batchWaitsForTheFirstConfiguration() {
+        BatchCore core = new BatchCore("n1-1", () -> 1_000, process -> false);
+        core.on(1_000, new BatchInput.Open(Batches.head("b", 1), Batches.items("a", 1), true));
+        core.on(1_100, new BatchInput.Tick());
+        List<BatchEffect> effects = core.on(2_000, new BatchInput.Tick());
+        assertThat(effects.stream().filter(BatchEffect.Store.class::isInstance).toList(), hasSize(0));
+    }
+
     /** Guards against refusals that count as attempts, and against immediate retries in a loop. */
     @Test
     void refusalIsNoAttemptAndCausesBackoff() {
--- a/library/src/test/java/org/magnoliabridge/batch/BatchSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchSimulation.java
@@ -251,7 +251,8 @@
         private void tick() {
             if (isRunner(number) && !running) {
                 running = true;
-                handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
+                handle(new BatchInput.Routes(
+                        Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
                 heads.keySet().forEach(this::load);
             } else if (!isRunner(number) && running) {
                 running = false;
--- a/library/src/test/java/org/magnoliabridge/batch/Batches.java
+++ b/library/src/test/java/org/magnoliabridge/batch/Batches.java
@@ -26,6 +26,9 @@
 /** Batches, items and engines for tests. */
 final class Batches {
     static final RouteId ROUTE = new RouteId("flake-rollout");
+    /** Version of the configuration under which batches are accepted. */
+    static final long CONFIG_VERSION = 7;
+
     static final ServiceId SERVICE = new ServiceId("coachgen");
     static final ModelId MODEL = new ModelId("m0");
     static final TeamId TEAM = new TeamId("oak");
@@ -57,6 +60,7 @@
                 new BatchId(id),
                 TEAM,
                 ROUTE,
+                CONFIG_VERSION,
                 "rollouts.example",
                 Optional.of(MODEL),
                 Optional.of(new WeightVersion(minVersion)),
@@ -71,11 +75,21 @@
 
     /** Returns the head of a batch of another team. */
     static BatchHead headOf(String id, String team, int items) {
+        return head(id, items, new TeamId(team), ROUTE, CONFIG_VERSION);
+    }
+
+    /** Returns the head of a batch that was accepted on a route of a certain version of the configuration. */
+    static BatchHead headOn(String id, RouteId route, long configVersion, int items) {
+        return head(id, items, TEAM, route, configVersion);
+    }
+
+    private static BatchHead head(String id, int items, TeamId team, RouteId route, long configVersion) {
         BatchHead head = head(id, items);
         return new BatchHead(
                 head.id(),
-                new TeamId(team),
-                head.route(),
+                team,
+                route,
+                configVersion,
                 head.host(),
                 head.model(),
                 head.minVersion(),
--- a/library/src/test/java/org/magnoliabridge/batch/EndSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/batch/EndSimulation.java
@@ -117,6 +117,7 @@
                 new BatchId(id),
                 Batches.TEAM,
                 Batches.ROUTE,
+                Batches.CONFIG_VERSION,
                 "rollouts.example",
                 Optional.of(Batches.MODEL),
                 Optional.empty(),
@@ -165,7 +166,7 @@
         }
 
         void start() {
-            handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
+            handle(new BatchInput.Routes(Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET)));
             tick();
             check();
         }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
@@ -19,7 +19,7 @@
     private final BatchCore core = new BatchCore("n1-1", () -> nowMs, process -> false);
 
     RunnerFixture() {
-        handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
+        handle(new BatchInput.Routes(Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
     }
 
     void handle(BatchInput input) {
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
@@ -106,7 +106,7 @@
             for (int t = 0; t < TRAINERS; t++) {
                 routes.put(route(t), Batches.TARGET);
             }
-            handle(new BatchInput.Routes(routes));
+            handle(new BatchInput.Routes(Batches.CONFIG_VERSION, routes));
         }
         for (; nowMs < untilMs; nowMs += STEP_MS) {
             for (int t = 0; t < TRAINERS; t++) {
@@ -177,6 +177,7 @@
                 new BatchId(id),
                 Batches.TEAM,
                 route(trainer),
+                Batches.CONFIG_VERSION,
                 "rollouts.example",
                 Optional.of(model(trainer)),
                 Optional.of(new WeightVersion(Math.max(1, newest().value() - 1))),
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
@@ -41,7 +41,7 @@
         for (String name : List.of("n1-1", "n2-1")) {
             Runner runner = new Runner(name, mechanisms);
             runners.add(runner);
-            runner.handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET)));
+            runner.handle(new BatchInput.Routes(Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET)));
             runner.handle(new BatchInput.Engines(engines));
         }
     }
--- a/library/src/test/java/org/magnoliabridge/batch/ScoringTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/ScoringTest.java
@@ -178,11 +178,13 @@
     @Test
     void callFollowsTheCurrentRoute() {
         fixture.engines(Batches.engine("e1", 1, 1), Batches.scorer("s1", 6));
-        fixture.handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET), new RouteTable(List.of())));
+        fixture.handle(new BatchInput.Routes(
+                Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET), new RouteTable(List.of())));
         fixture.open(Batches.head("b", 1), Batches.scoredItems("a", 1), true);
         complete("a-0");
         assertThat(fixture.scoreCalls(), empty());
-        fixture.handle(new BatchInput.Routes(Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
+        fixture.handle(
+                new BatchInput.Routes(Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
         assertThat(fixture.scoreCalls(), hasSize(1));
     }
 
--- a/library/src/test/java/org/magnoliabridge/batch/StartOrderTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StartOrderTest.java
@@ -66,6 +66,7 @@
                 new BatchId("b"),
                 Batches.TEAM,
                 Batches.ROUTE,
+                Batches.CONFIG_VERSION,
                 "rollouts.example",
                 Optional.of(Batches.MODEL),
                 Optional.of(new WeightVersion(1)),
