Compare every answer of an endpoint with its request, whatever its status

Cause: only answers with status 200 were compared with the item's id. Other statuses were decided without it, and the connection on which the due answer still followed went back to the pool.

Change: a call names a check of status and headers, which the HTTP client makes before anything is passed on. An answer that fails it ends the call as lost and closes the connection.

--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -22,6 +22,7 @@
  * @param unframedAnswer whether to accept an answer without Content-Length and Transfer-Encoding, which ends when
  *     its connection closes
  * @param condition must hold when the request is written, see {@link #onlyWhile}; empty for none
+ * @param answerCheck see {@link #withAnswerCheck}
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
@@ -35,11 +36,24 @@
         Reuse reuse,
         Optional<DeadlineHeader> deadlineHeader,
         boolean unframedAnswer,
-        Optional<BooleanSupplier> condition) {
+        Optional<BooleanSupplier> condition,
+        AnswerCheck answerCheck) {
     private static final long DEFAULT_TOTAL_MS = 5_000;
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
     private static final byte[] NO_BODY = {};
 
+    /** Checks an answer by its status and headers. */
+    @FunctionalInterface
+    public interface AnswerCheck {
+        /**
+         * Returns whether later calls may use the connection.
+         *
+         * @param head the answer without its body
+         * @throws HttpFailure.Lost if the answer does not belong to the call
+         */
+        boolean check(HttpAnswer head) throws HttpFailure.Lost;
+    }
+
     /**
      * A header with a time limit in milliseconds.
      *
@@ -70,6 +84,7 @@
         Objects.requireNonNull(body);
         Objects.requireNonNull(limits);
         Objects.requireNonNull(condition);
+        Objects.requireNonNull(answerCheck);
         headers = Map.copyOf(headers);
         if (!path.startsWith("/")) {
             throw new IllegalArgumentException("path must start with a slash: " + path);
@@ -89,7 +104,8 @@
                 Reuse.ONCE,
                 Optional.empty(),
                 false,
-                Optional.empty());
+                Optional.empty(),
+                head -> true);
     }
 
     /** Returns a GET call. */
@@ -179,7 +195,30 @@
                 reuse,
                 deadlineHeader,
                 unframedAnswer,
-                Optional.of(holds));
+                Optional.of(holds),
+                answerCheck);
+    }
+
+    /**
+     * Returns a copy that fails if its answer does not pass a check, whatever the answer's status. Its connection is then
+     * closed, because the answer that is due may still follow on it.
+     *
+     * @param check called on the calling thread before anything of the answer is passed on
+     */
+    public HttpCall withAnswerCheck(AnswerCheck check) {
+        return new HttpCall(
+                method,
+                target,
+                path,
+                headers,
+                body,
+                limits,
+                maxAnswerBytes,
+                reuse,
+                deadlineHeader,
+                unframedAnswer,
+                condition,
+                check);
     }
 
     /** Returns whether the request may be written now. */
@@ -209,6 +248,7 @@
                 reuse,
                 deadlineHeader,
                 unframedAnswer,
-                condition);
+                condition,
+                answerCheck);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCaller.java
@@ -16,7 +16,8 @@
      *     condition did not hold
      * @throws HttpFailure.ReusedConnectionLost if a reused connection failed before the answer and the call was not
      *     sent again, because it may not be repeated or its time to connect had passed
-     * @throws HttpFailure.Lost if the request was at least partly written and no complete answer was received
+     * @throws HttpFailure.Lost if the request was at least partly written and no complete answer was received, or one
+     *     that does not pass the call's check
      */
     HttpAnswer call(HttpCall call) throws HttpFailure;
 
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -124,7 +124,7 @@
             boolean toReceiver = head.status() == 200 || takesEveryStatus;
             ContentReceiver receiver = toReceiver ? content : collector(collected, call.maxAnswerBytes());
             HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), NO_BODY);
-            keepAlive = head.keepAlive();
+            keepAlive = call.answerCheck().check(begun) && head.keepAlive();
             complete = receiver.head(begun) && receive(exchange, receiver, call, deadline) && exchange.isSent();
             idleLimitMs = head.idleLimitMs();
             return collected.size() == 0
