Limit the memory of all answers that are being received together

Callers saw, in a report of other operators: an endpoint sent bytes without end, the node that had called it ran out of memory, and the requests of all other callers at that node ended with it.

Cause: an answer may have 32 MiB, and nothing limited what all calls collect at once. A head without end was limited before.

Change: the bodies of all calls share a third of the heap, kept in blocks; beyond it the largest is dropped. A request that may be repeated goes to another endpoint after such an answer.

--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -43,7 +43,7 @@
         /** The request may have run. */
         record Lost(Failure failure) implements Attempt {}
 
-        /** The deadline has passed, or a retry would fail in the same way. */
+        /** The deadline has passed. */
         record NotRetryable(Failure failure) implements Attempt {}
     }
 
@@ -127,7 +127,7 @@
                 return new Attempt.NotRun(attempts.unreachable(slot, e));
             } catch (HttpFailure.TooLarge e) {
                 attempts.answered();
-                return new Attempt.NotRetryable(new Failure.IncompleteAnswer("the answer is over the size limit"));
+                return tooLarge(slot, e);
             } catch (HttpFailure e) {
                 return lost(slot, e);
             }
@@ -142,6 +142,14 @@
             return new Attempt.Answered(client.answer(answer));
         }
 
+        // Another endpoint may send a smaller answer: one that never ends is not the service's.
+        private Attempt tooLarge(EndpointSource.Slot slot, HttpFailure.TooLarge cause) {
+            dependencies.metrics().brokenAnswers.inc();
+            attempts.logFailed(slot, cause.getMessage());
+            slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
+            return new Attempt.Lost(new Failure.IncompleteAnswer("the answer is over the size limit"));
+        }
+
         private Attempt lost(EndpointSource.Slot slot, HttpFailure cause) {
             dependencies.metrics().brokenAnswers.inc();
             attempts.logFailed(slot, cause.getMessage());
--- a/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
@@ -30,10 +30,10 @@
         }
     }
 
-    /** The answer exceeds the size limit of the call; the call was executed. */
+    /** The answer exceeds the size limit of the call, or the memory for all answers; the call was executed. */
     public static final class TooLarge extends HttpFailure {
-        public TooLarge(int maxBytes) {
-            super("the answer is larger than " + maxBytes + " bytes", null);
+        public TooLarge(int bytes) {
+            super("the answer is larger than " + bytes + " bytes", null);
         }
     }
 }
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
-import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -16,27 +15,42 @@
 public final class UndertowHttpCaller implements HttpCaller {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final byte[] NO_BODY = {};
+    // Leaves room for the copy of one answer of that size, and for everything else.
+    private static final int HEAP_SHARE = 3;
 
     private final ConnectionPool pool;
+    private final AnswerMemory memory;
 
     /**
-     * Starts the I/O threads.
+     * Starts the I/O threads; answers that are being received may occupy a third of the heap.
      *
      * @param ioThreads number of I/O threads; one is enough for several thousand calls per second
      */
     public UndertowHttpCaller(int ioThreads) {
+        this(ioThreads, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
+    }
+
+    /**
+     * Starts the I/O threads.
+     *
+     * @param maxAnswerMemoryBytes memory that answers may occupy while they are received, in bytes over all calls;
+     *     beyond it the largest fails as {@link HttpFailure.TooLarge}
+     */
+    public UndertowHttpCaller(int ioThreads, long maxAnswerMemoryBytes) {
+        memory = new AnswerMemory(maxAnswerMemoryBytes);
         pool = new ConnectionPool(ioThreads);
     }
 
     @Override
     public HttpAnswer call(HttpCall call) throws HttpFailure {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        return run(call, collector(body, call.maxAnswerBytes()), body, true);
+        try (AnswerMemory.Body body = memory.newBody(call.maxAnswerBytes())) {
+            return run(call, body, body, true);
+        }
     }
 
     @Override
     public HttpAnswer stream(HttpCall call, LineReceiver lines) throws HttpFailure {
-        return run(call, new LineSplitter(lines, call.maxAnswerBytes()), new ByteArrayOutputStream(), false);
+        return runStreamed(call, new LineSplitter(lines, call.maxAnswerBytes()));
     }
 
     @Override
@@ -52,7 +66,13 @@
                 return pieces.piece(piece);
             }
         };
-        return run(call, content, new ByteArrayOutputStream(), false);
+        return runStreamed(call, content);
+    }
+
+    private HttpAnswer runStreamed(HttpCall call, ContentReceiver content) throws HttpFailure {
+        try (AnswerMemory.Body body = memory.newBody(call.maxAnswerBytes())) {
+            return run(call, content, body, false);
+        }
     }
 
     @Override
@@ -62,7 +82,7 @@
 
     /** Makes a call, which is sent a second time if it may be repeated and its reused connection fails first. */
     private HttpAnswer run(
-            HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
+            HttpCall call, ContentReceiver content, AnswerMemory.Body collected, boolean takesEveryStatus)
             throws HttpFailure {
         Deadline deadline = new Deadline(call.limits().totalMs());
         Deadline connectDeadline = new Deadline(call.limits().connectMs());
@@ -98,7 +118,7 @@
 
     // The server may have executed the first request, so this call is never reported as not sent.
     private HttpAnswer sendAgain(
-            HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
+            HttpCall call, ContentReceiver content, AnswerMemory.Body collected, boolean takesEveryStatus)
             throws HttpFailure {
         try {
             return send(call, content, collected, takesEveryStatus);
@@ -109,7 +129,7 @@
 
     /** Sends a call once; collects the answer if its status means that it is not passed to the receiver. */
     private HttpAnswer send(
-            HttpCall call, ContentReceiver content, ByteArrayOutputStream collected, boolean takesEveryStatus)
+            HttpCall call, ContentReceiver content, AnswerMemory.Body collected, boolean takesEveryStatus)
             throws HttpFailure {
         Deadline deadline = new Deadline(call.limits().totalMs());
         LimitedConnection connection = pool.connection(call, deadline);
@@ -122,14 +142,12 @@
             Exchange.Head head =
                     exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
             boolean toReceiver = head.status() == 200 || takesEveryStatus;
-            ContentReceiver receiver = toReceiver ? content : collector(collected, call.maxAnswerBytes());
+            ContentReceiver receiver = toReceiver ? content : collected;
             HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), NO_BODY);
             keepAlive = call.answerCheck().check(begun) && head.keepAlive();
             complete = receiver.head(begun) && receive(exchange, receiver, call, deadline) && exchange.isSent();
             idleLimitMs = head.idleLimitMs();
-            return collected.size() == 0
-                    ? begun
-                    : new HttpAnswer(begun.status(), begun.headers(), collected.toByteArray());
+            return new HttpAnswer(begun.status(), begun.headers(), collected.toArray());
         } finally {
             if (!complete) {
                 exchange.abandon();
@@ -154,16 +172,6 @@
         return receiver.end();
     }
 
-    private static ContentReceiver collector(ByteArrayOutputStream body, int maxBytes) {
-        return bytes -> {
-            if (body.size() + bytes.length > maxBytes) {
-                throw new HttpFailure.TooLarge(maxBytes);
-            }
-            body.writeBytes(bytes);
-            return true;
-        };
-    }
-
     private static Map<String, String> headers(HeaderMap map) {
         Map<String, String> headers = new TreeMap<>();
         for (HeaderValues values : map) {
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -71,6 +71,33 @@
         assertThat(call(true).status(), is(201));
     }
 
+    /** Guards against a caller that gets the failure of an endpoint whose answer never ends, though another one serves. */
+    @Test
+    void retriesAnIdempotentCallAfterAnAnswerWithoutEnd() throws CallException {
+        script = PlainCallerTest::answerWithoutEnd;
+        assertThat(call(true).status(), is(201));
+        assertThat(fixture.endpoints.observations, contains("one FAULTY_ANSWER", "two ANSWERED"));
+    }
+
+    /** Guards I11: a non-idempotent request with an answer that never ends has run, so it is not sent again. */
+    @Test
+    void neverRetriesANonIdempotentCallAfterAnAnswerWithoutEnd() {
+        script = PlainCallerTest::answerWithoutEnd;
+        CallException failed = assertThrows(CallException.class, () -> call(false));
+        assertThat(failed.failure(), is(instanceOf(Failure.IncompleteAnswer.class)));
+        assertThat(failed.executionStatus(), is(ExecutionStatus.RAN));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
+    // Ends when the caller closes the connection.
+    private static boolean answerWithoutEnd(FakeBackEnd.Request request, OutputStream out) throws IOException {
+        out.write("HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        byte[] part = new byte[64 * 1024];
+        while (true) {
+            out.write(part);
+        }
+    }
+
     /** Guards against an endpoint that is charged with a faulty answer because it closed an idle connection. */
     @Test
     void sendsAnIdempotentCallAgainIfItsReusedConnectionIsClosed() throws CallException {
--- a/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/EndlessAnswerTest.java
@@ -17,6 +17,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
 
 /** Bytes that arrive without end, in a head or a body. */
@@ -96,6 +97,31 @@
                 test(emptyLines, CallMethod.STREAM, false));
     }
 
+    /** Guards against answers without end on several connections that fill the memory together. */
+    @Test
+    void answersWithoutEndShareTheMemory() throws Exception {
+        int calls = 8;
+        try (EndlessServer server = new EndlessServer(OK + "Content-Length: 1099511627776\r\n\r\n", "a");
+                EndlessServer other = new EndlessServer("", "a");
+                UndertowHttpCaller caller = new UndertowHttpCaller(1, MAX_ANSWER_BYTES)) {
+            List<CompletableFuture<HttpFailure>> failures = new ArrayList<>();
+            for (int i = 0; i < calls; i++) {
+                CompletableFuture<HttpFailure> failure = new CompletableFuture<>();
+                failures.add(failure);
+                HttpCall call = HttpCall.get(server.address(), "/").withMaxAnswerBytes(Integer.MAX_VALUE);
+                Thread.ofPlatform()
+                        .daemon()
+                        .start(() -> failure.complete(assertThrows(HttpFailure.class, () -> caller.call(call))));
+            }
+            assertThat("request sent", server.awaitBegun(CALL_MS), is(true));
+            assertThat(othersMeanwhile(caller, other), is(List.of("ok", "ok", "ok", "ok", "ok")));
+            for (CompletableFuture<HttpFailure> failure : failures) {
+                assertThat(ended(failure), is(instanceOf(HttpFailure.TooLarge.class)));
+            }
+            assertThat("bytes taken", server.written(), is(lessThan(calls * MAX_WRITTEN_BYTES)));
+        }
+    }
+
     /** Guards against an error answer without end that is collected because it is not streamed. */
     @TestFactory
     Stream<DynamicTest> endsAnErrorAnswerWithoutEnd() {
