--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -184,19 +184,7 @@
      * @param holds called on the I/O thread after the connection is open; must not block or throw
      */
     public HttpCall onlyWhile(BooleanSupplier holds) {
-        return new HttpCall(
-                method,
-                target,
-                path,
-                headers,
-                body,
-                limits,
-                maxAnswerBytes,
-                reuse,
-                deadlineHeader,
-                unframedAnswer,
-                Optional.of(holds),
-                answerCheck);
+        return with(Optional.of(holds), answerCheck);
     }
 
     /**
@@ -206,6 +194,10 @@
      * @param check called on the calling thread before anything of the answer is passed on
      */
     public HttpCall withAnswerCheck(AnswerCheck check) {
+        return with(condition, check);
+    }
+
+    private HttpCall with(Optional<BooleanSupplier> otherCondition, AnswerCheck otherCheck) {
         return new HttpCall(
                 method,
                 target,
@@ -217,8 +209,8 @@
                 reuse,
                 deadlineHeader,
                 unframedAnswer,
-                condition,
-                check);
+                otherCondition,
+                otherCheck);
     }
 
     /** Returns whether the request may be written now. */
