--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -188,8 +188,8 @@
     }
 
     /**
-     * Returns a copy that fails if its answer does not pass a check, whatever the answer's status. Its connection is then
-     * closed, because the answer that is due may still follow on it.
+     * Returns a copy that fails if its answer does not pass a check, whatever the answer's status. Its connection is
+     * then closed, because the answer that is due may still follow on it.
      *
      * @param check called on the calling thread before anything of the answer is passed on
      */
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -71,7 +71,7 @@
         assertThat(call(true).status(), is(201));
     }
 
-    /** Guards against a caller that gets the failure of an endpoint whose answer never ends, though another one serves. */
+    /** Guards against a failure that reaches the caller because one endpoint's answer never ends. */
     @Test
     void retriesAnIdempotentCallAfterAnAnswerWithoutEnd() throws CallException {
         script = PlainCallerTest::answerWithoutEnd;
