Take claims that are found while a batch's log is loaded for past ones

What callers saw: after the second change of the runner within the life of a batch, none of its items was started for 3 s, and its long texts were at no engine for 4.5 s, in planned restarts as well. With the time of an election, 5 s and more.

Cause: a runner yields for 3 s once the log shows another runner's claim to the texts (TextCheckpoints.checkClaimLost). While it loaded the log it took the claim of an earlier runner for one against itself, since the log remembered the last claimant of all segments. Only a runner that was the first to follow another one found no claim. After the 3 s it claimed the texts again and waited for the fence once more. Claims now count from the end of loading: those before were made against earlier runners.

RunnerPair becomes RunnerGroup, since the series takes three runners.

--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -128,7 +128,7 @@
         return claimedAtMs;
     }
 
-    /** Returns whether another runner made the last known claim to the texts in progress. */
+    /** Returns whether another runner made the last known claim since the log was loaded. */
     boolean isClaimedByAnother() {
         return !claiming && claimant.filter(c -> !c.equals(self)).isPresent();
     }
@@ -252,7 +252,11 @@
         return !segment.results().isEmpty();
     }
 
+    // A claim that is found while the log is loaded was made by an earlier runner against those before it.
     private void applyClaim(long nowMs, String process) {
+        if (loading) {
+            return;
+        }
         claimant = Optional.of(process);
         if (process.equals(self)) {
             claiming = false;
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerPair.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerGroup.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +17,8 @@
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.ItemId;
 
-/** Simulates two runners that share a store and engines on a virtual clock; events come at a fixed rate. */
-final class RunnerPair {
+/** Simulates runners that share a store and engines on a virtual clock; events come at a fixed rate. */
+final class RunnerGroup {
     static final long STEP_MS = 20;
     private static final long EVENT_MS = 36;
     private static final long TICK_MS = 100;
@@ -27,19 +28,22 @@
     private final List<EngineState> engines;
     private final List<Runner> runners = new ArrayList<>();
     private final Map<ItemId, Long> committedAtMs = new HashMap<>();
+    private final Set<String> generated = new HashSet<>();
+    private final Map<String, Long> idleSinceMs = new HashMap<>();
+    private final Map<String, Long> longestIdleMs = new TreeMap<>();
     private final List<String> violations = new ArrayList<>();
     private long nowMs;
 
     /**
-     * Creates two runners without batches.
+     * Creates runners without batches.
      *
      * @param lengths number of events of each item's text
      */
-    RunnerPair(Map<String, Long> lengths, List<EngineState> engines, Set<TextMechanism> mechanisms) {
+    RunnerGroup(int count, Map<String, Long> lengths, List<EngineState> engines, Set<TextMechanism> mechanisms) {
         this.lengths = Map.copyOf(lengths);
         this.engines = List.copyOf(engines);
-        for (String name : List.of("n1-1", "n2-1")) {
-            Runner runner = new Runner(name, mechanisms);
+        for (int i = 1; i <= count; i++) {
+            Runner runner = new Runner("n" + i + "-1", mechanisms);
             runners.add(runner);
             runner.handle(new BatchInput.Routes(Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET)));
             runner.handle(new BatchInput.Engines(engines));
@@ -54,13 +58,18 @@
         runners.get(runner).handle(new BatchInput.Open(head, items, newlyAccepted));
     }
 
+    /** Dismisses a runner, as a planned stop or a handover does; its process goes on. */
+    void stepDown(int runner) {
+        runners.get(runner).handle(new BatchInput.SteppedDown());
+    }
+
     /** Terminates the process of a runner, and with its connections the runs on them. */
     void kill(int runner) {
         runners.get(runner).alive = false;
         runners.get(runner).runs.clear();
     }
 
-    /** Reports to both runners that the process of one of them has terminated. */
+    /** Reports to all runners that the process of one of them has terminated. */
     void reportTerminated(int runner) {
         runners.forEach(r -> r.terminated.add(runners.get(runner).name));
     }
@@ -73,6 +82,7 @@
                 }
             }
             checkNoDuplicateRun();
+            measureIdleItems();
         }
     }
 
@@ -86,6 +96,11 @@
         return runners.get(runner).started.getOrDefault(item, List.of());
     }
 
+    /** Returns the longest time for which an item without a whole text was at no engine. */
+    long longestIdleMs(String item) {
+        return longestIdleMs.getOrDefault(item, 0L);
+    }
+
     List<String> violations() {
         return violations;
     }
@@ -103,6 +118,20 @@
         });
     }
 
+    private void measureIdleItems() {
+        Set<String> running = new HashSet<>();
+        runners.forEach(
+                r -> r.runs.values().forEach(a -> running.add(a.run.item().id().value())));
+        for (String item : lengths.keySet()) {
+            if (running.contains(item) || generated.contains(item)) {
+                idleSinceMs.remove(item);
+            } else {
+                long sinceMs = idleSinceMs.computeIfAbsent(item, i -> nowMs);
+                longestIdleMs.merge(item, nowMs - sinceMs, Math::max);
+            }
+        }
+    }
+
     private static final class ActiveRun {
         final ItemRun run;
         final long startedMs;
@@ -132,6 +161,7 @@
             for (ActiveRun active : List.copyOf(runs.values())) {
                 if (generatedCount(active) >= length(active)) {
                     runs.remove(active.run.id());
+                    generated.add(active.run.item().id().value());
                     handle(new BatchInput.RunEnded(
                             active.run.id(), new RunOutcome.Completed(), events(active, 0, length(active))));
                 }
--- a/library/src/test/java/org/magnoliabridge/batch/TextCheckpointsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/TextCheckpointsTest.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -24,11 +25,13 @@
     // A trainer counts a group as in time if it is complete by then.
     private static final long DUE_MS = 8_200;
     private static final long SEED = 31;
+    // A tick, and a request to the store.
+    private static final long MAX_DELAY_MS = 200;
 
     /** Guards against a long text that restarts at the next runner and therefore misses the due time of its step. */
     @Test
     void nextRunnerResumesAfterTheLastStoredEvent() {
-        RunnerPair pair = pair(ALL);
+        RunnerGroup pair = pair(ALL);
         pair.open(0, head(), items(), true);
         pair.runUntil(4_000);
         pair.kill(0);
@@ -52,13 +55,13 @@
     /** Guards against a claim that blocks a text forever because the end of its owner was never reported. */
     @Test
     void textsResumeAfterTheFenceIfTheEarlierRunnerIsOnlyUnreachable() {
-        RunnerPair pair = pair(ALL);
+        RunnerGroup pair = pair(ALL);
         pair.open(0, head(), items(), true);
         pair.runUntil(4_000);
         pair.kill(0);
         pair.runUntil(4_700);
         pair.open(1, head(), items(), false);
-        pair.runUntil(4_700 + TextCheckpoints.FENCE_MS - RunnerPair.STEP_MS);
+        pair.runUntil(4_700 + TextCheckpoints.FENCE_MS - RunnerGroup.STEP_MS);
         assertThat(pair.resumePoints(1, LONG), is(empty()));
         pair.runUntil(10_000);
         assertThat(pair.resumePoints(1, LONG).getFirst(), greaterThan(75L));
@@ -68,7 +71,7 @@
     /** Guards against a runner that lost a claim and never resumes although the other runner has since failed. */
     @Test
     void runnerThatLostAClaimResumesWhenTheOtherOneHasFailed() {
-        RunnerPair pair = pair(ALL);
+        RunnerGroup pair = pair(ALL);
         pair.open(0, head(), items(), true);
         pair.runUntil(3_000);
         pair.open(1, head(), items(), false);
@@ -79,6 +82,39 @@
         assertThat(pair.violations(), is(empty()));
     }
 
+    /**
+     * Guards against items that wait at no engine for seconds because a runner takes the claim of an earlier runner,
+     * which it finds in the log, for one against itself. The role changes twice in a row, as in planned restarts.
+     */
+    @Test
+    void itemsResumeAfterTheFenceAtEveryRunnerOfASeries() {
+        RunnerGroup runners = new RunnerGroup(3, Map.of(LONG, 400L, "late", 400L), engines(2, 4), ALL);
+        int tokens = Batches.TARGET.tokensPerEvent();
+        List<BatchItem> items =
+                List.of(Batches.item(LONG, "g0", 400L * tokens), Batches.item("late", "g0", 400L * tokens));
+        runners.open(0, Batches.head("b1", 2), items, true);
+        for (int next = 1; next < 3; next++) {
+            runners.runUntil(next * 4_000L);
+            runners.stepDown(next - 1);
+            runners.open(next, Batches.head("b1", 2), items, false);
+        }
+        runners.runUntil(25_000);
+        assertThat(runners.longestIdleMs(LONG), lessThan(TextCheckpoints.FENCE_MS + MAX_DELAY_MS));
+        assertThat(runners.resumePoints(2, LONG).size(), is(1));
+        assertThat(runners.committedAtMs(LONG).isPresent(), is(true));
+        assertThat(runners.violations(), is(empty()));
+    }
+
+    /** Guards against the same wait of a runner that finds a claim, but no text that is worth resuming. */
+    @Test
+    void itemsStartAtOnceAfterAnEarlierRunnersClaimWithoutTexts() {
+        RunnerFixture fixture = new RunnerFixture();
+        fixture.engines(Batches.engine("e0", 4, 1));
+        fixture.open(head(), items(), false);
+        fixture.replyToReads(new ResultSegment(new ResultSegment.Writer("n2-1", 0), List.of(), List.of(), true));
+        assertThat(fixture.started(), containsInAnyOrder(LONG, "short"));
+    }
+
     /**
      * Replays a step with a few long items through the failure of its runner: with stored texts, more groups must be
      * complete in time.
@@ -105,7 +141,7 @@
             lengths.put("i" + i, events);
             items.add(Batches.item("i" + i, "g" + i / perGroup, events * Batches.TARGET.tokensPerEvent()));
         }
-        RunnerPair pair = new RunnerPair(lengths, engines(8, 12), mechanisms);
+        RunnerGroup pair = new RunnerGroup(2, lengths, engines(8, 12), mechanisms);
         BatchHead head = Batches.head("b1", items.size());
         pair.open(0, head, items, true);
         pair.runUntil(4_000);
@@ -124,7 +160,7 @@
     }
 
     private static List<String> violationsOfTwoLiveRunners(Set<TextMechanism> mechanisms) {
-        RunnerPair pair = pair(mechanisms);
+        RunnerGroup pair = pair(mechanisms);
         pair.open(0, head(), items(), true);
         pair.runUntil(2_600);
         pair.open(1, head(), items(), false);
@@ -133,8 +169,8 @@
         return pair.violations();
     }
 
-    private static RunnerPair pair(Set<TextMechanism> mechanisms) {
-        return new RunnerPair(Map.of(LONG, EVENTS, "short", 20L), engines(2, 4), mechanisms);
+    private static RunnerGroup pair(Set<TextMechanism> mechanisms) {
+        return new RunnerGroup(2, Map.of(LONG, EVENTS, "short", 20L), engines(2, 4), mechanisms);
     }
 
     private static BatchHead head() {
