Fence the texts that a returning runner remembers

Cause: TextCheckpoints.takeOver fenced an item only if the log held more events of its text than this process knew. A process that is the runner again within seconds knows its own text of the earlier term, which is often longer than what was stored while another runner went on with it, so it resumed the text at once beside that run. takeOver now treats a text that the process remembers like a stored one: it waits for the fence, or starts over if it is short and others may be active.

--- a/library/src/main/java/org/magnoliabridge/batch/TextCheckpoints.java
+++ b/library/src/main/java/org/magnoliabridge/batch/TextCheckpoints.java
@@ -80,22 +80,25 @@
         return due;
     }
 
-    /** Takes over the texts of earlier runners after the log was read; returns how many items resume from one. */
+    /**
+     * Takes over the texts of earlier runners after the log was read; returns how many items resume from a text. A text
+     * that this process knows from an earlier term is treated alike, since another runner may have continued it.
+     */
     int takeOver(RunningBatch batch) {
         boolean othersEnded = othersHaveEnded(batch);
         int takenOver = 0;
         for (RunningItem item : batch.items()) {
-            Optional<Transcript> stored = batch.log().texts().find(batch.head(), item.item.id());
-            if (item.finished || item.run.isPresent() || stored.isEmpty()) {
+            if (item.finished || item.transcript.complete() || item.run.isPresent()) {
                 continue;
             }
-            long events = stored.get().lastEvent();
-            boolean worthResuming = othersEnded || events >= MIN_EVENTS_TO_TAKE_OVER;
-            if (worthResuming && events > item.transcript.lastEvent()) {
-                item.transcript = stored.get();
-                item.awaitingFence = true;
-                takenOver++;
+            Transcript known = longestText(batch, item);
+            if (known.lastEvent() == 0) {
+                continue;
             }
+            boolean worthResuming = othersEnded || known.lastEvent() >= MIN_EVENTS_TO_TAKE_OVER;
+            item.transcript = worthResuming ? known : Transcript.EMPTY;
+            item.awaitingFence = worthResuming;
+            takenOver += worthResuming ? 1 : 0;
         }
         if (takenOver > 0 && !othersEnded) {
             batch.log().claim();
@@ -104,6 +107,14 @@
         return takenOver;
     }
 
+    private static Transcript longestText(RunningBatch batch, RunningItem item) {
+        return batch.log()
+                .texts()
+                .find(batch.head(), item.item.id())
+                .filter(stored -> stored.lastEvent() > item.transcript.lastEvent())
+                .orElse(item.transcript);
+    }
+
     /**
      * Checks the claims in the log; returns whether another runner has just claimed the texts, so that the runs at this
      * node must stop.
--- a/library/src/test/java/org/magnoliabridge/batch/TextCheckpointsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/TextCheckpointsTest.java
@@ -25,6 +25,11 @@
     // A trainer counts a group as in time if it is complete by then.
     private static final long DUE_MS = 8_200;
     private static final long SEED = 31;
+    private static final int SERIES_SEEDS = Integer.getInteger("series.seeds", 20);
+    // From the death of a runner to the election of the next one.
+    private static final long DETECTION_MS = 2_000;
+    // A step is lost if its items wait at no engine for 5 s.
+    private static final long MAX_IDLE_MS = 4_000;
     // A tick, and a request to the store.
     private static final long MAX_DELAY_MS = 200;
 
@@ -115,6 +120,82 @@
         assertThat(fixture.started(), containsInAnyOrder(LONG, "short"));
     }
 
+    /** Guards against two engines that generate one text because a process is the runner again and knows the text. */
+    @Test
+    void returningRunnerWaitsForTheFenceBeforeItResumesItsOwnText() {
+        RunnerGroup runners = new RunnerGroup(2, Map.of(LONG, 400L, "short", 20L), engines(2, 4), ALL);
+        runners.open(0, head(), items(), true);
+        runners.runUntil(4_000);
+        runners.stepDown(0);
+        runners.open(1, head(), items(), false);
+        runners.runUntil(6_000);
+        runners.open(0, head(), items(), false);
+        runners.runUntil(6_600);
+        runners.stepDown(1);
+        runners.runUntil(25_000);
+        assertThat(runners.violations(), is(empty()));
+        assertThat(runners.committedAtMs(LONG).isPresent(), is(true));
+    }
+
+    /** Guards against two active runners that stop each other's runs in turn, so that neither finishes a text. */
+    @Test
+    void twoActiveRunnersKeepATextRunning() {
+        RunnerGroup runners = new RunnerGroup(2, Map.of(LONG, 400L, "short", 20L), engines(2, 4), ALL);
+        runners.open(0, head(), items(), true);
+        runners.runUntil(2_600);
+        runners.open(1, head(), items(), false);
+        runners.runUntil(35_000);
+        assertThat(runners.longestIdleMs(LONG), lessThan(MAX_IDLE_MS));
+        assertThat(runners.committedAtMs(LONG).isPresent(), is(true));
+        assertThat(runners.violations(), is(empty()));
+    }
+
+    /**
+     * Guards against items that wait at no engine for seconds in any series of runners: some are dismissed, at once or
+     * late, some return, and some are killed and replaced after the time that this takes to detect.
+     */
+    @Test
+    void itemsDoNotWaitLongInAnySeriesOfRunners() {
+        for (long seed = 1; seed <= SERIES_SEEDS; seed++) {
+            RunnerGroup runners = series(seed);
+            assertThat("seed " + seed, runners.longestIdleMs(LONG), lessThan(MAX_IDLE_MS));
+            assertThat("seed " + seed, runners.committedAtMs(LONG).isPresent(), is(true));
+            assertThat("seed " + seed, runners.violations(), is(empty()));
+        }
+    }
+
+    private static RunnerGroup series(long seed) {
+        Random random = new Random(seed);
+        RunnerGroup runners = new RunnerGroup(6, Map.of(LONG, 400L, "short", 20L), engines(2, 4), ALL);
+        List<Integer> alive = new ArrayList<>(List.of(0, 1, 2, 3, 4, 5));
+        int current = 0;
+        runners.open(current, head(), items(), true);
+        while (runners.nowMs() < 18_000) {
+            runners.runUntil(runners.nowMs() + 20 * random.nextLong(100, 250));
+            boolean killed = alive.size() > 2 && random.nextInt(4) == 0;
+            boolean late = random.nextInt(3) == 0;
+            int next = alive.get(random.nextInt(alive.size()));
+            if (next == current) {
+                continue;
+            }
+            if (killed) {
+                runners.kill(current);
+                alive.remove(Integer.valueOf(current));
+                runners.runUntil(runners.nowMs() + DETECTION_MS);
+            } else if (!late) {
+                runners.stepDown(current);
+            }
+            runners.open(next, head(), items(), false);
+            if (late && !killed) {
+                runners.runUntil(runners.nowMs() + 600);
+                runners.stepDown(current);
+            }
+            current = next;
+        }
+        runners.runUntil(50_000);
+        return runners;
+    }
+
     /**
      * Replays a step with a few long items through the failure of its runner: with stored texts, more groups must be
      * complete in time.
