Cancel calls that begin after all calls were cancelled

At the end of the grace period a node cancels the open calls once. A request whose body became complete after that was added to the calls and never cancelled, so the drain could end before its answer (found by reading; not seen in a running node).

ActiveCalls now remembers that all calls were cancelled and cancels a call that is added later. ActiveCallsTest failed before (the later call had no reason) and passes.

--- a/library/src/main/java/org/magnoliabridge/edge/ActiveCalls.java
+++ b/library/src/main/java/org/magnoliabridge/edge/ActiveCalls.java
@@ -10,10 +10,14 @@
 /** The running calls, kept so that they can be cancelled when their key is withdrawn or the node stops. Thread-safe. */
 public final class ActiveCalls {
     private final Map<Cancellation, Optional<KeyId>> calls = new ConcurrentHashMap<>();
+    private volatile boolean stopped;
 
-    /** Adds a call; it must be removed when it has ended. */
+    /** Adds a call, which is cancelled at once after {@link #cancelAll}; it must be removed when it has ended. */
     public void add(Cancellation call, Optional<KeyId> key) {
         calls.put(call, key);
+        if (stopped) {
+            call.cancel(Cancellation.Reason.SHUTDOWN);
+        }
     }
 
     /** Removes a call that has ended. */
@@ -30,8 +34,9 @@
         });
     }
 
-    /** Cancels all calls; called when the drain limit is reached. */
+    /** Cancels all calls, also those that are added later; called when the drain limit is reached. */
     public void cancelAll() {
+        stopped = true;
         calls.keySet().forEach(call -> call.cancel(Cancellation.Reason.SHUTDOWN));
     }
 }
