Answer batch requests that are open at the end of the grace period

Callers saw the connection of a batch request closed without an answer at the end of a planned stop: with a silent store from 4 s after the signal, a submission and an end, both cut after 3.5 s; with a store that answers in 0.4 s, a read of many parts, cut after 2.5 s. In a process of its own with a silent store 11 of 11 submissions sent up to 5 s after SIGTERM were cut as the process ended (7.6 s).

Cause: at the end of the grace period GatewayNode.drain cancels the open calls, but submissions, reads and ends of batches did not listen to the cancellation. They wait for the store until the caller's deadline of 12 s, or for one part of the results after the other, and GatewayNode.close then closed their connections.

A caller that leaves still ends no wait, since readers share calls to the store. The drain waits 0.5 s in place of 0.3 s for the answers of cancelled requests, and logs how many have none.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchService.java
@@ -22,8 +22,8 @@
         CONFLICT
     }
 
-    /** Accepts a batch; gives up at a deadline on the node's monotonic clock. */
-    Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs) throws InterruptedException;
+    /** Accepts a batch; gives up at a deadline on the node's monotonic clock, or when the thread is interrupted. */
+    Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs);
 
     /** Returns the results after a position; if there are none yet, waits up to {@code waitMs} for one. */
     ReadAnswer read(BatchId batch, TeamId team, int after, long waitMs) throws InterruptedException;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -55,7 +55,7 @@
     }
 
     @Override
-    public Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs) throws InterruptedException {
+    public Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs) {
         Acceptance acceptance = new Acceptance(head, items);
         try {
             while (acceptance.accepted().isEmpty() && context.clock().nowMs() < deadlineMs) {
@@ -66,6 +66,9 @@
         } catch (MalformedBatchException e) {
             LOG.atSevere().withCause(e).with(LogFields.BATCH, head.id().value()).log("stored batch head is malformed");
             return Submission.UNKNOWN;
+        } catch (InterruptedException e) {
+            // The node stops. The caller is told what is known so far.
+            Thread.currentThread().interrupt();
         }
         if (acceptance.accepted().isEmpty()) {
             return acceptance.undecided() ? Submission.UNKNOWN : Submission.NOT_ACCEPTED;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -99,7 +99,7 @@
     private static final long REFUSE_BEFORE_END_MS = 2_500;
     private static final long END_BEFORE_KILL_MS = 800;
     // Time in which cancelled requests are answered.
-    private static final long CANCEL_MS = 300;
+    private static final long CANCEL_MS = 500;
     // Far above normal use; limits this node's share of the store's rate limits while the store is slow.
     private static final int STORE_CALLS = 32;
     // Long enough for a call that times out at the store and is then retried through another node.
@@ -244,7 +244,10 @@
         if (open > 0) {
             LOG.atSevere().with(LogFields.COUNT, (long) open).log("grace period is over; cancelling open requests");
             calls.cancelAll();
-            gate.awaitIdle(CANCEL_MS);
+            int unanswered = gate.awaitIdle(CANCEL_MS);
+            if (unanswered > 0) {
+                LOG.atSevere().with(LogFields.COUNT, (long) unanswered).log("requests have no answer at the end");
+            }
         }
         LOG.atInfo().log("drain ended, duties and counts handed over: %b", handedOver.isDone());
     }
--- a/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
@@ -34,16 +34,63 @@
         T run() throws CallException;
     }
 
+    /** Work that waits, and that ends early when its thread is interrupted. */
+    @FunctionalInterface
+    public interface Waiting<T> {
+        /** Runs the work. */
+        T run() throws InterruptedException;
+    }
+
+    /** Interrupts the current thread until its work has ended. */
+    private static final class Interrupter {
+        private final Thread thread = Thread.currentThread();
+        private boolean ended;
+
+        synchronized void interrupt() {
+            if (!ended) {
+                thread.interrupt();
+            }
+        }
+
+        // Clears the interrupt status, so that it does not affect the next work on this thread.
+        synchronized void end() {
+            ended = true;
+            Thread.interrupted();
+        }
+    }
+
     /** Runs work on the current thread, which is interrupted if the call is cancelled. */
     <T> T runInterruptibly(Work<T> work) throws CallException {
-        Thread caller = Thread.currentThread();
-        Registration registration = onCancel(caller::interrupt);
+        Interrupter interrupter = new Interrupter();
+        Registration registration = onCancel(interrupter::interrupt);
         try {
             return work.run();
         } finally {
             registration.close();
-            // Clears the interrupt status, so that it does not affect the next work on this thread.
-            Thread.interrupted();
+            interrupter.end();
+        }
+    }
+
+    /**
+     * Runs work on the current thread, which is interrupted if the node shuts down. A caller that leaves does not end the
+     * work, because others may wait for its result.
+     *
+     * @return empty if the shutdown ended the work
+     */
+    public <T> Optional<T> runUntilShutdown(Waiting<T> work) {
+        Interrupter interrupter = new Interrupter();
+        Registration registration = onCancel(() -> {
+            if (reason().equals(Optional.of(Reason.SHUTDOWN))) {
+                interrupter.interrupt();
+            }
+        });
+        try {
+            return Optional.of(work.run());
+        } catch (InterruptedException e) {
+            return Optional.empty();
+        } finally {
+            registration.close();
+            interrupter.end();
         }
     }
 
