Limit stored records and pages of a batch by their bytes in JSON

Callers saw no result of a batch whose texts have three bytes a character or are escaped: a segment of 400,000 characters was larger than the store's 1 MiB, the append was refused, and the runner repeated it every 100 ms while no result behind it could be stored. Pages had the same limit, so that an answer passed 1 MB and the frame between two nodes. The parts of a batch's items did not count the headers and the requests for scores.

JsonSize bounds the size of a record whether or not the writer escapes characters outside ASCII; segments, pages and parts are limited by it. The bound of a part of the items now also counts headers and requests for scores, so nodes of two versions may split a batch differently during a rollout.

A single result above the store's limit is still refused for good.

--- a/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
@@ -19,10 +19,6 @@
  */
 public final class Acceptance implements StoreTask {
     private static final long RETRY_MS = 50;
-    // A stored object, including its metadata, is limited to 1 MiB.
-    private static final long MAX_PART_BYTES = 700_000;
-    // Estimated size of an item without its path and body.
-    private static final long ITEM_OVERHEAD_BYTES = 512;
 
     private final BatchHead head;
     private final List<byte[]> parts;
@@ -121,9 +117,8 @@
         List<BatchItem> part = new ArrayList<>();
         long bytes = 0;
         for (BatchItem item : items) {
-            // Base64 and JSON enlarge a body by about half.
-            long size = ITEM_OVERHEAD_BYTES + item.path().length() + 3L * item.body().length / 2;
-            if (!part.isEmpty() && bytes + size > MAX_PART_BYTES) {
+            long size = JsonSize.of(item);
+            if (!part.isEmpty() && bytes + size > JsonSize.MAX_BYTES) {
                 parts.add(BatchCodec.items(part));
                 part.clear();
                 bytes = 0;
--- a/library/src/main/java/org/magnoliabridge/batch/ReadAnswer.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ReadAnswer.java
@@ -11,9 +11,6 @@
      * @param total number of items of the batch
      */
     record Results(int total, List<ItemResult> results) implements ReadAnswer {
-        // An answer is limited to 1 MB; JSON escapes make a text longer, and other fields need space as well.
-        private static final int MAX_CHARS = 400_000;
-
         public Results {
             results = List.copyOf(results);
         }
@@ -21,10 +18,10 @@
         /** Returns the results from a position on that fit into one answer; at least one if there is one. */
         public static Results page(int total, List<ItemResult> committed, int after) {
             List<ItemResult> page = new ArrayList<>();
-            int chars = 0;
+            long bytes = 0;
             for (int i = Math.max(0, after); i < committed.size(); i++) {
-                chars += committed.get(i).text().length();
-                if (!page.isEmpty() && chars > MAX_CHARS) {
+                bytes += JsonSize.of(committed.get(i));
+                if (!page.isEmpty() && bytes > JsonSize.MAX_BYTES) {
                     break;
                 }
                 page.add(committed.get(i));
--- a/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ResultLog.java
@@ -24,8 +24,6 @@
  * while the segment is absent, the same bytes are sent again, because the lost append may still arrive.
  */
 final class ResultLog {
-    // A stored object is limited to 1 MiB, and JSON escapes make a text longer.
-    private static final int MAX_SEGMENT_CHARS = 400_000;
     private static final long RETRY_MS = 100;
     // Writes whatever version is stored; used only if CREATE_SEGMENT_IF_ABSENT is disabled.
     private static final long ANY_VERSION = -1;
@@ -217,10 +215,10 @@
 
     private ResultSegment buildSegment(List<PartialText> inProgress) {
         List<ItemResult> results = new ArrayList<>();
-        int chars = 0;
+        long bytes = 0;
         for (ItemResult result : List.copyOf(pending.values())) {
-            chars += result.text().length();
-            if (!results.isEmpty() && chars > MAX_SEGMENT_CHARS) {
+            bytes += JsonSize.of(result);
+            if (!results.isEmpty() && bytes > JsonSize.MAX_BYTES) {
                 break;
             }
             results.add(result);
@@ -228,8 +226,8 @@
         }
         List<PartialText> parts = new ArrayList<>();
         for (PartialText part : inProgress) {
-            chars += part.events().stream().mapToInt(e -> e.data().length()).sum();
-            if (chars <= MAX_SEGMENT_CHARS) {
+            bytes += JsonSize.of(part);
+            if (bytes <= JsonSize.MAX_BYTES) {
                 parts.add(part);
             }
         }
