Drop a frame that is too large instead of the connection

A frame above 1 MiB made the writer close the connection between two nodes, and with it went all other calls and answers on it: reads of batches, relayed store calls, membership. An answer to a read of a batch could be that large, and the reader repeats it. Now the link does not queue such a frame and counts it as dropped; the call ends at its time limit.

PeerConnectionsTest.frameThatIsTooLargeDoesNotCloseTheConnection failed before.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -15,7 +15,7 @@
 
 /** Request-response calls between nodes; the first byte of a call's body is the number of its method. */
 final class PeerCalls {
-    /** Largest body of a call or answer in bytes; a frame of over 1 MiB with its head closes its connection. */
+    /** Largest body of a call or answer in bytes; a frame of over 1 MiB with its head is dropped. */
     static final int MAX_BODY_BYTES = 900_000;
 
     private final MembershipDriver membership;
--- a/library/src/main/java/org/magnoliabridge/wire/FrameCodec.java
+++ b/library/src/main/java/org/magnoliabridge/wire/FrameCodec.java
@@ -21,6 +21,9 @@
     /** Largest value of the length field, in bytes. */
     static final int MAX_BYTES = 1 << 20;
 
+    /** Largest body of a frame, in bytes; the rest is for the other fields. */
+    static final int MAX_BODY_BYTES = MAX_BYTES - (1 << 10);
+
     /** Largest Hello, in bytes; limits the memory that an unauthenticated peer can make a node allocate. */
     static final int MAX_HELLO_BYTES = 1 << 10;
 
--- a/library/src/main/java/org/magnoliabridge/wire/PeerLink.java
+++ b/library/src/main/java/org/magnoliabridge/wire/PeerLink.java
@@ -75,8 +75,12 @@
         Thread.ofVirtual().name("peer-accept").start(() -> run(null, false, ready));
     }
 
-    /** Queues a frame; returns false if it was dropped because the link is closed or its queue is full. */
+    /** Queues a frame; returns false if it is too large, the link is closed or its queue is full. */
     boolean send(Frame frame) {
+        if (frame.body().length > FrameCodec.MAX_BODY_BYTES) {
+            stats.dropped.increment();
+            return false;
+        }
         synchronized (queue) {
             boolean full = queue.size() >= MAX_QUEUED_FRAMES || queuedBytes + frame.body().length > MAX_QUEUED_BYTES;
             if (closed.get() != null || full) {
--- a/library/src/main/java/org/magnoliabridge/wire/WireStats.java
+++ b/library/src/main/java/org/magnoliabridge/wire/WireStats.java
@@ -32,7 +32,7 @@
         return bytesReceived.sum();
     }
 
-    /** Returns the number of frames dropped: queue full, connection closed, or redial interval not over. */
+    /** Returns the number of frames dropped: too large, queue full, connection closed, or redial interval not over. */
     public long dropped() {
         return dropped.sum();
     }
--- a/library/src/test/java/org/magnoliabridge/wire/PeerConnectionsTest.java
+++ b/library/src/test/java/org/magnoliabridge/wire/PeerConnectionsTest.java
@@ -223,6 +223,19 @@
         }
     }
 
+    /** Guards against the loss of all calls between two nodes because one answer does not fit a frame. */
+    @Test
+    void frameThatIsTooLargeDoesNotCloseTheConnection() throws Exception {
+        Node a = new Node("a", OLD);
+        Node b = new Node("b", OLD);
+        a.send("b", b.listener.address(), "before");
+        assertThat(b.nextText(), equalTo("a:before"));
+        assertThat(a.send("b", b.listener.address(), "x".repeat(FrameCodec.MAX_BYTES)), is(false));
+        assertThat(a.send("b", b.listener.address(), "after"), is(true));
+        assertThat(b.nextText(), equalTo("a:after"));
+        assertThat(a.connections.stats().dropped(), is(1L));
+    }
+
     /** Passes bytes on; connections that were open at a freeze stay open and pass nothing more. */
     private static final class FreezingRelay implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 10, ANY_PORT.getAddress());
