Answer reads of a log that cannot be compared with the store

A read at a position without a result is answered only from a log that was compared with the store lately. While the store did not answer, or refused an append of the batch, or after the batch was dropped, the runner kept each such read for ever, although its reader leaves 0.3 s after its wait: readers poll twice a second, and each input looks at all reads that are kept. Such a read is now answered as unsure a second after its wait.

BatchCoreTest.readIsNotKeptForALogThatCannotBeCompared failed before.

--- a/library/src/main/java/org/magnoliabridge/batch/PendingReads.java
+++ b/library/src/main/java/org/magnoliabridge/batch/PendingReads.java
@@ -14,7 +14,9 @@
  */
 final class PendingReads {
     // A result that one node has returned must be visible at every node within a second.
-    private static final long MAX_AGE_MS = 600;
+    static final long MAX_AGE_MS = 600;
+    // A reader has left this long after its wait has timed out.
+    private static final long MAX_REFRESH_MS = 1_000;
 
     private final Map<Long, PendingRead> pending = new LinkedHashMap<>();
     private final boolean requiresCurrentLog;
@@ -54,10 +56,7 @@
         RunningBatch batch = pendingRead.batch();
         boolean timedOut = nowMs >= pendingRead.untilMs();
         if (batch.log().loading()) {
-            if (timedOut) {
-                effects.add(new BatchEffect.Answer(pendingRead.read().ticket(), new ReadAnswer.Unsure()));
-            }
-            return timedOut;
+            return answerUnsureAfter(nowMs, pendingRead.untilMs(), pendingRead, effects);
         }
         List<ItemResult> committed = batch.log().committed();
         boolean complete = batch.isFullyCommitted() || batch.head().ended();
@@ -67,7 +66,7 @@
             }
             if (!batch.isFullyCommitted() && !isCurrent(nowMs, batch.log())) {
                 batch.log().refresh();
-                return false;
+                return answerUnsureAfter(nowMs, pendingRead.untilMs() + MAX_REFRESH_MS, pendingRead, effects);
             }
         }
         ReadAnswer page = ReadAnswer.Results.page(
@@ -76,6 +75,13 @@
         return true;
     }
 
+    private static boolean answerUnsureAfter(long nowMs, long endMs, PendingRead read, List<BatchEffect> effects) {
+        if (nowMs >= endMs) {
+            effects.add(new BatchEffect.Answer(read.read().ticket(), new ReadAnswer.Unsure()));
+        }
+        return nowMs >= endMs;
+    }
+
     private boolean isCurrent(long nowMs, ResultLog log) {
         return !requiresCurrentLog || log.currentAtMs() >= nowMs - MAX_AGE_MS;
     }
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -257,6 +257,17 @@
         assertThat(((ReadAnswer.Results) fixture.answer(7)).results(), contains(committed));
     }
 
+    /** Guards against reads that are kept for as long as the store is not reached, long after their readers have left. */
+    @Test
+    void readIsNotKeptForALogThatCannotBeCompared() {
+        fixture.open(Batches.head("b", 1), Batches.items("a", 1), true);
+        fixture.handle(new BatchInput.Read(7, new BatchId("b"), Batches.TEAM, 0, 500));
+        fixture.advance(600);
+        assertThat(fixture.isAnswered(7), is(false));
+        fixture.advance(1_000);
+        assertThat(fixture.answer(7), instanceOf(ReadAnswer.Unsure.class));
+    }
+
     /** Guards against a result that waits for others for longer than a reader's poll interval. */
     @Test
     void resultIsAppendedWithinHalfAPollInterval() {
