End calls to the runner in time although the control thread is late

A read of a batch asks the runner first and then the store. Only the control thread ended the call to the runner at its time limit, so on a node whose control thread was late, a read waited for it, past the time of its reader, and never came to the store. The caller of the call now waits 50 ms longer than its limit at most.

RunnerCallsTest.callEndsWithoutTheControlThread failed before: it ran into its limit of 20 s.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/RunnerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RunnerCalls.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.telemetry.LogFields;
 
@@ -16,6 +18,8 @@
     private static final long NO_RUNNER_DELAY_MS = 20;
     // A runner that does not accept may not do so for seconds, and each call takes time of its control thread.
     private static final long NOT_ACCEPTED_DELAY_MS = 100;
+    // The control thread ends a call at its time limit, unless it is later than this.
+    private static final long LATE_TIMER_MS = 50;
     private static final byte ACCEPTED = 1;
 
     private final GatewayContext context;
@@ -80,10 +84,16 @@
                 .isPresent();
     }
 
-    /** Calls a node; empty without an answer in time. */
+    /** Calls a node; empty without an answer in time, even if the control thread is late. */
     Optional<byte[]> call(NodeId to, PeerCalls.Method method, byte[] body, long timeoutMs) throws InterruptedException {
         try {
-            return Optional.of(peers.call(to, method, body, timeoutMs).get());
+            return Optional.of(
+                    peers.call(to, method, body, timeoutMs).get(timeoutMs + LATE_TIMER_MS, TimeUnit.MILLISECONDS));
+        } catch (TimeoutException e) {
+            LOG.atInfo()
+                    .with(LogFields.PEER, to.value())
+                    .log("peer call %s has no answer after %d ms; the control thread is late", method, timeoutMs);
+            return Optional.empty();
         } catch (ExecutionException e) {
             LOG.atInfo()
                     .withCause(e.getCause())
