Read stored results within the reader's time

Callers got 503 for a batch that the runner does not hold, for example after a restart of all nodes: a single refused or failed call ended a read of the store, and a read had to read every segment of the log, one after the other, before it answered. With 40 segments at 100 ms a call a page took 4 s, and readers leave after 1.5 s. A later segment that could not be read hid all results before it.

A read now takes only the segments that its page needs, ends within the reader's time with the results found so far, and repeats a failed call while it has time. The runner answers other nodes before they give it up. An absence of results is reported only if it is known to be younger than 0.6 s at the store, and from the runner only if its answer is at most 0.3 s late: a late empty page could lack a result that others had read more than a second before.

That a late answer of the runner reaches a caller was not reproduced with real nodes.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -16,7 +16,6 @@
 import org.magnoliabridge.batch.BatchMessages;
 import org.magnoliabridge.batch.BatchMessages.Offer;
 import org.magnoliabridge.batch.BatchMessages.ReadRequest;
-import org.magnoliabridge.batch.ItemResult;
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.ReadAnswer;
 import org.magnoliabridge.batch.StoredBatches;
@@ -36,6 +35,11 @@
     // A read from the runner times out after the requested wait plus this margin.
     private static final long READ_SLACK_MS = 300;
     private static final long RETRY_DELAY_MS = 20;
+    // With READ_SLACK_MS less than callers wait in addition to the requested wait, 1.5 s.
+    private static final long STORED_READ_MS = 1_000;
+    private static final long READ_RETRY_MS = 100;
+    // A node that asks the runner reads the store itself after READ_SLACK_MS.
+    private static final long RUNNER_STORED_READ_MS = 200;
 
     private final GatewayContext context;
     private final RunnerCalls runner;
@@ -43,6 +47,10 @@
     private final StoredBatches stored;
     private final BatchEnds ends;
 
+    private interface StoredRead {
+        ReadAnswer run(BatchHead head, long endMs) throws PlatformException, MalformedBatchException;
+    }
+
     ClusterBatchService(
             GatewayContext context, PeerCalls peers, BatchRole role, BatchScheduler scheduler, StoredBatches stored) {
         this.context = context;
@@ -87,7 +95,7 @@
     public ReadAnswer read(BatchId batch, TeamId team, int after, long waitMs) throws InterruptedException {
         ReadRequest request = new ReadRequest(batch, team, after, waitMs, Optional.empty());
         ReadAnswer answer = askRunner(request);
-        return answer instanceof ReadAnswer.Unsure ? readStored(batch, team, after) : answer;
+        return answer instanceof ReadAnswer.Unsure ? readStored(batch, team, after, STORED_READ_MS) : answer;
     }
 
     @Override
@@ -122,11 +130,14 @@
         if (node.isEmpty()) {
             return new ReadAnswer.Unsure();
         }
-        if (runner.isSelf(node.get())) {
-            return askOwnRunner(request);
-        }
+        long startMs = context.clock().nowMs();
+        ReadAnswer answer = runner.isSelf(node.get()) ? askOwnRunner(request) : askRunner(node.get(), request);
+        return request.isOutdated(answer, context.clock().nowMs() - startMs) ? new ReadAnswer.Unsure() : answer;
+    }
+
+    private ReadAnswer askRunner(NodeId node, ReadRequest request) throws InterruptedException {
         Optional<byte[]> answer = runner.call(
-                node.get(), PeerCalls.Method.READ_BATCH, BatchMessages.pack(request), request.waitMs() + READ_SLACK_MS);
+                node, PeerCalls.Method.READ_BATCH, BatchMessages.pack(request), request.waitMs() + READ_SLACK_MS);
         try {
             return answer.isEmpty() ? new ReadAnswer.Unsure() : BatchMessages.answer(answer.get());
         } catch (MalformedBatchException e) {
@@ -165,37 +176,44 @@
         }
     }
 
-    private ReadAnswer readStored(BatchId batch, TeamId team, int after) {
-        try {
-            Optional<BatchHead> head = stored.head(batch);
-            if (head.isEmpty() || !head.get().team().equals(team)) {
-                return new ReadAnswer.Missing();
-            }
-            List<ItemResult> results = stored.results(batch);
-            return ReadAnswer.Results.page(head.get().items(), results, after);
-        } catch (PlatformException | MalformedBatchException e) {
-            LOG.atWarning().withCause(e).with(LogFields.BATCH, batch.value()).log("cannot read batch from the store");
-            return new ReadAnswer.Unsure();
-        }
+    private ReadAnswer readStored(BatchId batch, TeamId team, int after, long limitMs) throws InterruptedException {
+        return readStored(batch, team, limitMs, (head, endMs) -> stored.page(head, after, endMs));
     }
 
-    private ReadAnswer readStoredBody(BatchId batch, TeamId team, ItemId item) {
-        try {
-            Optional<BatchHead> head = stored.head(batch);
-            if (head.isEmpty() || !head.get().team().equals(team)) {
-                return new ReadAnswer.Missing();
+    private ReadAnswer readStoredBody(BatchId batch, TeamId team, ItemId item) throws InterruptedException {
+        return readStored(
+                batch,
+                team,
+                STORED_READ_MS,
+                (head, endMs) -> stored.items(head).stream()
+                        .filter(i -> i.id().equals(item))
+                        .findFirst()
+                        .<ReadAnswer>map(i -> new ReadAnswer.Body(i.body()))
+                        .orElseGet(ReadAnswer.Missing::new));
+    }
+
+    // The store may refuse single calls, and the reader has time for another one.
+    private ReadAnswer readStored(BatchId batch, TeamId team, long limitMs, StoredRead read)
+            throws InterruptedException {
+        long endMs = context.clock().nowMs() + limitMs;
+        while (true) {
+            try {
+                Optional<BatchHead> head = stored.head(batch);
+                return head.isPresent() && head.get().team().equals(team)
+                        ? read.run(head.get(), endMs)
+                        : new ReadAnswer.Missing();
+            } catch (PlatformException | MalformedBatchException e) {
+                boolean retry =
+                        e instanceof PlatformException && context.clock().nowMs() + READ_RETRY_MS < endMs;
+                if (!retry) {
+                    LOG.atWarning()
+                            .withCause(e)
+                            .with(LogFields.BATCH, batch.value())
+                            .log("cannot read batch from the store");
+                    return new ReadAnswer.Unsure();
+                }
+                Thread.sleep(READ_RETRY_MS);
             }
-            return stored.items(head.get()).stream()
-                    .filter(i -> i.id().equals(item))
-                    .findFirst()
-                    .<ReadAnswer>map(i -> new ReadAnswer.Body(i.body()))
-                    .orElseGet(ReadAnswer.Missing::new);
-        } catch (PlatformException | MalformedBatchException e) {
-            LOG.atWarning()
-                    .withCause(e)
-                    .with(LogFields.BATCH, batch.value())
-                    .log("cannot read batch item from the store");
-            return new ReadAnswer.Unsure();
         }
     }
 
@@ -223,9 +241,7 @@
             Consumer<ReadAnswer> packed = result -> answer.accept(BatchMessages.pack(result));
             boolean onlyStored = scheduler.isActive() && !scheduler.runs(request.batch());
             if (onlyStored && request.item().isEmpty()) {
-                Thread.ofVirtual()
-                        .name("batch-read")
-                        .start(() -> packed.accept(readStored(request.batch(), request.team(), request.after())));
+                Thread.ofVirtual().name("batch-read").start(() -> readStored(request, packed));
             } else {
                 serve(request, packed);
             }
@@ -233,4 +249,12 @@
             LOG.atWarning().withCause(e).log("malformed batch read from a peer");
         }
     }
+
+    private void readStored(ReadRequest request, Consumer<ReadAnswer> answer) {
+        try {
+            answer.accept(readStored(request.batch(), request.team(), request.after(), RUNNER_STORED_READ_MS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -35,7 +35,23 @@
     }
 
     /** A request for results or, if an item is given, for its body. */
-    public record ReadRequest(BatchId batch, TeamId team, int after, long waitMs, Optional<ItemId> item) {}
+    public record ReadRequest(BatchId batch, TeamId team, int after, long waitMs, Optional<ItemId> item) {
+        // The runner answers without results from a log that was current at most PendingReads.MAX_AGE_MS before.
+        private static final long MAX_DELAY_MS = 300;
+
+        /**
+         * Returns whether the answer to this request says that there is no result, but is so late that one may have been
+         * read elsewhere for more than a second.
+         *
+         * @param tookMs time since the request
+         */
+        public boolean isOutdated(ReadAnswer answer, long tookMs) {
+            boolean none = answer instanceof ReadAnswer.Results found
+                    && found.results().isEmpty()
+                    && after < found.total();
+            return none && tookMs - waitMs > MAX_DELAY_MS;
+        }
+    }
 
     /** A request of a batch's team to end it. */
     public record EndRequest(BatchId batch, TeamId team) {}
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -13,6 +13,7 @@
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.telemetry.LogFields;
 
 /** Reads, accepts and ends batches in the object store; calls block. */
 public final class StoredBatches {
@@ -66,27 +67,51 @@
         return items;
     }
 
-    /** Returns all committed results in order. */
-    public List<ItemResult> results(BatchId batch) throws PlatformException, MalformedBatchException {
-        CommittedResults results = new CommittedResults();
-        int number = 0;
-        Optional<List<ItemResult>> segment = segment(batch, number);
-        while (segment.isPresent()) {
-            results.add(segment.get());
-            segment = segment(batch, ++number);
+    /**
+     * Returns the committed results from a position on that fit into one answer.
+     *
+     * <p>The log is read no further than the answer needs. If the reader's time is over or a segment cannot be read, the
+     * answer has the results that precede it.
+     *
+     * @param endMs when the reader's time is over
+     * @throws PlatformException if it could not be determined whether there is a result at the position
+     */
+    public ReadAnswer.Results page(BatchHead head, int after, long endMs)
+            throws PlatformException, MalformedBatchException {
+        StoredPage page = new StoredPage(head.items(), after);
+        try {
+            int number = 0;
+            Optional<List<ItemResult>> segment = Optional.of(List.of());
+            while (segment.isPresent() && !page.isFull()) {
+                segment = segment(head.id(), number++, endMs);
+                segment.ifPresent(page::add);
+            }
+        } catch (PlatformException | MalformedBatchException e) {
+            if (page.isEmpty()) {
+                throw e;
+            }
+            LOG.atInfo()
+                    .withCause(e)
+                    .with(LogFields.BATCH, head.id().value())
+                    .log("cannot read the results of a batch to the end");
         }
-        return results.list();
+        return page.answer();
     }
 
-    private Optional<List<ItemResult>> segment(BatchId batch, int number)
+    private Optional<List<ItemResult>> segment(BatchId batch, int number, long endMs)
             throws PlatformException, MalformedBatchException {
         ObjectKey key = BatchKeys.results(batch, number);
         Optional<List<ItemResult>> cached = segments.find(key);
         if (cached.isPresent()) {
             return cached;
         }
+        long startMs = clock.nowMs();
+        if (startMs >= endMs) {
+            throw new PlatformException.Unavailable("the reader's time is over", null);
+        }
         Optional<StoredObject> object = store.read(key);
         if (object.isEmpty()) {
+            requireCurrent(startMs);
             return Optional.empty();
         }
         List<ItemResult> results = BatchCodec.segment(object.get().value()).results();
@@ -94,6 +119,15 @@
         return Optional.of(results);
     }
 
+    // The segment may have been stored, and its results read at other nodes, while the answer was on its way.
+    private void requireCurrent(long startMs) throws PlatformException.Unavailable {
+        long ageMs = clock.nowMs() - startMs;
+        if (ageMs > PendingReads.MAX_AGE_MS) {
+            throw new PlatformException.Unavailable(
+                    "the store answered that there is no result after " + ageMs + " ms", null);
+        }
+    }
+
     /**
      * Performs the next store request of a task.
      *
--- a/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchMessagesTest.java
@@ -61,6 +61,19 @@
                 is(Optional.empty()));
     }
 
+    /** Guards against an answer without results that arrives when others have read one for more than a second. */
+    @Test
+    void lateAnswerWithoutResultsIsOutdated() {
+        ReadRequest request = new ReadRequest(new BatchId("b"), Batches.TEAM, 3, 1_000, Optional.empty());
+        ReadAnswer none = new ReadAnswer.Results(40, List.of());
+        assertThat(request.isOutdated(none, 1_300), is(false));
+        assertThat(request.isOutdated(none, 1_301), is(true));
+        ItemResult result = new ItemResult(new ItemId("i"), true, "x", List.of(new WeightVersion(2)));
+        assertThat(request.isOutdated(new ReadAnswer.Results(40, List.of(result)), 9_000), is(false));
+        assertThat("all results were read", request.isOutdated(new ReadAnswer.Results(3, List.of()), 9_000), is(false));
+        assertThat(request.isOutdated(new ReadAnswer.Unsure(), 9_000), is(false));
+    }
+
     /** Guards against reads of the wrong position or item. */
     @Test
     void readRequestRoundTrips() throws MalformedBatchException {
--- a/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
@@ -2,17 +2,22 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.ObjectStore;
+import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ItemId;
@@ -20,22 +25,19 @@
 
 class StoredResultsTest {
     private static final BatchId BATCH = new BatchId("b");
+    private static final long READER_MS = 1_000;
 
     private final Store store = new Store();
-    private final StoredBatches stored = new StoredBatches(store, () -> 0);
+    private final StoredBatches stored = new StoredBatches(store, () -> store.nowMs);
 
     /** Guards against results that are out of order, twice in the list, or missing after a later append. */
     @Test
     void resultsFollowTheSegments() throws Exception {
         store.append(0, result("a", "x"), result("b", "y"));
         store.append(1, result("b", "z"), result("c", "y"));
-        assertThat(
-                stored.results(BATCH).stream()
-                        .map(r -> r.item().value() + r.text())
-                        .toList(),
-                contains("ax", "by", "cy"));
+        assertThat(read(5, 0).stream().map(r -> r.item().value() + r.text()).toList(), contains("ax", "by", "cy"));
         store.append(2, result("d", "w"));
-        assertThat(stored.results(BATCH), hasSize(4));
+        assertThat(read(5, 0), hasSize(4));
     }
 
     /**
@@ -50,11 +52,72 @@
             store.append(i, result("i" + i, "text"));
         }
         for (int i = 0; i < reads; i++) {
-            assertThat(stored.results(BATCH), hasSize(segments));
+            assertThat(read(segments + 1, 0), hasSize(segments));
         }
         assertThat(store.reads, is(lessThanOrEqualTo(segments + reads)));
     }
 
+    /**
+     * Guards against a long log that no reader can read in its time. Replays the load: all nodes have restarted, and the
+     * store takes 100 ms for a call.
+     */
+    @Test
+    void longLogIsReadInTheReadersTime() throws Exception {
+        int segments = 40;
+        for (int i = 0; i < segments; i++) {
+            store.append(i, result("i" + i, "text"));
+        }
+        store.callMs = 100;
+        List<String> read = new ArrayList<>();
+        while (read.size() < segments) {
+            long startMs = store.nowMs;
+            List<ItemResult> page = read(segments, read.size());
+            assertThat("results of a page", page.size(), is(greaterThan(0)));
+            assertThat("time of a page", store.nowMs - startMs, is(lessThanOrEqualTo(READER_MS)));
+            page.forEach(r -> read.add(r.item().value()));
+        }
+        assertThat(read, is(IntStream.range(0, segments).mapToObj(i -> "i" + i).toList()));
+        assertThat("each segment is read once", store.reads, is(segments));
+    }
+
+    /** Guards against results that cannot be read because the store does not give a later segment. */
+    @Test
+    void refusedSegmentDoesNotHideEarlierResults() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            store.append(i, result("i" + i, "text"));
+        }
+        store.refused = BatchKeys.results(BATCH, 2);
+        assertThat(read(4, 0), hasSize(2));
+        assertThat(read(4, 1), hasSize(1));
+        assertThrows(PlatformException.RateLimited.class, () -> read(4, 2));
+    }
+
+    /** Guards against results that cannot be read because a later segment cannot be decoded. */
+    @Test
+    void unreadableSegmentDoesNotHideEarlierResults() throws Exception {
+        store.append(0, result("a", "text"));
+        store.objects.put(BatchKeys.results(BATCH, 1), new byte[] {'{'});
+        assertThat(read(2, 0), hasSize(1));
+        assertThrows(MalformedBatchException.class, () -> read(2, 1));
+    }
+
+    /** Guards against an empty page that is older than the time in which a result is visible at all nodes. */
+    @Test
+    void lateAbsenceOfAResultIsNotReported() {
+        store.callMs = 700;
+        assertThrows(PlatformException.Unavailable.class, () -> read(2, 0));
+    }
+
+    /** Guards against a first page that costs a call for each segment of a large log. */
+    @Test
+    void logIsReadNoFurtherThanThePage() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            store.append(i, result("i" + i, "x".repeat(300_000)));
+        }
+        assertThat(read(10, 0), hasSize(2));
+        assertThat(store.reads, is(lessThanOrEqualTo(3)));
+    }
+
     /** Guards against texts that accumulate in the memory of a small node. */
     @Test
     void cachedTextsAreBounded() {
@@ -71,6 +134,11 @@
         assertThat(cache.find(BatchKeys.results(BATCH, 0)), is(Optional.empty()));
     }
 
+    private List<ItemResult> read(int items, int after) throws PlatformException, MalformedBatchException {
+        return stored.page(Batches.head(BATCH.value(), items), after, store.nowMs + READER_MS)
+                .results();
+    }
+
     private static ItemResult result(String item, String text) {
         return new ItemResult(new ItemId(item), true, text, List.of(new WeightVersion(1)));
     }
@@ -78,6 +146,9 @@
     private static final class Store implements ObjectStore {
         private final Map<ObjectKey, byte[]> objects = new HashMap<>();
         private int reads;
+        private long nowMs;
+        private long callMs;
+        private ObjectKey refused = new ObjectKey("none/none");
 
         void append(int number, ItemResult... results) {
             ResultSegment segment = ResultSegment.of("n1-1", number, List.of(results));
@@ -85,8 +156,12 @@
         }
 
         @Override
-        public Optional<StoredObject> read(ObjectKey key) {
+        public Optional<StoredObject> read(ObjectKey key) throws PlatformException {
             reads++;
+            nowMs += callMs;
+            if (key.equals(refused)) {
+                throw new PlatformException.RateLimited(100);
+            }
             return Optional.ofNullable(objects.get(key)).map(v -> new StoredObject(key, 1, v));
         }
 
