Keep periodic control tasks after an error

An error thrown by a periodic task of the control loop (StackOverflowError, OutOfMemoryError for direct memory, for which -XX:+ExitOnOutOfMemoryError does not end the process) cancelled the task for good: the executor cancels a task that throws, and only RuntimeException was caught. The node went on without its tick. A task passed to submit() left its future open.

ControlLoopTest failed before for both errors and for the future (3 of 4 cases), and passes now: everything that a task throws is caught and logged, or completes the future.

--- a/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
+++ b/library/src/main/java/org/magnoliabridge/core/ControlLoop.java
@@ -84,16 +84,16 @@
     private static <T> void complete(CompletableFuture<T> result, Callable<T> task) {
         try {
             result.complete(task.call());
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             result.completeExceptionally(e);
         }
     }
 
-    // The executor silently cancels a periodic task that throws, so the exception is caught and logged.
+    // The executor silently cancels a periodic task that throws, so everything thrown is caught and logged.
     private static void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.log(Level.SEVERE, "control task failed", e);
         }
     }
