Answer callers whose stream has no event yet

Callers of a streaming route saw their connection closed without any byte of an answer when an endpoint sent the head of its stream and then no event until the deadline, or broke off. The head counted as the begin of the stream, so the failure closed the connection (CallerAnswer.failure), and a resumable stream was not tried at another endpoint, because it had no event id to resume after (StreamCaller.tryAcquireRetry). Nothing had been sent to the caller: the head leaves with the first event.

The head is now passed on with the first event, or with the end of a complete stream without events. Until then the request gets a failure as its answer, or is tried at another endpoint where that is allowed.

Before: StreamCallerTest.beginsNoStreamBeforeTheFirstEvent and restartsAStreamThatBreaksBeforeItsFirstEvent failed, and KeptConnectionTest.callerOfAStreamWithoutEventsIsAnswered ended with the end of the connection. After: they pass, with BrokenAnswerTest (81) and five cases of PlatformNodeTest (streams and refusals).

KeptConnectionTest.everyRequestIsAnswered guards the reuse of callers' connections, with requests split into packets and sent ahead; it passed before this change too (-Dkept.requests and -Dkept.seed play more).

--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -69,6 +69,8 @@
         private final Receiver receiver;
         private final Attempts attempts;
         private EventSplitter splitter;
+        // Of the current attempt, until an event is delivered: before that, the request can still get another answer.
+        private Optional<PlainAnswer> head = Optional.empty();
         private boolean begun;
         private String mediaType = "";
         private boolean otherMediaType;
@@ -144,6 +146,7 @@
         private Attempt send(EndpointSource.Slot slot) {
             attempts.attemptStarted();
             splitter = new EventSplitter(this::onEvent);
+            head = Optional.empty();
             otherMediaType = false;
             stalled = false;
             lastEventMs = dependencies.clock().nowMs();
@@ -168,9 +171,12 @@
             if (stalled) {
                 return broken(slot, "the endpoint sends bytes but no event");
             }
-            if (!begun || !splitter.atBoundary()) {
+            if (!splitter.atBoundary()) {
                 return broken(slot, "the stream ended within an event");
             }
+            if (!begin()) {
+                return new Attempt.Broken(fault.orElseThrow());
+            }
             slot.observed(EndpointSource.Observation.ANSWERED);
             return new Attempt.Complete();
         }
@@ -200,16 +206,25 @@
         }
 
         @Override
-        public boolean head(HttpAnswer head) {
+        public boolean head(HttpAnswer answer) {
             attempts.answered();
             if (begun) {
                 // Without a body, a page or a document would look like the end of the stream.
-                otherMediaType = !mediaType(head).equals(mediaType);
+                otherMediaType = !mediaType(answer).equals(mediaType);
                 return !otherMediaType;
             }
+            head = Optional.of(client.answer(answer));
+            mediaType = mediaType(answer);
+            return true;
+        }
+
+        // Passes on the head of the first attempt that has an event, or that is complete without one.
+        private boolean begin() {
+            if (begun) {
+                return true;
+            }
             begun = true;
-            mediaType = mediaType(head);
-            return deliver(() -> receiver.begin(client.answer(head)));
+            return deliver(() -> receiver.begin(head.orElseThrow()));
         }
 
         private static String mediaType(HttpAnswer head) {
@@ -244,7 +259,7 @@
             }
             lastEventId = id;
             lastEventMs = dependencies.clock().nowMs();
-            return deliver(() -> receiver.event(bytes));
+            return begin() && deliver(() -> receiver.event(bytes));
         }
 
         private boolean deliver(Delivery action) {
--- a/library/src/test/java/org/magnoliabridge/calls/StreamCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/StreamCallerTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -119,6 +120,48 @@
         assertThat(received, hasSize(2));
     }
 
+    /** Guards against a caller that gets the head of a stream, and then nothing, from an endpoint that breaks off. */
+    @Test
+    void beginsNoStreamBeforeTheFirstEvent() {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\n");
+            return false;
+        };
+        CallException failed = assertThrows(CallException.class, () -> call(false));
+        assertThat(failed.executionStatus(), is(ExecutionStatus.RAN));
+        assertThat(received, hasSize(0));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
+    /** Guards against giving up a stream of which nothing was delivered although another endpoint can run it. */
+    @Test
+    void restartsAStreamThatBreaksBeforeItsFirstEvent() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            return false;
+        };
+        secondScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            chunk(out, "id: 1\ndata: a\n\n");
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(true).isEmpty(), is(true));
+        assertThat(received, contains("200", "id: 1\ndata: a\n\n"));
+        assertThat(two.requests("/").getFirst().head(), not(containsString("last-event-id")));
+    }
+
+    /** Guards against a complete stream without events that is taken for a broken one. */
+    @Test
+    void completesAStreamWithoutEvents() throws CallException {
+        firstScript = (request, out) -> {
+            FakeBackEnd.startStream(out);
+            return FakeBackEnd.endStream(out);
+        };
+        assertThat(call(false).isEmpty(), is(true));
+        assertThat(received, contains("200"));
+    }
+
     /** Guards against counting a refusal as a run, and against replacing an endpoint's error response by a failure. */
     @Test
     void retriesARefusedRequestAndPassesOnAnErrorResponse() throws CallException {
