--- a/daemon/src/test/java/org/magnoliabridge/daemon/RunnerCallsTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/RunnerCallsTest.java
@@ -25,7 +25,7 @@
     private static final NodeId SELF = new NodeId("n0");
     private static final long LIMIT_MS = 50;
 
-    /** Guards against reads that could be answered from the store and wait for the control thread, however late it is. */
+    /** Guards against reads that wait for a late control thread although the store could answer them. */
     @Test
     @Timeout(value = 20, unit = TimeUnit.SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void callEndsWithoutTheControlThread() throws Exception {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -40,8 +40,8 @@
         private static final long MAX_DELAY_MS = 300;
 
         /**
-         * Returns whether the answer to this request says that there is no result, but is so late that one may have been
-         * read elsewhere for more than a second.
+         * Returns whether the answer to this request says that there is no result, but is so late that one may have
+         * been read elsewhere for more than a second.
          *
          * @param tookMs time since the request
          */
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -70,8 +70,8 @@
     /**
      * Returns the committed results from a position on that fit into one answer.
      *
-     * <p>The log is read no further than the answer needs. If the reader's time is over or a segment cannot be read, the
-     * answer has the results that precede it.
+     * <p>The log is read no further than the answer needs. If the reader's time is over or a segment cannot be read,
+     * the answer has the results that precede it.
      *
      * @param endMs when the reader's time is over
      * @throws PlatformException if it could not be determined whether there is a result at the position
--- a/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchCoreTest.java
@@ -257,7 +257,7 @@
         assertThat(((ReadAnswer.Results) fixture.answer(7)).results(), contains(committed));
     }
 
-    /** Guards against reads that are kept for as long as the store is not reached, long after their readers have left. */
+    /** Guards against reads that are kept while the store is not reached, long after their readers have left. */
     @Test
     void readIsNotKeptForALogThatCannotBeCompared() {
         fixture.open(Batches.head("b", 1), Batches.items("a", 1), true);
--- a/library/src/test/java/org/magnoliabridge/batch/RecordSizeTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RecordSizeTest.java
@@ -33,8 +33,8 @@
     private final RunnerFixture fixture = new RunnerFixture();
 
     /**
-     * Guards against a segment of the result log that is larger than the store accepts, whose refused append is repeated
-     * for ever while no result of the batch can be read.
+     * Guards against a segment of the result log that is larger than the store accepts, whose refused append is
+     * repeated for ever while no result of the batch can be read.
      */
     @ParameterizedTest
     @ValueSource(strings = {"x", "\"", "\u00e9", "\u65e5", "\ud83d\ude00", "\u0001"})
--- a/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
@@ -58,8 +58,8 @@
     }
 
     /**
-     * Guards against a long log that no reader can read in its time. Replays the load: all nodes have restarted, and the
-     * store takes 100 ms for a call.
+     * Guards against a long log that no reader can read in its time. Replays the load: all nodes have restarted, and
+     * the store takes 100 ms for a call.
      */
     @Test
     void longLogIsReadInTheReadersTime() throws Exception {
