Interrupt work of a call in one place

Cancellation.runInterruptibly and runUntilShutdown registered, interrupted and cleaned up alike, but for the reasons. The interrupter now registers itself for a set of reasons. No change of behaviour.

--- a/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Cancellation.java
@@ -1,8 +1,10 @@
 package org.magnoliabridge.calls;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Cancels a running call from any thread; only the first reason counts. */
 public final class Cancellation {
@@ -41,33 +43,37 @@
         T run() throws InterruptedException;
     }
 
-    /** Interrupts the current thread until its work has ended. */
-    private static final class Interrupter {
+    /** Interrupts the thread that creates it when the call is cancelled, until it is closed. */
+    private final class Interrupter {
         private final Thread thread = Thread.currentThread();
-        private boolean ended;
+        private final Registration registration;
+        private boolean closed;
 
-        synchronized void interrupt() {
-            if (!ended) {
+        Interrupter(Set<Reason> reasons) {
+            registration = onCancel(() -> interruptFor(reasons));
+        }
+
+        private synchronized void interruptFor(Set<Reason> reasons) {
+            if (!closed && reason().filter(reasons::contains).isPresent()) {
                 thread.interrupt();
             }
         }
 
         // Clears the interrupt status, so that it does not affect the next work on this thread.
-        synchronized void end() {
-            ended = true;
+        synchronized void close() {
+            closed = true;
+            registration.close();
             Thread.interrupted();
         }
     }
 
     /** Runs work on the current thread, which is interrupted if the call is cancelled. */
     <T> T runInterruptibly(Work<T> work) throws CallException {
-        Interrupter interrupter = new Interrupter();
-        Registration registration = onCancel(interrupter::interrupt);
+        Interrupter interrupter = new Interrupter(EnumSet.allOf(Reason.class));
         try {
             return work.run();
         } finally {
-            registration.close();
-            interrupter.end();
+            interrupter.close();
         }
     }
 
@@ -78,19 +84,13 @@
      * @return empty if the shutdown ended the work
      */
     public <T> Optional<T> runUntilShutdown(Waiting<T> work) {
-        Interrupter interrupter = new Interrupter();
-        Registration registration = onCancel(() -> {
-            if (reason().equals(Optional.of(Reason.SHUTDOWN))) {
-                interrupter.interrupt();
-            }
-        });
+        Interrupter interrupter = new Interrupter(EnumSet.of(Reason.SHUTDOWN));
         try {
             return Optional.of(work.run());
         } catch (InterruptedException e) {
             return Optional.empty();
         } finally {
-            registration.close();
-            interrupter.end();
+            interrupter.close();
         }
     }
 
