Fill pages of results in one place, and size each result once

Reads of the runner and of the store bounded a page by the same rule in two loops, and a read of the store sized each result of its page twice. ResultPage holds the rule for both and replaces StoredPage. No change of behaviour.

--- a/library/src/main/java/org/magnoliabridge/batch/ReadAnswer.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ReadAnswer.java
@@ -1,6 +1,5 @@
 package org.magnoliabridge.batch;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /** The answer to a read of a batch. */
@@ -17,16 +16,9 @@
 
         /** Returns the results from a position on that fit into one answer; at least one if there is one. */
         public static Results page(int total, List<ItemResult> committed, int after) {
-            List<ItemResult> page = new ArrayList<>();
-            long bytes = 0;
-            for (int i = Math.max(0, after); i < committed.size(); i++) {
-                bytes += JsonSize.of(committed.get(i));
-                if (!page.isEmpty() && bytes > JsonSize.MAX_BYTES) {
-                    break;
-                }
-                page.add(committed.get(i));
-            }
-            return new Results(total, page);
+            ResultPage page = new ResultPage(after);
+            page.extend(committed);
+            return new Results(total, page.results());
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -78,16 +78,18 @@
      */
     public ReadAnswer.Results page(BatchHead head, int after, long endMs)
             throws PlatformException, MalformedBatchException {
-        StoredPage page = new StoredPage(head.items(), after);
+        CommittedResults committed = new CommittedResults();
+        ResultPage page = new ResultPage(after);
         try {
             int number = 0;
             Optional<List<ItemResult>> segment = Optional.of(List.of());
-            while (segment.isPresent() && !page.isFull()) {
+            while (segment.isPresent() && !page.isFull() && committed.list().size() < head.items()) {
                 segment = segment(head.id(), number++, endMs);
-                segment.ifPresent(page::add);
+                segment.ifPresent(committed::add);
+                page.extend(committed.list());
             }
         } catch (PlatformException | MalformedBatchException e) {
-            if (page.isEmpty()) {
+            if (page.results().isEmpty()) {
                 throw e;
             }
             LOG.atInfo()
@@ -95,7 +97,7 @@
                     .with(LogFields.BATCH, head.id().value())
                     .log("cannot read the results of a batch to the end");
         }
-        return page.answer();
+        return new ReadAnswer.Results(head.items(), page.results());
     }
 
     private Optional<List<ItemResult>> segment(BatchId batch, int number, long endMs)
