--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -75,7 +75,7 @@
             LOG.atSevere().withCause(e).with(LogFields.BATCH, head.id().value()).log("stored batch head is malformed");
             return Submission.UNKNOWN;
         } catch (InterruptedException e) {
-            // The node stops. The caller is told what is known so far.
+            // The node shuts down; the writes so far determine the answer.
             Thread.currentThread().interrupt();
         }
         if (acceptance.accepted().isEmpty()) {
--- a/library/src/test/java/org/magnoliabridge/batch/RecordSizeTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RecordSizeTest.java
@@ -73,7 +73,7 @@
                         new ItemId("i" + i),
                         new GroupId("g" + i),
                         "/rollouts/i" + i,
-                        Map.of("X-Prefix-Hash", "9c2e41:300,".repeat(100)),
+                        Map.of("Prompt-Prefix", "9c2e41:300,".repeat(100)),
                         new byte[100],
                         540,
                         940,
