--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -257,7 +257,7 @@
         closer.close();
     }
 
-    private void startServers(Dispatcher dispatcher, BatchService batches) {
+    private void startServers(Dispatcher dispatcher, BatchService batches) throws IOException {
         CallDependencies dependencies = new CallDependencies(
                 dispatcher,
                 new RetryBudget(),
@@ -287,7 +287,8 @@
                 context.platform().callers(services),
                 context.platform().readiness(services),
                 context.platform().directory(services),
-                new MetricsPage(context.metrics())));
+                new MetricsPage(context.metrics()),
+                ConnectionGuard.of(context.settings(), context.metrics())));
         config.onChange(newConfig -> servers.apply(newConfig.limits()));
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
@@ -26,6 +26,7 @@
  * @param ordersApi the platform's interface for endpoint orders and usage reports
  * @param bounds times that the platform guarantees or requires
  * @param capacityMillicores processor capacity in thousandths of a core, 0 if not known
+ * @param maxDescriptors how many descriptors the process may have open, 0 for the limit of the process
  * @param logLevel lowest level that is logged
  */
 public record GatewaySettings(
@@ -37,10 +38,13 @@
         InetSocketAddress ordersApi,
         Bounds bounds,
         int capacityMillicores,
+        int maxDescriptors,
         Level logLevel) {
     private static final double MIN_CPU = 0.001;
     private static final double MAX_CPU = 1_000;
     private static final int MILLICORES_PER_CORE = 1_000;
+    private static final int MIN_DESCRIPTORS = 400;
+    private static final int MAX_DESCRIPTORS = 1_000_000;
     private static final InetSocketAddress UNSET = new InetSocketAddress(0);
     private static final Map<String, Level> LEVELS =
             Map.of("debug", Level.FINE, "info", Level.INFO, "warning", Level.WARNING, "error", Level.SEVERE);
@@ -90,6 +94,7 @@
         InetSocketAddress orders = address(root, "orders_api");
         Bounds bounds = bounds(root);
         int capacity = capacityMillicores(root);
+        int descriptors = (int) root.integer("max_descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS, 0);
         String name = root.optionalText("log_level").orElse("info").toLowerCase(Locale.ROOT);
         if (!LEVELS.containsKey(name)) {
             root.report(Kind.INVALID, "log_level", "debug, info, warning or error");
@@ -104,6 +109,7 @@
                 orders,
                 bounds,
                 capacity,
+                descriptors,
                 LEVELS.get(name));
     }
 
--- a/daemon/src/test/java/org/magnoliabridge/daemon/GatewaySettingsTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/GatewaySettingsTest.java
@@ -45,4 +45,13 @@
         assertThat(
                 thrown.problems().stream().map(Problem::field).toList(), containsInAnyOrder("cpu_share", "cpu_speed"));
     }
+
+    /** Guards against a node that refuses its callers because of an impossible limit, or ignores the given one. */
+    @Test
+    void descriptorsAreOptional() throws SettingsException {
+        assertThat(parse("").maxDescriptors(), is(0));
+        assertThat(parse(", \"max_descriptors\": 4100").maxDescriptors(), is(4_100));
+        SettingsException thrown = assertThrows(SettingsException.class, () -> parse(", \"max_descriptors\": 3"));
+        assertThat(thrown.problems().stream().map(Problem::field).toList(), containsInAnyOrder("max_descriptors"));
+    }
 }
