--- a/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.startsWith;
 
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpHandler;
@@ -25,6 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.edge.ConnectionRooms;
 import org.magnoliabridge.edge.ServerPort;
+import org.magnoliabridge.gateway.CallerLimits;
 
 class GatewayServersTest {
     private static final int ROOM = 3;
@@ -103,6 +105,11 @@
             return Integer.parseInt(answer.substring(9, 12));
         }
 
+        /** Returns all that arrives until the connection is closed. */
+        String all() throws IOException {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+
         int call(String path) throws IOException {
             try {
                 send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -249,4 +256,19 @@
             assertThat(caller().call("/"), is(200));
         }
     }
+
+    /** Guards against limits of the configuration that no longer reach the connections. */
+    @Test
+    void headsAndIdleConnectionsKeepTheLimitsOfTheConfiguration() throws Exception {
+        servers.apply(new CallerLimits(1_000, 1_000, 100, 100));
+        Client over = caller();
+        over.send("GET / HTTP/1.1\r\nHost: h\r\nX-Filler: " + "h".repeat(2_000));
+        assertThat(over.all(), startsWith("HTTP/1.1 400 "));
+        Client half = caller();
+        half.send("GET / HTTP/1.1\r\nHost: h");
+        assertThat(half.all(), is(""));
+        Client idle = caller();
+        assertThat(idle.call("/"), is(200));
+        assertThat(idle.all(), is(""));
+    }
 }
