Fit the buffers of all connections at the ports in the direct memory

Change: the size of a buffer follows from the number of connections, so that two for each fit in 16 MB; at most the size so far (1 KB below a heap of 128 MB).

What it costs in reads of large bodies is not measured.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/ConnectionGuard.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ConnectionGuard.java
@@ -77,6 +77,11 @@
         return rooms.of(port);
     }
 
+    /** Returns how many connections all ports together may have open. */
+    int connections() {
+        return rooms.all();
+    }
+
     /** Returns a listener that passes the accepted connections of a port on to its server. */
     ChannelListener<StreamConnection> guard(ServerPort port, HttpOpenListener server) {
         return connection -> {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
@@ -34,11 +34,16 @@
     private static final long SMALL_HEAP_BYTES = 128L << 20;
     private static final int SMALL_BUFFER_BYTES = 1024;
     // Leaves room for the frame of a buffer in 16 KiB.
-    private static final int BUFFER_BYTES = 16 * 1024 - 20;
+    private static final int LARGE_BUFFER_BYTES = 16 * 1024 - 20;
+    private static final int MIN_BUFFER_BYTES = 512;
+    // Half of the direct memory of the deployment; the other half is for the runtime's own I/O.
+    private static final long BUFFER_MEMORY_BYTES = 16L << 20;
+    // One for pipelined bytes, and one for the head of an answer that its caller does not read.
+    private static final int BUFFERS_PER_CONNECTION = 2;
 
     private final ConnectionGuard guard;
     private final XnioWorker worker;
-    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, bufferBytes(), -1, BUFFERS_PER_THREAD);
+    private final ByteBufferPool buffers;
     private final List<HttpOpenListener> listeners = new ArrayList<>();
     private final List<AcceptingChannel<StreamConnection>> channels = new ArrayList<>();
 
@@ -56,6 +61,8 @@
             ConnectionGuard guard)
             throws IOException {
         this.guard = guard;
+        int bufferBytes = bufferBytes(Runtime.getRuntime().maxMemory(), guard.connections());
+        buffers = new DefaultByteBufferPool(true, bufferBytes, -1, BUFFERS_PER_THREAD);
         worker = Xnio.getInstance(Undertow.class.getClassLoader())
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
@@ -132,8 +139,16 @@
                 address, ChannelListeners.openListenerAdapter(guard.guard(port, listener)), options));
     }
 
-    private static int bufferBytes() {
-        return Runtime.getRuntime().maxMemory() < SMALL_HEAP_BYTES ? SMALL_BUFFER_BYTES : BUFFER_BYTES;
+    /**
+     * Returns the size of a buffer such that the buffers of all connections fit in the memory for them, because callers
+     * that pipeline requests or do not read answers keep buffers.
+     *
+     * @param heapBytes the largest size of the heap
+     */
+    static int bufferBytes(long heapBytes, int connections) {
+        long most = heapBytes < SMALL_HEAP_BYTES ? SMALL_BUFFER_BYTES : LARGE_BUFFER_BYTES;
+        long share = BUFFER_MEMORY_BYTES / ((long) BUFFERS_PER_CONNECTION * connections);
+        return (int) Math.clamp(share, MIN_BUFFER_BYTES, most);
     }
 
     private static int millis(long ms) {
--- a/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
@@ -271,4 +271,18 @@
         assertThat(idle.call("/"), is(200));
         assertThat(idle.all(), is(""));
     }
+
+    /** Guards against connections that together need more buffers than there is direct memory, so that none is served. */
+    @Test
+    void buffersOfAllConnectionsFitInTheirMemory() {
+        for (int descriptors : List.of(400, 2_212, 4_100, 8_192, 10_250)) {
+            int connections = ConnectionRooms.of(descriptors).all();
+            for (long heapBytes : List.of(90L << 20, 500L << 20)) {
+                long bytes = 2L * connections * GatewayServers.bufferBytes(heapBytes, connections);
+                assertThat(bytes, is(lessThanOrEqualTo(16L << 20)));
+            }
+        }
+        assertThat(GatewayServers.bufferBytes(90L << 20, 100), is(1024));
+        assertThat(GatewayServers.bufferBytes(500L << 20, 100), is(16 * 1024 - 20));
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/edge/ConnectionRooms.java
+++ b/library/src/main/java/org/magnoliabridge/edge/ConnectionRooms.java
@@ -45,4 +45,9 @@
     public int of(ServerPort port) {
         return byPort.get(port);
     }
+
+    /** Returns how many connections all ports together may have open. */
+    public int all() {
+        return byPort.values().stream().mapToInt(Integer::intValue).sum();
+    }
 }
--- a/library/src/test/java/org/magnoliabridge/edge/ConnectionBudgetTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/ConnectionBudgetTest.java
@@ -211,10 +211,7 @@
     @Test
     void roomsAreThreeQuartersOfTheDescriptorsBesideFiles() {
         for (int descriptors : List.of(400, 512, 2_212, 4_100, 20_000)) {
-            ConnectionRooms rooms = ConnectionRooms.of(descriptors);
-            int all =
-                    rooms.byPort().values().stream().mapToInt(Integer::intValue).sum();
-            assertThat(all, is((descriptors - 200) * 3 / 4));
+            assertThat(ConnectionRooms.of(descriptors).all(), is((descriptors - 200) * 3 / 4));
         }
         assertThat(ConnectionRooms.of(2_212).of(ServerPort.CALLERS), is(1_289));
         assertThat(ConnectionRooms.of(64).of(ServerPort.CALLERS), is(1));
