Pass request bodies on in blocks, and claim their memory before they are read

Cause: a body was collected in one growing array, copied once at its end; the server drained unread bodies without a limit.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/LedgerDriver.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import java.io.ByteArrayOutputStream;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -33,6 +32,7 @@
 import org.magnoliabridge.ledger.LedgerInput;
 import org.magnoliabridge.ledger.LedgerKey;
 import org.magnoliabridge.ledger.StoredAnswer;
+import org.magnoliabridge.memory.Content;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Makes calls with an idempotency key; the ledger core runs on the control thread, the calls on virtual threads. */
@@ -114,7 +114,7 @@
             String method,
             String path,
             Map<String, String> headers,
-            byte[] body,
+            Content body,
             long deadlineMs) {
         return new PlainRequest(
                 request.service(),
@@ -132,10 +132,7 @@
 
     // The digest covers method and path, because the same body on another path is a different request.
     private static String digest(PlainRequest request) {
-        ByteArrayOutputStream all = new ByteArrayOutputStream();
-        all.writeBytes((request.method() + " " + request.path() + "\n").getBytes(StandardCharsets.UTF_8));
-        all.writeBytes(request.body());
-        return LedgerKey.digestOf(all.toByteArray());
+        return LedgerKey.digestOf(request.method() + " " + request.path() + "\n", request.body());
     }
 
     private static LedgerEffect.Outcome await(PendingCall call, long remainingMs, CallStart start)
@@ -196,7 +193,7 @@
             String path = outcomePath.get() + "/" + name;
             try {
                 PlainAnswer found =
-                        plain.call(copy(request, "GET", path, Map.of(), new byte[0], deadlineMs), new Cancellation());
+                        plain.call(copy(request, "GET", path, Map.of(), Content.EMPTY, deadlineMs), new Cancellation());
                 if (found.status() == OK) {
                     return found;
                 }
--- a/library/src/main/java/org/magnoliabridge/calls/Failure.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Failure.java
@@ -20,6 +20,9 @@
     /** The request's body is larger than the limit in bytes. */
     record TooLarge(long maxBytes) implements Failure {}
 
+    /** The request's body made no progress for the time in milliseconds before it was complete. */
+    record BodyStalled(long limitMs) implements Failure {}
+
     /** The request's content type is not the one that the route accepts. */
     record UnsupportedMediaType(String expected) implements Failure {}
 
--- a/library/src/main/java/org/magnoliabridge/calls/FailureAnswer.java
+++ b/library/src/main/java/org/magnoliabridge/calls/FailureAnswer.java
@@ -35,6 +35,8 @@
             case Failure.Conflict f -> answer(409, "conflict", f.detail(), run);
             case Failure.TooLarge f ->
                 answer(413, "too_large", "the body is larger than " + f.maxBytes() + " bytes", run);
+            case Failure.BodyStalled f ->
+                answer(408, "body_stalled", "the body made no progress for " + f.limitMs() + " ms", run);
             case Failure.UnsupportedMediaType f ->
                 answer(415, "unsupported_media_type", "the content type must be " + f.expected(), run);
             case Failure.RateLimited f ->
--- a/library/src/main/java/org/magnoliabridge/edge/BodyReader.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyReader.java
@@ -1,17 +1,29 @@
 package org.magnoliabridge.edge;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
 import java.util.concurrent.TimeUnit;
 import org.magnoliabridge.calls.Cancellation;
 import org.magnoliabridge.calls.Failure;
+import org.magnoliabridge.memory.Content;
+import org.magnoliabridge.memory.NodeMemory;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
-/** Reads a request body on the I/O thread, then dispatches the request to a virtual thread. */
+/**
+ * Reads request bodies on the I/O thread within a node's memory, then dispatches each request to a virtual thread.
+ *
+ * <p>A body claims its room before it is read; nothing is read of one that waits. After a refusal the connection is
+ * closed.
+ */
 public final class BodyReader {
-    private BodyReader() {}
+    private final NodeMemory memory;
+
+    /** Creates a reader of bodies that claim their bytes of a node's memory. */
+    public BodyReader(NodeMemory memory) {
+        this.memory = memory;
+    }
 
     /** Serves a request whose body was read completely; runs on a virtual thread. */
     @FunctionalInterface
@@ -21,10 +33,10 @@
          *
          * @param cancellation cancelled when the caller closes its connection
          */
-        void serve(HttpServerExchange exchange, byte[] body, Cancellation cancellation);
+        void serve(HttpServerExchange exchange, Content body, Cancellation cancellation);
     }
 
-    /** Rejects a request whose body is too large or truncated; runs on the I/O thread. */
+    /** Rejects a request whose body is not read completely; runs on the I/O thread. */
     @FunctionalInterface
     public interface RejectionHandler {
         /** Answers the request with a failure; the request has not been executed. */
@@ -32,37 +44,40 @@
     }
 
     /**
-     * Reads the body of a request.
+     * Limits of one body.
      *
-     * @param maxBytes maximum body size; a larger body is rejected and its connection closed
+     * @param maxBytes maximum size; a larger body is refused
+     * @param stallMs how long it may make no progress, in milliseconds
      */
-    public static void read(
-            HttpServerExchange exchange, long maxBytes, RequestHandler service, RejectionHandler refusal) {
-        if (exchange.getRequestContentLength() > maxBytes) {
-            // The rest of the body is not read, so the connection can't be reused.
+    public record Limits(long maxBytes, long stallMs) {}
+
+    /** Reads the body of a request, and calls exactly one of the handlers unless the caller closes its connection. */
+    public void read(HttpServerExchange exchange, Limits limits, RequestHandler service, RejectionHandler refusal) {
+        if (exchange.getRequestContentLength() > limits.maxBytes()) {
+            exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-            refusal.refuse(exchange, new Failure.TooLarge(maxBytes));
-            return;
+            BodyConduit.install(exchange);
+            refusal.refuse(exchange, new Failure.TooLarge(limits.maxBytes()));
+        } else if (exchange.isRequestComplete()) {
+            serve(exchange, Content.EMPTY, service, () -> {});
+        } else {
+            BodyConduit.install(exchange);
+            BodyRead read = new BodyRead(exchange, limits, service, refusal);
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read.start(memory));
         }
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize((int) Math.min(maxBytes, Integer.MAX_VALUE));
-        receiver.receiveFullBytes(
-                (ex, body) -> {
-                    Cancellation cancellation = new Cancellation();
-                    ConnectionCloseDetector.start(ex, () -> cancellation.cancel(Cancellation.Reason.CALLER_GONE));
-                    ex.dispatch(
-                            task -> Thread.ofVirtual().name("caller").start(task),
-                            later -> service.serve(later, body, cancellation));
-                },
-                (ex, e) -> {
-                    ex.getResponseHeaders().put(Headers.CONNECTION, "close");
-                    boolean large = e instanceof Receiver.RequestToLargeException;
-                    refusal.refuse(
-                            ex,
-                            large
-                                    ? new Failure.TooLarge(maxBytes)
-                                    : new Failure.MalformedRequest("the body ended early"));
-                });
+    }
+
+    /** Dispatches a request whose body is complete; called on the I/O thread. */
+    static void serve(HttpServerExchange exchange, Content body, RequestHandler service, Runnable served) {
+        Cancellation cancellation = new Cancellation();
+        ConnectionCloseDetector.start(exchange, () -> cancellation.cancel(Cancellation.Reason.CALLER_GONE));
+        exchange.dispatch(task -> Thread.ofVirtual().name("caller").start(task), later -> {
+            try {
+                service.serve(later, body, cancellation);
+            } finally {
+                served.run();
+            }
+        });
     }
 
     /** Closes the connection if the exchange has not completed within {@code limitMs} milliseconds. */
--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -27,6 +27,7 @@
 import org.magnoliabridge.keys.CallerKey;
 import org.magnoliabridge.keys.CallerRequest;
 import org.magnoliabridge.keys.MalformedRequestException;
+import org.magnoliabridge.memory.Content;
 import org.xnio.IoUtils;
 
 /** Reads caller requests on the I/O thread, serves them on virtual threads and formats all failures alike. */
@@ -44,6 +45,7 @@
 
     private final EdgeDependencies dependencies;
     private final DrainGate gate;
+    private final BodyReader bodies;
     private final Timer timer;
     private final ChatRoute chat;
     private final PlainRoute plain;
@@ -53,6 +55,7 @@
     CallerHandler(EdgeDependencies dependencies, DrainGate gate, ActiveCalls activeCalls) {
         this.dependencies = dependencies;
         this.gate = gate;
+        bodies = new BodyReader(dependencies.memory());
         timer = dependencies.metrics().timer("edge.requests");
         chat = new ChatRoute(dependencies, activeCalls);
         plain = new PlainRoute(dependencies);
@@ -64,8 +67,7 @@
     private record RequestStart(RequestId id, Spans.Span span, long startMs) {}
 
     /** A request whose body was read completely. */
-    @SuppressWarnings("ArrayRecordComponent")
-    private record ReceivedRequest(RequestStart start, byte[] body, Optional<Long> limitMs) {}
+    private record ReceivedRequest(RequestStart start, Content body, Optional<Long> limitMs) {}
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
@@ -118,9 +120,9 @@
         }
         // Limits slow uploads and callers that stop reading, so that neither delays a drain indefinitely.
         BodyReader.closeAfter(exchange, limitMs.orElse(DEFAULT_TIME_LIMIT_MS) + WRITE_MARGIN_MS);
-        BodyReader.read(
+        bodies.read(
                 exchange,
-                maxBytes,
+                new BodyReader.Limits(maxBytes, DEFAULT_TIME_LIMIT_MS),
                 (ex, body, cancellation) ->
                         serveIfOpen(ex, open, new ReceivedRequest(start, body, limitMs), cancellation),
                 (ex, failure) -> refuse(ex, start, failure));
@@ -195,7 +197,8 @@
                         new CallerRequest.Header(values.getHeaderName().toString(), value))));
         CallerKey key;
         try {
-            key = CallerKey.extract(new CallerRequest(headers, exchange.getQueryString(), received.body()));
+            key = CallerKey.extract(new CallerRequest(
+                    headers, exchange.getQueryString(), received.body().toArray()));
         } catch (MalformedRequestException e) {
             Failure failure = e.part() == MalformedRequestException.Part.ENCODING
                     ? new Failure.UnsupportedMediaType("without a content encoding")
@@ -256,6 +259,9 @@
         end(start, answer.type());
         exchange.setStatusCode(answer.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Reply.JSON_TYPE);
+        if (answer.retryAfterMs() > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Reply.retryAfter(answer.retryAfterMs()));
+        }
         exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
     }
 }
--- a/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
@@ -38,10 +38,12 @@
                 // Routes of the bundle match the raw path.
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                // The body reader enforces the limit of the configuration in force.
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, -1L)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_LIMIT_MS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_LIMIT_MS)
-                .setHandler(new CallerHandler(dependencies, gate, activeCalls))
+                .setHandler(new UnreadBodies(new CallerHandler(dependencies, gate, activeCalls)))
                 .build();
         undertow.start();
     }
--- a/library/src/main/java/org/magnoliabridge/edge/EdgeDependencies.java
+++ b/library/src/main/java/org/magnoliabridge/edge/EdgeDependencies.java
@@ -8,11 +8,13 @@
 import org.magnoliabridge.calls.Spans;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.RequestId;
+import org.magnoliabridge.memory.NodeMemory;
 
 /**
  * The dependencies of the caller-facing server.
  *
  * @param config the current snapshot; read for each request
+ * @param memory grants the bytes that callers can make the node hold
  * @param ids generates a request id for each request without a usable one
  */
 public record EdgeDependencies(
@@ -23,6 +25,7 @@
         RolloutService rollouts,
         AddressSource addresses,
         UsageSink usage,
+        NodeMemory memory,
         Supplier<RequestId> ids,
         MonotonicClock clock,
         MetricRegistry metrics,
--- a/library/src/main/java/org/magnoliabridge/edge/Reply.java
+++ b/library/src/main/java/org/magnoliabridge/edge/Reply.java
@@ -23,6 +23,11 @@
         this.exchange = exchange;
     }
 
+    /** Returns the value of the header Retry-After, whole seconds. */
+    static String retryAfter(long delayMs) {
+        return Long.toString((delayMs + MS_PER_SECOND - 1) / MS_PER_SECOND);
+    }
+
     /** Returns the status that was sent, or 0. */
     int status() {
         return status;
@@ -51,11 +56,7 @@
             return;
         }
         Map<String, String> headers = failure.retryAfterMs() > 0
-                ? Map.of(
-                        "content-type",
-                        JSON_TYPE,
-                        RETRY_AFTER,
-                        Long.toString((failure.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND))
+                ? Map.of("content-type", JSON_TYPE, RETRY_AFTER, retryAfter(failure.retryAfterMs()))
                 : Map.of("content-type", JSON_TYPE);
         send(failure.status(), headers, failure.body());
     }
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -11,7 +11,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -159,8 +161,8 @@
         if (!headers.contains(Headers.HOST)) {
             headers.put(Headers.HOST, hostHeader(call.target()));
         }
-        if (call.body().length > 0 || !"GET".equals(call.method())) {
-            headers.put(Headers.CONTENT_LENGTH, call.body().length);
+        if (call.body().size() > 0 || !"GET".equals(call.method())) {
+            headers.put(Headers.CONTENT_LENGTH, call.body().size());
         }
         return request;
     }
@@ -168,8 +170,8 @@
     private void requestStarted(ClientExchange exchange) {
         exchange.setResponseListener(callback(this::answerStarted));
         StreamSinkChannel sink = exchange.getRequestChannel();
-        ByteBuffer body = ByteBuffer.wrap(call.body());
-        if (body.hasRemaining()) {
+        Queue<ByteBuffer> body = new ArrayDeque<>(call.body().buffers());
+        if (!body.isEmpty()) {
             sink.getWriteSetter().set(channel -> writeHead(channel, body));
             writeHead(sink, body);
         } else {
@@ -179,7 +181,7 @@
 
     // Written with the head, a body that does not fit the socket's buffer is miscounted by Undertow's client
     // (HttpRequestConduit.write returns 0 for the part that was written), which then closes the connection's output.
-    private void writeHead(StreamSinkChannel sink, ByteBuffer body) {
+    private void writeHead(StreamSinkChannel sink, Queue<ByteBuffer> body) {
         try {
             if (!sink.flush()) {
                 sink.resumeWrites();
@@ -193,10 +195,12 @@
         write(sink, body);
     }
 
-    private void write(StreamSinkChannel sink, ByteBuffer body) {
+    private void write(StreamSinkChannel sink, Queue<ByteBuffer> body) {
         try {
-            while (body.hasRemaining()) {
-                if (sink.write(body) == 0) {
+            while (!body.isEmpty()) {
+                if (!body.peek().hasRemaining()) {
+                    body.remove();
+                } else if (sink.write(body.peek()) == 0) {
                     sink.resumeWrites();
                     return;
                 }
--- a/library/src/main/java/org/magnoliabridge/http/HttpCall.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpCall.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.magnoliabridge.memory.Content;
 
 /**
  * An HTTP request with its limits.
@@ -14,7 +15,7 @@
  * @param target IP address and port
  * @param path path and query, starting with a slash
  * @param headers header names and values, without Content-Length; Host only if it is not that of the target
- * @param body the content, empty for none; not copied, callers must not change it
+ * @param body the content, empty for none
  * @param limits time limits
  * @param maxAnswerBytes size limit of a complete answer; of one line if the answer is streamed as lines
  * @param reuse whether the call may use a pooled connection, and may be sent again if that connection is lost
@@ -24,13 +25,12 @@
  * @param condition must hold when the request is written, see {@link #onlyWhile}; empty for none
  * @param answerCheck see {@link #withAnswerCheck}
  */
-@SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
         String method,
         InetSocketAddress target,
         String path,
         Map<String, String> headers,
-        byte[] body,
+        Content body,
         HttpLimits limits,
         int maxAnswerBytes,
         Reuse reuse,
@@ -40,7 +40,6 @@
         AnswerCheck answerCheck) {
     private static final long DEFAULT_TOTAL_MS = 5_000;
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
-    private static final byte[] NO_BODY = {};
 
     /** Checks an answer by its status and headers. */
     @FunctionalInterface
@@ -98,7 +97,7 @@
                 target,
                 path,
                 Map.of(),
-                NO_BODY,
+                Content.EMPTY,
                 HttpLimits.total(DEFAULT_TOTAL_MS),
                 DEFAULT_MAX_ANSWER_BYTES,
                 Reuse.ONCE,
@@ -125,8 +124,13 @@
         return copy(method, target, path, all, body, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
 
-    /** Returns a copy with another body. */
+    /** Returns a copy with another body; the array is not copied, callers must not change it. */
     public HttpCall withBody(byte[] content) {
+        return withBody(Content.of(content));
+    }
+
+    /** Returns a copy with another body. */
+    public HttpCall withBody(Content content) {
         return copy(
                 method, target, path, headers, content, limits, maxAnswerBytes, reuse, deadlineHeader, unframedAnswer);
     }
@@ -223,7 +227,7 @@
             InetSocketAddress target,
             String path,
             Map<String, String> headers,
-            byte[] body,
+            Content body,
             HttpLimits limits,
             int maxAnswerBytes,
             Reuse reuse,
--- a/library/src/main/java/org/magnoliabridge/ledger/LedgerKey.java
+++ b/library/src/main/java/org/magnoliabridge/ledger/LedgerKey.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.memory.Content;
 
 /**
  * Identifies a call that must run at most once; the same text used by another team or service is a different key.
@@ -33,10 +34,27 @@
         return hash(body);
     }
 
+    /** Returns the digest of a request body that follows a text, in the form that {@link LedgerInput.Call} takes. */
+    public static String digestOf(String start, Content body) {
+        MessageDigest digest = newDigest();
+        digest.update(start.getBytes(StandardCharsets.UTF_8));
+        body.buffers().forEach(digest::update);
+        return text(digest);
+    }
+
     static String hash(byte[] bytes) {
+        MessageDigest digest = newDigest();
+        digest.update(bytes);
+        return text(digest);
+    }
+
+    private static String text(MessageDigest digest) {
+        return HexFormat.of().formatHex(digest.digest(), 0, HASH_BYTES);
+    }
+
+    private static MessageDigest newDigest() {
         try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
-            return HexFormat.of().formatHex(digest, 0, HASH_BYTES);
+            return MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("SHA-256 is not available", e);
         }
--- a/library/src/test/java/org/magnoliabridge/edge/EdgeFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/EdgeFixture.java
@@ -38,6 +38,7 @@
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.keys.KeyTable;
 import org.magnoliabridge.keys.TeamKey;
+import org.magnoliabridge.memory.FakeMemory;
 
 /** A caller server in front of two fake engines and one fake plain service. */
 final class EdgeFixture implements AutoCloseable {
@@ -87,6 +88,7 @@
                                 List.of(new AddressSource.NodeAddress("127.0.0.1:1", new DataCentre("trent"), 1)),
                                 5_000),
                         delivery -> usageSink.delivered(delivery),
+                        new FakeMemory(),
                         () -> new RequestId("caller-" + ids.incrementAndGet()),
                         t.clock(),
                         calls.metrics,
--- a/library/src/test/java/org/magnoliabridge/http/AbandonedCallTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/AbandonedCallTest.java
@@ -108,7 +108,7 @@
         assertThrows(HttpFailure.Lost.class, () -> own.call(call.onlyWhile(() -> true)));
         silent.readRest();
         SilentServer.End end = end(silent);
-        assertThat("bytes received", end.bytes(), is(lessThan(call.body().length)));
+        assertThat("bytes received", end.bytes(), is(lessThan((int) call.body().size())));
         assertThat("reset", end.reset(), is(true));
         assertThat("connections", silent.connections(), is(1));
     }
