--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/memory/ClaimId.java
@@ -0,0 +1,4 @@
+package org.magnoliabridge.memory;
+
+/** Identifies a claim within one budget. */
+record ClaimId(long value) {}
--- a/library/src/main/java/org/magnoliabridge/memory/Content.java
+++ b/library/src/main/java/org/magnoliabridge/memory/Content.java
@@ -25,7 +25,9 @@
 
     /** Returns the content of an array, which is not copied and must not be changed. */
     public static Content of(byte[] bytes) {
-        return bytes.length == 0 ? EMPTY : new Content(List.of(ByteBuffer.wrap(bytes).asReadOnlyBuffer()));
+        return bytes.length == 0
+                ? EMPTY
+                : new Content(List.of(ByteBuffer.wrap(bytes).asReadOnlyBuffer()));
     }
 
     /** Returns the content of the remaining bytes of heap buffers, which are not copied and must not be changed. */
