Give each node one memory for what callers make it hold

GatewayNode and the product's own DataPlane create a SharedMemory of half the heap; the servers' own limit of 2 MiB, which refused larger bodies with a false 400, is off, since the body reader enforces the one of the configuration.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/DataPlane.java
@@ -43,6 +43,7 @@
 import org.magnoliabridge.ledger.LedgerCore;
 import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.MembershipInput;
+import org.magnoliabridge.memory.SharedMemory;
 import org.magnoliabridge.rollout.DeliveryCore;
 import org.magnoliabridge.rollout.RunnerCore;
 import org.magnoliabridge.rollout.RunnerInput;
@@ -125,6 +126,7 @@
                 delivery,
                 this::addresses,
                 usage,
+                closer.register(SharedMemory.ofHeap(context.clock(), context.metrics())),
                 this::nextRequestId,
                 context.clock(),
                 context.metrics(),
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayContext.java
@@ -12,12 +12,14 @@
 import org.magnoliabridge.external.StoreRouteSelector;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ids.ProcessName;
+import org.magnoliabridge.memory.NodeMemory;
 
 /**
  * Dependencies that all parts of a gateway node share.
  *
  * @param wallClock milliseconds since the epoch, for times that are stored or sent to other processes
  * @param random used on the control thread only
+ * @param memory grants the bytes that callers and endpoints can make the node hold
  * @param objects the platform's object store; calls go through another node while it does not serve this one
  * @param path whether this node reaches the store directly
  * @param budget the object store, within this node's limits on open calls and their time
@@ -31,6 +33,7 @@
         LongSupplier wallClock,
         RandomGenerator random,
         MetricRegistry metrics,
+        NodeMemory memory,
         Spans spans,
         ControlLoop loop,
         RelayedStore objects,
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -61,6 +61,7 @@
 import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.RouteId;
 import org.magnoliabridge.ids.ServiceId;
+import org.magnoliabridge.memory.SharedMemory;
 import org.magnoliabridge.routing.AdmissionCore;
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
@@ -188,9 +189,10 @@
             throws InterruptedException {
         MetricRegistry metrics = new MetricRegistry();
         ControlLoop loop = closer.register(new ControlLoop("control"));
+        MonotonicClock clock = MonotonicClock.system();
+        SharedMemory memory = closer.register(SharedMemory.ofHeap(clock, metrics));
         HttpCaller http = closer.register(new UndertowHttpCaller(1));
         GatewayPlatform platform = platforms.apply(http);
-        MonotonicClock clock = MonotonicClock.system();
         StoreRouteSelector path = new StoreRouteSelector();
         RelayedStore objects = new RelayedStore(platform.objects(), path, clock);
         BudgetedStore budget = new BudgetedStore(objects, STORE_CALLS, STORE_DEADLINE_MS, metrics);
@@ -207,6 +209,7 @@
                 System::currentTimeMillis,
                 random,
                 metrics,
+                memory,
                 new TracerSpans(Tracing.disabled().tracer()),
                 loop,
                 objects,
@@ -281,7 +284,8 @@
                 context.settings().bounds().addressTtlMs(),
                 this::nextRequestId,
                 context.clock(),
-                context.metrics());
+                context.metrics(),
+                context.memory());
         GatewayServers servers = closer.register(new GatewayServers(
                 context.settings().listen(),
                 context.platform().callers(services),
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
@@ -4,6 +4,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import java.net.InetSocketAddress;
+import org.magnoliabridge.edge.UnreadBodies;
 import org.magnoliabridge.gateway.CallerLimits;
 import org.xnio.OptionMap;
 
@@ -40,6 +41,8 @@
         OptionMap options = OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                // The body reader enforces the limit of the configuration in force.
+                .set(UndertowOptions.MAX_ENTITY_SIZE, -1L)
                 .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(limits.headerMs()))
@@ -54,7 +57,7 @@
     }
 
     private static void add(Undertow.Builder builder, InetSocketAddress address, HttpHandler handler) {
-        builder.addHttpListener(address.getPort(), address.getAddress().getHostAddress(), handler);
+        builder.addHttpListener(address.getPort(), address.getAddress().getHostAddress(), new UnreadBodies(handler));
     }
 
     private static int millis(long ms) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServices.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServices.java
@@ -14,6 +14,7 @@
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.memory.NodeMemory;
 
 /**
  * Services of a node for the request handlers of a platform adapter.
@@ -29,6 +30,7 @@
  * @param addresses the nodes that callers in a data centre should use
  * @param addressTtlMs how long callers may cache these addresses, in milliseconds
  * @param ids creates ids for requests that have none
+ * @param memory grants the bytes that callers can make the node hold
  */
 public record GatewayServices(
         CurrentPolicy policy,
@@ -43,7 +45,8 @@
         long addressTtlMs,
         Supplier<RequestId> ids,
         MonotonicClock clock,
-        MetricRegistry metrics) {
+        MetricRegistry metrics,
+        NodeMemory memory) {
     /** Counts requests for usage reports; called from any thread. */
     @FunctionalInterface
     public interface UsageCounter {
--- a/daemon/src/test/java/org/magnoliabridge/daemon/WeightRolloutTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/WeightRolloutTest.java
@@ -50,8 +50,8 @@
 
     // Only the clock is used while no version has been published.
     private static WeightRollout rollout() {
-        GatewayContext context =
-                new GatewayContext(null, null, () -> 0, null, null, null, null, null, null, null, null, null, null);
+        GatewayContext context = new GatewayContext(
+                null, null, () -> 0, null, null, null, null, null, null, null, null, null, null, null);
         return new WeightRollout(
                 context,
                 new WeightsCore(WeightsSettings.withoutPermits(), 0),
