--- a/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
@@ -53,7 +53,7 @@
 
     @Override
     public PlainAnswer answer(HttpAnswer answer) {
-        return new PlainAnswer(answer.status(), PlainHeaders.filterAnswer(answer.headers()), answer.body());
+        return new PlainAnswer(answer.status(), PlainHeaders.filterAnswer(answer.headers()), answer.content());
     }
 
     // The HTTP client detects truncated chunked bodies; this check detects bodies shorter than their Content-Length.
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -9,17 +9,19 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.magnoliabridge.memory.Content;
+import org.magnoliabridge.memory.NodeMemory;
+import org.magnoliabridge.memory.SharedMemory;
 import org.xnio.IoUtils;
 
 /** Makes HTTP calls with Undertow's client and keeps idle connections for reuse. */
 public final class UndertowHttpCaller implements HttpCaller {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final byte[] NO_BODY = {};
-    // Leaves room for the copy of one answer of that size, and for everything else.
     private static final int HEAP_SHARE = 3;
 
     private final ConnectionPool pool;
     private final AnswerMemory memory;
+    private final Optional<SharedMemory> ownMemory;
 
     /**
      * Starts the I/O threads; answers that are being received may occupy a third of the heap.
@@ -27,7 +29,7 @@
      * @param ioThreads number of I/O threads; one is enough for several thousand calls per second
      */
     public UndertowHttpCaller(int ioThreads) {
-        this(ioThreads, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
+        this(ioThreads, heapShare());
     }
 
     /**
@@ -37,13 +39,29 @@
      *     beyond it the largest fails as {@link HttpFailure.TooLarge}
      */
     public UndertowHttpCaller(int ioThreads, long maxAnswerMemoryBytes) {
-        memory = new AnswerMemory(maxAnswerMemoryBytes);
+        SharedMemory own = AnswerMemory.privateMemory(maxAnswerMemoryBytes);
+        memory = new AnswerMemory(maxAnswerMemoryBytes, own);
+        ownMemory = Optional.of(own);
         pool = new ConnectionPool(ioThreads);
     }
 
+    /**
+     * Starts the I/O threads; answers that are being received are claims on the node's memory, and may occupy a third
+     * of the heap together.
+     */
+    public UndertowHttpCaller(int ioThreads, NodeMemory nodeMemory) {
+        memory = new AnswerMemory(heapShare(), nodeMemory);
+        ownMemory = Optional.empty();
+        pool = new ConnectionPool(ioThreads);
+    }
+
+    private static long heapShare() {
+        return Runtime.getRuntime().maxMemory() / HEAP_SHARE;
+    }
+
     @Override
     public HttpAnswer call(HttpCall call) throws HttpFailure {
-        try (AnswerMemory.Body body = memory.newBody(call.maxAnswerBytes())) {
+        try (AnswerMemory.Body body = newBody(call)) {
             return run(call, body, body, true);
         }
     }
@@ -70,14 +88,19 @@
     }
 
     private HttpAnswer runStreamed(HttpCall call, ContentReceiver content) throws HttpFailure {
-        try (AnswerMemory.Body body = memory.newBody(call.maxAnswerBytes())) {
+        try (AnswerMemory.Body body = newBody(call)) {
             return run(call, content, body, false);
         }
     }
 
+    private AnswerMemory.Body newBody(HttpCall call) {
+        return memory.newBody(call.maxAnswerBytes(), call.target().getAddress().getHostAddress());
+    }
+
     @Override
     public void close() {
         pool.close();
+        ownMemory.ifPresent(SharedMemory::close);
     }
 
     /** Makes a call, which is sent a second time if it may be repeated and its reused connection fails first. */
@@ -143,11 +166,11 @@
                     exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
             boolean toReceiver = head.status() == 200 || takesEveryStatus;
             ContentReceiver receiver = toReceiver ? content : collected;
-            HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), NO_BODY);
+            HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), Content.EMPTY);
             keepAlive = call.answerCheck().check(begun) && head.keepAlive();
             complete = receiver.head(begun) && receive(exchange, receiver, call, deadline) && exchange.isSent();
             idleLimitMs = head.idleLimitMs();
-            return new HttpAnswer(begun.status(), begun.headers(), collected.toArray());
+            return new HttpAnswer(begun.status(), begun.headers(), collected.toContent());
         } finally {
             if (!complete) {
                 exchange.abandon();
--- a/library/src/main/java/org/magnoliabridge/memory/BudgetInput.java
+++ b/library/src/main/java/org/magnoliabridge/memory/BudgetInput.java
@@ -23,6 +23,9 @@
     /** Bytes of the claim's request or answer have moved. */
     record Progress(ClaimId claim) implements BudgetInput {}
 
+    /** All bytes of a claim belong to another one, which holds none yet, and the first one ends. */
+    record Move(ClaimId from, ClaimId to) implements BudgetInput {}
+
     /** A claim returns all its bytes and ends. */
     record Release(ClaimId claim) implements BudgetInput {}
 
--- a/library/src/main/java/org/magnoliabridge/memory/ByteBudget.java
+++ b/library/src/main/java/org/magnoliabridge/memory/ByteBudget.java
@@ -62,6 +62,7 @@
                 Optional.ofNullable(waiting.get(withdraw.claim()))
                         .ifPresent(c -> refuse(c, BudgetEffect.Reason.NO_ROOM, effects));
             case BudgetInput.Progress progress -> find(progress.claim()).ifPresent(c -> c.progressMs = nowMs);
+            case BudgetInput.Move move -> move(nowMs, move, effects);
             case BudgetInput.Release release -> release(nowMs, release.claim(), effects);
             case BudgetInput.Tick tick -> tick(nowMs, effects);
         }
@@ -175,6 +176,26 @@
         grantWaiting(nowMs, effects);
     }
 
+    private void move(long nowMs, BudgetInput.Move move, List<BudgetEffect> effects) {
+        Claim from = claims.get(move.from());
+        Claim to = claims.get(move.to());
+        if (from == null || to == null) {
+            return;
+        }
+        if (to.bytes > 0 || to.askedBytes > 0) {
+            throw new IllegalStateException("bytes are moved to a new claim only");
+        }
+        long bytes = from.bytes;
+        waiting.remove(move.from());
+        claims.remove(move.from());
+        add(from, -bytes);
+        add(to, bytes);
+        to.progressMs = nowMs;
+        if (from.isEvicted()) {
+            evict(nowMs, to, effects);
+        }
+    }
+
     private void add(Claim claim, long bytes) {
         claim.bytes += bytes;
         grantedBytes += bytes;
--- a/library/src/main/java/org/magnoliabridge/memory/SharedMemory.java
+++ b/library/src/main/java/org/magnoliabridge/memory/SharedMemory.java
@@ -18,10 +18,15 @@
 
 /** The memory of one process: passes requests for bytes to a {@link ByteBudget}, and its decisions to the owners. */
 public final class SharedMemory implements NodeMemory, AutoCloseable {
+    /** The least limit, in bytes. */
+    public static final long MIN_LIMIT_BYTES = ByteBudget.MIN_LIMIT_BYTES;
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long WAIT_MS = 1_000;
     private static final long TICK_MS = 50;
     private static final int HEAP_SHARE = 2;
+    // An answer is passed on by the thread that received it.
+    private static final long OFFER_MS = 200;
 
     private final MonotonicClock clock;
     private final MetricRegistry metrics;
@@ -30,6 +35,8 @@
     // Guarded by the lock.
     private final ByteBudget budget;
     private final Map<ClaimId, Claim> claims = new HashMap<>();
+    // Content is equal to itself only.
+    private final Map<Content, MemoryClaim> offered = new HashMap<>();
     private long lastId;
     private boolean ticking;
     private boolean closed;
@@ -37,7 +44,7 @@
     /**
      * Creates a memory without claims.
      *
-     * @param limitBytes limit on the bytes of all claims together, at least 512 KiB
+     * @param limitBytes limit on the bytes of all claims together, at least {@link #MIN_LIMIT_BYTES}
      */
     public SharedMemory(long limitBytes, MonotonicClock clock, MetricRegistry metrics) {
         this.clock = clock;
@@ -103,14 +110,52 @@
         }
     }
 
+    @Override
+    public void offer(Content content, MemoryClaim claim) {
+        claim.progress();
+        synchronized (lock) {
+            if (!closed) {
+                offered.put(content, claim);
+                timer.postDelayed(OFFER_MS, () -> offerEnded(content));
+                return;
+            }
+        }
+        claim.close();
+    }
+
+    private void offerEnded(Content content) {
+        unoffered(content).ifPresent(MemoryClaim::close);
+    }
+
+    private Optional<MemoryClaim> unoffered(Content content) {
+        synchronized (lock) {
+            return Optional.ofNullable(offered.remove(content));
+        }
+    }
+
+    @Override
+    public boolean takeOver(Content content, MemoryClaim claim) {
+        Optional<MemoryClaim> from = unoffered(content);
+        if (from.isPresent() && from.get() instanceof Claim own && claim instanceof Claim to) {
+            apply(new BudgetInput.Move(own.id, to.id));
+            return true;
+        }
+        from.ifPresent(MemoryClaim::close);
+        return false;
+    }
+
     /** Stops waiting: what waits for room is refused, and what has no room is refused at once. */
     @Override
     public void close() {
         List<Claim> open;
+        List<MemoryClaim> unclaimed;
         synchronized (lock) {
             closed = true;
             open = List.copyOf(claims.values());
+            unclaimed = List.copyOf(offered.values());
+            offered.clear();
         }
+        unclaimed.forEach(MemoryClaim::close);
         open.forEach(c -> apply(new BudgetInput.Withdraw(c.id)));
         timer.close();
     }
@@ -122,14 +167,20 @@
                 Claim claim = claims.get(effect.claim());
                 calls.add(claim.call(effect));
             }
-            if (input instanceof BudgetInput.Release release) {
-                Optional.ofNullable(claims.remove(release.claim())).ifPresent(c -> calls.add(c.ended()));
-            }
+            ended(input).map(claims::remove).ifPresent(c -> calls.add(c.ended()));
             tickWhileWaiting();
         }
         calls.forEach(SharedMemory::run);
     }
 
+    private static Optional<ClaimId> ended(BudgetInput input) {
+        return switch (input) {
+            case BudgetInput.Release release -> Optional.of(release.claim());
+            case BudgetInput.Move move -> Optional.of(move.from());
+            default -> Optional.empty();
+        };
+    }
+
     // A decision is told to all owners, whatever happens at one of them.
     private static void run(Runnable call) {
         try {
