Don't blame an endpoint for an answer this node has no room for; measure claims

Received answers that have to give way, or find no room, fail as HttpFailure.NoRoom: the caller gets 502, and the endpoint is not observed as faulty.

--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -43,7 +43,7 @@
         /** The request may have run. */
         record Lost(Failure failure) implements Attempt {}
 
-        /** The deadline has passed. */
+        /** The deadline has passed, or this node has no room for an answer. */
         record NotRetryable(Failure failure) implements Attempt {}
     }
 
@@ -125,6 +125,10 @@
                 return answered(slot, answer);
             } catch (HttpFailure.NotSent e) {
                 return new Attempt.NotRun(attempts.unreachable(slot, e));
+            } catch (HttpFailure.NoRoom e) {
+                attempts.answered();
+                attempts.logFailed(slot, e.getMessage());
+                return new Attempt.NotRetryable(new Failure.IncompleteAnswer("this node has no room for the answer"));
             } catch (HttpFailure.TooLarge e) {
                 attempts.answered();
                 return tooLarge(slot, e);
--- a/library/src/main/java/org/magnoliabridge/http/AnswerMemory.java
+++ b/library/src/main/java/org/magnoliabridge/http/AnswerMemory.java
@@ -125,6 +125,7 @@
         private int size;
         private int lastBlockBytes;
         private boolean dropped;
+        private boolean noRoom;
         private Optional<Content> complete = Optional.empty();
 
         private Body(int maxBodyBytes, String origin) {
@@ -135,7 +136,8 @@
         /**
          * Appends a piece; waits for room if there is none.
          *
-         * @throws HttpFailure.TooLarge if the body is larger than its limit, or was dropped
+         * @throws HttpFailure.TooLarge if the body is larger than its limit, or was dropped; {@link HttpFailure.NoRoom}
+         *     if others needed the room
          * @throws HttpFailure.Lost if the thread is interrupted while it waits
          */
         @Override
@@ -179,7 +181,7 @@
         private void take(int blockBytes) throws HttpFailure {
             try {
                 if (!claim.tryTake(blockBytes) && !claim.take(blockBytes, WAIT_MS)) {
-                    drop(this);
+                    dropForOthers();
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -216,7 +218,17 @@
             return toContent().toArray();
         }
 
+        private void dropForOthers() {
+            synchronized (AnswerMemory.this) {
+                noRoom |= !dropped;
+                drop(this);
+            }
+        }
+
         private void requireKept() throws HttpFailure.TooLarge {
+            if (noRoom) {
+                throw new HttpFailure.NoRoom(size);
+            }
             if (dropped) {
                 throw new HttpFailure.TooLarge(size);
             }
@@ -226,14 +238,13 @@
         @Override
         public void granted() {}
 
+        /** Does nothing: the thread that receives the answer waits for room itself. */
         @Override
-        public void refused() {
-            drop(this);
-        }
+        public void refused() {}
 
         @Override
         public void evicted() {
-            drop(this);
+            dropForOthers();
             claim.close();
         }
 
--- a/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
@@ -31,9 +31,20 @@
     }
 
     /** The answer exceeds the size limit of the call, or the memory for all answers; the call was executed. */
-    public static final class TooLarge extends HttpFailure {
+    public static sealed class TooLarge extends HttpFailure {
         public TooLarge(int bytes) {
             super("the answer is larger than " + bytes + " bytes", null);
         }
+
+        private TooLarge(String message) {
+            super(message, null);
+        }
+    }
+
+    /** This process has no room for the answer, which is no fault of the server; the call was executed. */
+    public static final class NoRoom extends TooLarge {
+        public NoRoom(int bytes) {
+            super("no room for more than " + bytes + " bytes of the answer");
+        }
     }
 }
--- a/library/src/test/java/org/magnoliabridge/memory/ByteBudgetPropertyTest.java
+++ b/library/src/test/java/org/magnoliabridge/memory/ByteBudgetPropertyTest.java
@@ -73,7 +73,11 @@
             open.get(claim).movedMs = nowMs;
             on(new BudgetInput.Progress(claim));
         } else if (kind < 7) {
-            release(claim);
+            if (random.nextInt(3) == 0) {
+                move(claim, random);
+            } else {
+                release(claim);
+            }
         } else {
             nowMs += TICK_MS;
             on(new BudgetInput.Tick());
@@ -103,6 +107,18 @@
         assertThat("does not wait", waitMs > 0 || state.asked == 0, is(true));
     }
 
+    private void move(ClaimId from, Random random) {
+        open(random);
+        ClaimId to = new ClaimId(lastId);
+        Open state = open.remove(from);
+        evicted.remove(from);
+        open.get(to).bytes = state.bytes;
+        for (BudgetEffect effect : budget.on(nowMs, new BudgetInput.Move(from, to))) {
+            assertThat(effect, is(new BudgetEffect.Evicted(to)));
+            evicted.add(to);
+        }
+    }
+
     private void release(ClaimId claim) {
         open.remove(claim);
         evicted.remove(claim);
--- a/library/src/test/java/org/magnoliabridge/memory/ByteBudgetTest.java
+++ b/library/src/test/java/org/magnoliabridge/memory/ByteBudgetTest.java
@@ -263,6 +263,41 @@
         assertThat(taken(), is(List.of(new BudgetEffect.Refused(first, BudgetEffect.Reason.EVICTED))));
     }
 
+    /** Guards against bytes that are counted twice, or for the wrong origin, when an answer is passed on. */
+    @Test
+    void movedBytesBelongToTheOtherClaim() {
+        ClaimId received = granted(CALLER, 40 * MIB);
+        ClaimId sent = new ClaimId(++lastId);
+        on(new BudgetInput.Open(sent, Holding.CALLER_ANSWER, OTHER, true));
+        on(new BudgetInput.Move(received, sent));
+        assertThat(taken(), is(empty()));
+        assertThat(budget.grantedBytes(received), is(0L));
+        assertThat(budget.grantedBytes(sent), is(40L * MIB));
+        assertThat(budget.grantedBytes(Holding.REQUEST_BODY), is(0L));
+        assertThat(budget.grantedBytes(Holding.CALLER_ANSWER), is(40L * MIB));
+        ClaimId ofOther = ask(OTHER, 20 * MIB);
+        ClaimId ofCaller = ask(CALLER, 20 * MIB);
+        on(new BudgetInput.Release(received));
+        assertThat(taken(), is(empty()));
+        pass(500, sent);
+        on(new BudgetInput.Release(sent));
+        assertThat(taken(), is(List.of(new BudgetEffect.Granted(ofOther), new BudgetEffect.Granted(ofCaller))));
+        assertThrows(IllegalStateException.class, () -> on(new BudgetInput.Move(ofCaller, ofOther)));
+    }
+
+    /** Guards against a claim that escapes its eviction by being passed on. */
+    @Test
+    void anEvictionFollowsTheBytes() {
+        ClaimId received = granted(CALLER, LARGE_ROOM);
+        pass(1_000);
+        ask(OTHER, MIB);
+        pass(TICK_MS);
+        ClaimId sent = open(CALLER);
+        taken();
+        on(new BudgetInput.Move(received, sent));
+        assertThat(taken(), is(List.of(new BudgetEffect.Evicted(sent))));
+    }
+
     /** Guards against effects of inputs that come after the end of a claim. */
     @Test
     void anEndedClaimHasNoEffect() {
@@ -272,6 +307,7 @@
         on(new BudgetInput.Ask(claim, MIB, WAIT_MS));
         on(new BudgetInput.Progress(claim));
         on(new BudgetInput.Withdraw(claim));
+        on(new BudgetInput.Move(claim, open(CALLER)));
         assertThat(taken(), is(empty()));
         assertThat(budget.grantedBytes(), is(0L));
     }
