--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -191,7 +191,7 @@
         ControlLoop loop = closer.register(new ControlLoop("control"));
         MonotonicClock clock = MonotonicClock.system();
         SharedMemory memory = closer.register(SharedMemory.ofHeap(clock, metrics));
-        HttpCaller http = closer.register(new UndertowHttpCaller(1));
+        HttpCaller http = closer.register(new UndertowHttpCaller(1, memory));
         GatewayPlatform platform = platforms.apply(http);
         StoreRouteSelector path = new StoreRouteSelector();
         RelayedStore objects = new RelayedStore(platform.objects(), path, clock);
--- a/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.zip.CRC32;
 import org.magnoliabridge.calls.Cancellation;
 import org.magnoliabridge.calls.ExecutionStatus;
@@ -31,6 +32,7 @@
     final List<Failure> refused = new CopyOnWriteArrayList<>();
     final List<Content> served = new CopyOnWriteArrayList<>();
     final CountDownLatch mayAnswer = new CountDownLatch(1);
+    final AtomicInteger open = new AtomicInteger();
     volatile BodyReader.Limits limits = new BodyReader.Limits(MAX_BYTES, STALL_MS);
     private final BodyReader bodies;
     private final Undertow server;
@@ -48,6 +50,11 @@
     }
 
     private void handle(HttpServerExchange exchange) {
+        open.incrementAndGet();
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            open.decrementAndGet();
+            next.proceed();
+        });
         if (exchange.getRequestPath().equals("/none")) {
             exchange.setStatusCode(404).getResponseSender().send("none");
             return;
--- a/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
@@ -32,9 +32,15 @@
     private final FakeMemory memory = new FakeMemory();
     private final BodyFixture f = new BodyFixture(memory);
 
+    // An exchange that does not end is counted as an open request for ever.
     @AfterEach
-    void stop() {
-        f.close();
+    void stop() throws InterruptedException {
+        try {
+            f.mayAnswer.countDown();
+            BodyFixture.await("all exchanges have ended", () -> f.open.get() == 0);
+        } finally {
+            f.close();
+        }
     }
 
     private FakeClaim claim() throws InterruptedException {
