--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchService.java
@@ -22,8 +22,12 @@
         CONFLICT
     }
 
-    /** Accepts a batch; gives up at a deadline on the node's monotonic clock, or when the thread is interrupted. */
-    Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs);
+    /**
+     * Accepts a batch; gives up at a deadline on the node's monotonic clock, or when the thread is interrupted.
+     *
+     * @param done called on any thread once the items are no longer needed for the submission, whatever its outcome
+     */
+    Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs, Runnable done);
 
     /** Returns the results after a position; if there are none yet, waits up to {@code waitMs} for one. */
     ReadAnswer read(BatchId batch, TeamId team, int after, long waitMs) throws InterruptedException;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -63,8 +63,25 @@
     }
 
     @Override
-    public Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs) {
-        Acceptance acceptance = new Acceptance(head, items);
+    public Submission submit(BatchHead head, List<BatchItem> items, long deadlineMs, Runnable done) {
+        boolean offered = false;
+        try {
+            Acceptance acceptance = new Acceptance(head, items);
+            Submission submission = submit(head, acceptance, deadlineMs);
+            if (submission == Submission.ACCEPTED
+                    && !acceptance.accepted().orElseThrow().ended()) {
+                offered = true;
+                Thread.ofVirtual().name("batch-offer").start(() -> offer(acceptance, items, done));
+            }
+            return submission;
+        } finally {
+            if (!offered) {
+                done.run();
+            }
+        }
+    }
+
+    private Submission submit(BatchHead head, Acceptance acceptance, long deadlineMs) {
         try {
             while (acceptance.accepted().isEmpty() && context.clock().nowMs() < deadlineMs) {
                 if (!stored.advance(acceptance)) {
@@ -81,14 +98,8 @@
         if (acceptance.accepted().isEmpty()) {
             return acceptance.undecided() ? Submission.UNKNOWN : Submission.NOT_ACCEPTED;
         }
-        BatchHead accepted = acceptance.accepted().get();
-        if (!accepted.team().equals(head.team())) {
-            return Submission.CONFLICT;
-        }
-        if (!accepted.ended()) {
-            Thread.ofVirtual().name("batch-offer").start(() -> offer(accepted, items, acceptance.createdHead()));
-        }
-        return Submission.ACCEPTED;
+        boolean own = acceptance.accepted().get().team().equals(head.team());
+        return own ? Submission.ACCEPTED : Submission.CONFLICT;
     }
 
     @Override
@@ -110,12 +121,16 @@
     }
 
     // If all offers are lost, the runner finds the batch at its next check of the store.
+    private void offer(Acceptance acceptance, List<BatchItem> items, Runnable done) {
+        try {
+            offer(acceptance.accepted().orElseThrow(), items, acceptance.createdHead());
+        } finally {
+            done.run();
+        }
+    }
+
     private void offer(BatchHead head, List<BatchItem> items, boolean newlyAccepted) {
-        byte[] withItems = BatchMessages.pack(new Offer(head, newlyAccepted, Optional.of(items)));
-        // The runner reads the items of a larger batch from the store.
-        byte[] body = withItems.length <= PeerCalls.MAX_BODY_BYTES
-                ? withItems
-                : BatchMessages.pack(new Offer(head, newlyAccepted, Optional.empty()));
+        byte[] body = offerBody(head, items, newlyAccepted);
         Callable<Boolean> own = () -> {
             scheduler.handle(new BatchInput.Open(head, items, newlyAccepted));
             return scheduler.isActive();
@@ -125,6 +140,17 @@
         }
     }
 
+    // The runner reads the items of a larger batch from the store.
+    private static byte[] offerBody(BatchHead head, List<BatchItem> items, boolean newlyAccepted) {
+        if (BatchMessages.minBytes(items) <= PeerCalls.MAX_BODY_BYTES) {
+            byte[] withItems = BatchMessages.pack(new Offer(head, newlyAccepted, Optional.of(items)));
+            if (withItems.length <= PeerCalls.MAX_BODY_BYTES) {
+                return withItems;
+            }
+        }
+        return BatchMessages.pack(new Offer(head, newlyAccepted, Optional.empty()));
+    }
+
     private ReadAnswer askRunner(ReadRequest request) throws InterruptedException {
         Optional<NodeId> node = runner.runner();
         if (node.isEmpty()) {
--- a/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Acceptance.java
@@ -21,9 +21,11 @@
     private static final long RETRY_MS = 50;
 
     private final BatchHead head;
-    private final List<byte[]> parts;
+    private final List<List<BatchItem>> parts;
     private final Set<BatchMechanism> mechanisms;
     private int writtenParts;
+    // Only the part that is being written is held in its stored form.
+    private Optional<byte[]> encodedPart = Optional.empty();
     private boolean readHeadNext;
     private boolean headMayExist;
     private boolean createdHead;
@@ -61,8 +63,10 @@
             return Optional.empty();
         }
         if (writtenParts < parts.size()) {
-            return Optional.of(new StoreRequest.Write(
-                    BatchKeys.items(head.id(), writtenParts), ObjectStore.ABSENT, parts.get(writtenParts)));
+            byte[] part = encodedPart.orElseGet(() -> BatchCodec.items(parts.get(writtenParts)));
+            encodedPart = Optional.of(part);
+            return Optional.of(
+                    new StoreRequest.Write(BatchKeys.items(head.id(), writtenParts), ObjectStore.ABSENT, part));
         }
         return Optional.of(
                 readHeadNext
@@ -82,12 +86,17 @@
     // Every node writes the same bytes for a part, so a part that already exists counts as written.
     private void handlePartReply(long nowMs, StoreReply reply) {
         switch (reply) {
-            case StoreReply.Written done -> writtenParts++;
-            case StoreReply.Conflict exists -> writtenParts++;
+            case StoreReply.Written done -> partIsWritten();
+            case StoreReply.Conflict exists -> partIsWritten();
             default -> notBeforeMs = nowMs + RETRY_MS;
         }
     }
 
+    private void partIsWritten() {
+        writtenParts++;
+        encodedPart = Optional.empty();
+    }
+
     private void handleHeadReply(long nowMs, StoreReply reply) throws MalformedBatchException {
         switch (reply) {
             case StoreReply.Written done -> {
@@ -112,21 +121,20 @@
         }
     }
 
-    private static List<byte[]> splitIntoParts(List<BatchItem> items) {
-        List<byte[]> parts = new ArrayList<>();
-        List<BatchItem> part = new ArrayList<>();
+    private static List<List<BatchItem>> splitIntoParts(List<BatchItem> items) {
+        List<List<BatchItem>> parts = new ArrayList<>();
+        int first = 0;
         long bytes = 0;
-        for (BatchItem item : items) {
-            long size = JsonSize.of(item);
-            if (!part.isEmpty() && bytes + size > JsonSize.MAX_BYTES) {
-                parts.add(BatchCodec.items(part));
-                part.clear();
+        for (int i = 0; i < items.size(); i++) {
+            long size = JsonSize.of(items.get(i));
+            if (i > first && bytes + size > JsonSize.MAX_BYTES) {
+                parts.add(items.subList(first, i));
+                first = i;
                 bytes = 0;
             }
-            part.add(item);
             bytes += size;
         }
-        parts.add(BatchCodec.items(part));
+        parts.add(items.subList(first, items.size()));
         return parts;
     }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchMessages.java
@@ -79,6 +79,21 @@
         });
     }
 
+    /** Returns a lower bound of the size of an offer with these items, in bytes, without packing it. */
+    public static long minBytes(List<BatchItem> items) {
+        return items.stream().mapToLong(BatchMessages::minBytes).sum();
+    }
+
+    // Bodies are in base64, four characters for three bytes.
+    private static long minBytes(BatchItem item) {
+        long headers = item.headers().entrySet().stream()
+                .mapToLong(h -> h.getKey().length() + h.getValue().length())
+                .sum();
+        long bodies = (long) item.body().length
+                + item.scorer().map(s -> s.body().length).orElse(0);
+        return headers + item.path().length() + 4 * bodies / 3;
+    }
+
     /** Unpacks an offer. */
     public static Offer offer(byte[] body) throws MalformedBatchException {
         return unpacked(body, reader -> {
--- a/library/src/main/java/org/magnoliabridge/edge/BodyRead.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyRead.java
@@ -216,7 +216,7 @@
                 .toList();
         dropBlocks();
         keepRunning();
-        BodyReader.serve(exchange, Content.of(all), service, this::release);
+        BodyReader.serve(exchange, new ReceivedBody(Content.of(all), claim::close), service, this::release);
     }
 
     private void refuse(Failure failure) {
--- a/library/src/main/java/org/magnoliabridge/edge/BodyReader.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyReader.java
@@ -33,7 +33,7 @@
          *
          * @param cancellation cancelled when the caller closes its connection
          */
-        void serve(HttpServerExchange exchange, Content body, Cancellation cancellation);
+        void serve(HttpServerExchange exchange, ReceivedBody body, Cancellation cancellation);
     }
 
     /** Rejects a request whose body is not read completely; runs on the I/O thread. */
@@ -59,7 +59,7 @@
             BodyConduit.install(exchange);
             refusal.refuse(exchange, new Failure.TooLarge(limits.maxBytes()));
         } else if (exchange.isRequestComplete()) {
-            serve(exchange, Content.EMPTY, service, () -> {});
+            serve(exchange, new ReceivedBody(Content.EMPTY, () -> {}), service, () -> {});
         } else {
             BodyConduit.install(exchange);
             BodyRead read = new BodyRead(exchange, limits, service, refusal);
@@ -68,7 +68,7 @@
     }
 
     /** Dispatches a request whose body is complete; called on the I/O thread. */
-    static void serve(HttpServerExchange exchange, Content body, RequestHandler service, Runnable served) {
+    static void serve(HttpServerExchange exchange, ReceivedBody body, RequestHandler service, Runnable served) {
         Cancellation cancellation = new Cancellation();
         ConnectionCloseDetector.start(exchange, () -> cancellation.cancel(Cancellation.Reason.CALLER_GONE));
         exchange.dispatch(task -> Thread.ofVirtual().name("caller").start(task), later -> {
--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -124,7 +124,7 @@
                 exchange,
                 new BodyReader.Limits(maxBytes, DEFAULT_TIME_LIMIT_MS),
                 (ex, body, cancellation) ->
-                        serveIfOpen(ex, open, new ReceivedRequest(start, body, limitMs), cancellation),
+                        serveIfOpen(ex, open, new ReceivedRequest(start, body.content(), limitMs), cancellation),
                 (ex, failure) -> refuse(ex, start, failure));
     }
 
--- a/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
@@ -62,16 +62,20 @@
         bodies.read(exchange, limits, this::serve, this::refuse);
     }
 
-    private void serve(HttpServerExchange exchange, Content body, Cancellation cancellation) {
-        served.add(body);
-        if (exchange.getRequestPath().equals("/held")) {
+    private void serve(HttpServerExchange exchange, ReceivedBody body, Cancellation cancellation) {
+        served.add(body.content());
+        if (exchange.getRequestPath().equals("/dropped")) {
+            body.drop();
+        }
+        if (exchange.getRequestPath().equals("/held")
+                || exchange.getRequestPath().equals("/dropped")) {
             try {
                 mayAnswer.await();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         }
-        exchange.getResponseSender().send(answerTo(body.toArray()));
+        exchange.getResponseSender().send(answerTo(body.content().toArray()));
     }
 
     private void refuse(HttpServerExchange exchange, Failure failure) {
--- a/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
@@ -194,6 +194,18 @@
         }
     }
 
+    /** Guards against memory that a request holds although nothing needs its body any more. */
+    @Test
+    void droppedBodyIsReturnedWhileTheRequestRuns() throws Exception {
+        try (Connection c = f.connect()) {
+            c.sendHead("/dropped", "Content-Length: 3").send("abc");
+            BodyFixture.await("the claim is closed", claim()::isClosed);
+            assertThat(f.open.get(), is(1));
+            f.mayAnswer.countDown();
+            assertThat(c.read().body(), is("0 0"));
+        }
+    }
+
     /** Guards against bodies that stop short of their end and keep their room for ever. */
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 1000000\r\n\r\nabc", CHUNKED + "\r\n\r\n5\r\nabc", CHUNKED + "\r\n\r\n"})
