Let answers give way after 5 s without progress, bodies after 1 s

With an answer the work is lost, and a pause of a connection that sends lost packets again exceeds 1 s; a body that has not run can be sent again.

--- a/library/src/main/java/org/magnoliabridge/memory/ByteBudget.java
+++ b/library/src/main/java/org/magnoliabridge/memory/ByteBudget.java
@@ -21,9 +21,18 @@
     /** The size in bytes up to which a claim is small. */
     static final int SMALL_BYTES = 64 * 1024;
 
-    /** The time without progress after which a claim gives way to others, in milliseconds. */
+    /** The time without progress after which a request that has not run gives way to others, in milliseconds. */
     static final long STALL_MS = 1_000;
 
+    /**
+     * The time without progress after which an answer gives way to others, in milliseconds; what ran is lost with it, so
+     * that a caller or connection that pauses shortly keeps it.
+     */
+    static final long ANSWER_STALL_MS = 5_000;
+
+    /** The time in which an evicted claim is expected to be released, in milliseconds. */
+    static final long LEAVE_MS = 1_000;
+
     /** The least limit, in bytes. */
     static final long MIN_LIMIT_BYTES = 8L * SMALL_BYTES;
 
@@ -299,12 +308,19 @@
 
         boolean isStalled(long nowMs) {
             boolean waits = askedBytes > 0;
-            return evictable && bytes > 0 && !waits && !isEvicted() && nowMs - progressMs >= STALL_MS;
+            return evictable && bytes > 0 && !waits && !isEvicted() && nowMs - progressMs >= stallMs();
         }
 
         /** Returns whether the claim was told to give way so recently that its bytes can be expected back. */
         boolean isLeaving(long nowMs) {
-            return evictedMs.isPresent() && nowMs - evictedMs.get() < STALL_MS;
+            return evictedMs.isPresent() && nowMs - evictedMs.get() < LEAVE_MS;
+        }
+
+        private long stallMs() {
+            return switch (holding) {
+                case REQUEST_BODY, BATCH_ITEMS -> STALL_MS;
+                case RECEIVED_ANSWER, CALLER_ANSWER, BATCH_READ -> ANSWER_STALL_MS;
+            };
         }
     }
 }
--- a/library/src/test/java/org/magnoliabridge/memory/ByteBudgetTest.java
+++ b/library/src/test/java/org/magnoliabridge/memory/ByteBudgetTest.java
@@ -154,6 +154,22 @@
         assertThat(evicted(taken()).contains(large), is(false));
     }
 
+    /** Guards against answers that nobody reads and that keep others out, and against an answer lost by a pause. */
+    @Test
+    void anAnswerGivesWayAfterALongerPause() {
+        ClaimId answer = new ClaimId(++lastId);
+        on(new BudgetInput.Open(answer, Holding.CALLER_ANSWER, CALLER, true));
+        on(new BudgetInput.Ask(answer, LARGE_ROOM, 0));
+        pass(3_500);
+        taken();
+        ClaimId early = ask(OTHER, MIB);
+        pass(WAIT_MS);
+        assertThat(taken(), is(List.of(new BudgetEffect.Refused(early, BudgetEffect.Reason.NO_ROOM))));
+        ask(OTHER, MIB);
+        pass(WAIT_MS);
+        assertThat(taken().getFirst(), is(new BudgetEffect.Evicted(answer)));
+    }
+
     /** Guards against more evictions than are needed, and against one that lets nobody in. */
     @Test
     void onlyWhatMakesRoomEnoughIsEvicted() {
