--- a/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
@@ -63,8 +63,8 @@
         if (bodyless || length.isEmpty()) {
             return Optional.empty();
         }
-        return length.get().strip().equals(Integer.toString(answer.body().length))
+        return length.get().strip().equals(Long.toString(answer.content().size()))
                 ? Optional.empty()
-                : Optional.of("the answer has " + answer.body().length + " of " + length.get() + " bytes");
+                : Optional.of("the answer has " + answer.content().size() + " of " + length.get() + " bytes");
     }
 }
--- a/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/PlainCallerTest.java
@@ -3,12 +3,14 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -18,11 +20,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.http.EarlyAnswerServer;
 import org.magnoliabridge.http.RefusingPort;
+import org.magnoliabridge.http.UndertowHttpCaller;
 import org.magnoliabridge.ids.RequestId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.memory.Holding;
+import org.magnoliabridge.memory.MemoryClaim;
+import org.magnoliabridge.memory.SharedMemory;
 
 class PlainCallerTest {
     private static final String JSON = "application/json";
@@ -89,6 +96,26 @@
         assertThat(two.requests("/"), hasSize(0));
     }
 
+    /** Guards against an endpoint that is charged, or asked again, because this node has no room for its answer. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doesNotChargeAnEndpointForAnAnswerWithoutRoom(boolean idempotent) throws IOException {
+        script = (request, out) -> FakeBackEnd.respond(out, 200, JSON, "a".repeat(1 << 20));
+        try (SharedMemory memory = new SharedMemory(8 << 20, MonotonicClock.system(), new MetricRegistry());
+                MemoryClaim others = memory.open(Holding.BATCH_READ, "10.0.0.1");
+                UndertowHttpCaller http = new UndertowHttpCaller(1, memory)) {
+            assertThat(others.tryTake(7 << 20), is(true));
+            PlainCaller withoutRoom = new PlainCaller(new PlainServiceAdapter(http), fixture.dependencies);
+            CallException failed = assertThrows(
+                    CallException.class,
+                    () -> withoutRoom.call(request(idempotent, "/", new byte[0]), new Cancellation()));
+            assertThat(failed.failure(), is(instanceOf(Failure.IncompleteAnswer.class)));
+            assertThat(failed.executionStatus(), is(ExecutionStatus.RAN));
+        }
+        assertThat(fixture.endpoints.observations, is(empty()));
+        assertThat(two.requests("/"), hasSize(0));
+    }
+
     // Ends when the caller closes the connection.
     private static boolean answerWithoutEnd(FakeBackEnd.Request request, OutputStream out) throws IOException {
         out.write("HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
@@ -208,7 +235,11 @@
     }
 
     private PlainAnswer call(boolean idempotent, String path, byte[] body) throws CallException {
-        PlainRequest request = new PlainRequest(
+        return caller.call(request(idempotent, path, body), new Cancellation());
+    }
+
+    private PlainRequest request(boolean idempotent, String path, byte[] body) {
+        return new PlainRequest(
                 new ServiceId("benchdesk"),
                 new TeamId("anvil"),
                 "POST",
@@ -220,6 +251,5 @@
                 fixture.deadline(),
                 new RequestId("r1"),
                 CallFixture.noTrace());
-        return caller.call(request, new Cancellation());
     }
 }
