--- a/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ClusterBatchService.java
@@ -211,9 +211,7 @@
                 batch,
                 team,
                 STORED_READ_MS,
-                (head, endMs) -> stored.items(head).stream()
-                        .filter(i -> i.id().equals(item))
-                        .findFirst()
+                (head, endMs) -> stored.item(head, item)
                         .<ReadAnswer>map(i -> new ReadAnswer.Body(i.body()))
                         .orElseGet(ReadAnswer.Missing::new));
     }
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -13,6 +13,7 @@
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.ItemId;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Reads, accepts and ends batches in the object store; calls block. */
@@ -59,14 +60,27 @@
     public List<BatchItem> items(BatchHead head) throws PlatformException, MalformedBatchException {
         List<BatchItem> items = new ArrayList<>();
         for (int part = 0; part < head.parts(); part++) {
-            StoredObject object = store.read(BatchKeys.items(head.id(), part))
-                    .orElseThrow(() ->
-                            new MalformedBatchException("batch " + head.id() + " is missing a part of its items"));
-            items.addAll(BatchCodec.items(object.value()));
+            items.addAll(part(head, part));
         }
         return items;
     }
 
+    /** Returns one item of a batch, or empty if the batch has no such item; holds one part of the batch at a time. */
+    public Optional<BatchItem> item(BatchHead head, ItemId id) throws PlatformException, MalformedBatchException {
+        Optional<BatchItem> found = Optional.empty();
+        for (int part = 0; part < head.parts() && found.isEmpty(); part++) {
+            found = part(head, part).stream().filter(i -> i.id().equals(id)).findFirst();
+        }
+        return found;
+    }
+
+    private List<BatchItem> part(BatchHead head, int part) throws PlatformException, MalformedBatchException {
+        StoredObject object = store.read(BatchKeys.items(head.id(), part))
+                .orElseThrow(
+                        () -> new MalformedBatchException("batch " + head.id() + " is missing a part of its items"));
+        return BatchCodec.items(object.value());
+    }
+
     /**
      * Returns the committed results from a position on that fit into one answer.
      *
--- a/library/src/main/java/org/magnoliabridge/edge/BodyConduit.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyConduit.java
@@ -30,6 +30,7 @@
 
     private static final AttachmentKey<BodyConduit> KEY = AttachmentKey.create(BodyConduit.class);
     private static final AttachmentKey<Boolean> INSTALLED = AttachmentKey.create(Boolean.class);
+    private static final AttachmentKey<Boolean> CLOSES = AttachmentKey.create(Boolean.class);
     // Chunk extensions and trailers have no limit in the server, and arrive as reads without content.
     private static final int MAX_EMPTY_READS = 64;
 
@@ -55,7 +56,18 @@
             ex.putAttachment(KEY, body);
             return body;
         });
+        // The server closes the input of an exchange that is not persistent before it reads what is left of the body.
+        exchange.addDefaultResponseListener(ending -> {
+            if (!ending.isPersistent() && !ending.isRequestComplete()) {
+                ending.putAttachment(CLOSES, true);
+                ending.setPersistent(true);
+            }
+            return false;
+        });
         exchange.addExchangeCompleteListener((ended, next) -> {
+            if (ended.getAttachment(CLOSES) != null) {
+                ended.setPersistent(false);
+            }
             BodyConduit body = ended.getAttachment(KEY);
             if (body != null && body.closing != null) {
                 body.closing.remove();
--- a/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
@@ -188,6 +188,19 @@
             return new Answer(Integer.parseInt(head.substring(9, 12)), lower, body);
         }
 
+        /** Returns whether the server accepts no more bytes after the time. */
+        boolean isResetAfter(long waitMs) throws InterruptedException {
+            Thread.sleep(waitMs);
+            try {
+                send("x");
+                Thread.sleep(50);
+                send("x");
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
         /** Returns whether the server closes the connection within the time. */
         boolean isClosedWithin(int limitMs) throws IOException {
             socket.setSoTimeout(limitMs);
--- a/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
@@ -279,6 +279,21 @@
         }
     }
 
+    /** Guards against a connection that is reset, with the answer on its way, because bytes of the body are unread. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/", "/none"})
+    void connectionIsNotResetAtOnce(String path) throws Exception {
+        for (String close : new String[] {"", "Connection: close\r\n"}) {
+            try (Connection c = f.connect()) {
+                c.sendHead(path, close + "Content-Length: " + (BodyFixture.MAX_BYTES + 1))
+                        .send(new byte[300_000]);
+                c.read();
+                assertThat(c.isResetAfter(300), is(false));
+                assertThat(c.isResetAfter(2_000), is(true));
+            }
+        }
+    }
+
     /** Guards against an answer that is lost because the caller sends its whole body before it reads. */
     @Test
     void refusalArrivesWhileTheBodyIsSent() throws Exception {
