--- a/library/src/main/java/org/magnoliabridge/edge/BodyRead.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyRead.java
@@ -1,5 +1,6 @@
 package org.magnoliabridge.edge;
 
+import com.google.common.flogger.FluentLogger;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
@@ -9,8 +10,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliabridge.calls.Cancellation;
 import org.magnoliabridge.calls.Failure;
 import org.magnoliabridge.memory.Content;
 import org.magnoliabridge.memory.Holding;
@@ -26,6 +29,7 @@
  * <p>The claim is closed when the body is refused, or when its exchange has ended and its handler has returned.
  */
 final class BodyRead implements MemoryClaim.Owner {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int MIN_BLOCK_BYTES = 4 * 1024;
     private static final int MAX_BLOCK_BYTES = 64 * 1024;
     // What a body without a length claims at first and at a time.
@@ -39,6 +43,7 @@
 
     private final HttpServerExchange exchange;
     private final BodyReader.Limits limits;
+    private final Cancellation cancellation;
     private final BodyReader.RequestHandler service;
     private final BodyReader.RejectionHandler refusal;
     // The exchange and its handler.
@@ -67,10 +72,12 @@
     BodyRead(
             HttpServerExchange exchange,
             BodyReader.Limits limits,
+            Cancellation cancellation,
             BodyReader.RequestHandler service,
             BodyReader.RejectionHandler refusal) {
         this.exchange = exchange;
         this.limits = limits;
+        this.cancellation = cancellation;
         this.service = service;
         this.refusal = refusal;
         announced = exchange.getRequestContentLength();
@@ -82,15 +89,15 @@
                 Holding.REQUEST_BODY, exchange.getSourceAddress().getAddress().getHostAddress(), this);
         exchange.addExchangeCompleteListener((ended, next) -> {
             release();
-            // The server's own listener of this exchange runs afterwards, so that it finds the connection as it left
-            // it.
-            if (ended.getIoThread() == Thread.currentThread()) {
+            if (ended.isInIoThread()) {
                 endWithExchange();
             } else {
-                ended.getIoThread().execute(this::endWithExchange);
+                post(this::endWithExchange);
             }
             next.proceed();
         });
+        cancellation.onCancel(() -> post(() ->
+                refuseUnlessEnded(Cancellation.failure(cancellation.reason().orElseThrow()))));
         channel = exchange.getRequestChannel();
         channel.getReadSetter().set(ready -> read());
         request(announced >= 0 ? announced : Math.min(MIN_STEP_BYTES, limits.maxBytes()));
@@ -98,26 +105,32 @@
 
     @Override
     public void granted() {
-        exchange.getIoThread().execute(this::onGranted);
+        post(this::onGranted);
     }
 
     @Override
     public void refused() {
-        exchange.getIoThread().execute(() -> {
-            if (state == State.WAITING) {
-                refuse(new Failure.Overloaded(RETRY_AFTER_MS));
-            }
-        });
+        post(() -> refuseUnlessEnded(new Failure.Overloaded(RETRY_AFTER_MS)));
     }
 
     // A request that runs keeps its bytes: whether it has run could not be told.
     @Override
     public void evicted() {
-        exchange.getIoThread().execute(() -> {
-            if (state != State.ENDED) {
-                refuse(new Failure.Overloaded(RETRY_AFTER_MS));
-            }
-        });
+        post(() -> refuseUnlessEnded(new Failure.Overloaded(RETRY_AFTER_MS)));
+    }
+
+    private void post(Runnable task) {
+        try {
+            exchange.getIoThread().execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.atFine().withCause(e).log("the server has stopped and closes the connection itself");
+        }
+    }
+
+    private void refuseUnlessEnded(Failure failure) {
+        if (state != State.ENDED) {
+            refuse(failure);
+        }
     }
 
     private void request(long bytes) {
@@ -216,7 +229,8 @@
                 .toList();
         dropBlocks();
         keepRunning();
-        BodyReader.serve(exchange, new ReceivedBody(Content.of(all), claim::close), service, this::release);
+        BodyReader.serve(
+                exchange, new ReceivedBody(Content.of(all), claim::close), cancellation, service, this::release);
     }
 
     private void refuse(Failure failure) {
@@ -286,9 +300,7 @@
 
         @Override
         public void onException(HttpServerExchange continued, Sender sender, IOException e) {
-            if (state != State.ENDED) {
-                refuse(new Failure.MalformedRequest("the body ended early"));
-            }
+            refuseUnlessEnded(new Failure.MalformedRequest("the body ended early"));
         }
     }
 }
--- a/library/src/main/java/org/magnoliabridge/edge/BodyReader.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyReader.java
@@ -51,25 +51,38 @@
      */
     public record Limits(long maxBytes, long stallMs) {}
 
-    /** Reads the body of a request, and calls exactly one of the handlers unless the caller closes its connection. */
-    public void read(HttpServerExchange exchange, Limits limits, RequestHandler service, RejectionHandler refusal) {
+    /**
+     * Reads the body of a request, and calls exactly one of the handlers unless the caller closes its connection.
+     *
+     * @param cancellation refuses the request while its body arrives, and then cancels its call
+     */
+    public void read(
+            HttpServerExchange exchange,
+            Limits limits,
+            Cancellation cancellation,
+            RequestHandler service,
+            RejectionHandler refusal) {
         if (exchange.getRequestContentLength() > limits.maxBytes()) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
             BodyConduit.install(exchange);
             refusal.refuse(exchange, new Failure.TooLarge(limits.maxBytes()));
         } else if (exchange.isRequestComplete()) {
-            serve(exchange, new ReceivedBody(Content.EMPTY, () -> {}), service, () -> {});
+            serve(exchange, new ReceivedBody(Content.EMPTY, () -> {}), cancellation, service, () -> {});
         } else {
             BodyConduit.install(exchange);
-            BodyRead read = new BodyRead(exchange, limits, service, refusal);
+            BodyRead read = new BodyRead(exchange, limits, cancellation, service, refusal);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read.start(memory));
         }
     }
 
     /** Dispatches a request whose body is complete; called on the I/O thread. */
-    static void serve(HttpServerExchange exchange, ReceivedBody body, RequestHandler service, Runnable served) {
-        Cancellation cancellation = new Cancellation();
+    static void serve(
+            HttpServerExchange exchange,
+            ReceivedBody body,
+            Cancellation cancellation,
+            RequestHandler service,
+            Runnable served) {
         ConnectionCloseDetector.start(exchange, () -> cancellation.cancel(Cancellation.Reason.CALLER_GONE));
         exchange.dispatch(task -> Thread.ofVirtual().name("caller").start(task), later -> {
             try {
--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -123,6 +123,7 @@
         bodies.read(
                 exchange,
                 new BodyReader.Limits(maxBytes, DEFAULT_TIME_LIMIT_MS),
+                new Cancellation(),
                 (ex, body, cancellation) ->
                         serveIfOpen(ex, open, new ReceivedRequest(start, body.content(), limitMs), cancellation),
                 (ex, failure) -> refuse(ex, start, failure));
--- a/library/src/main/java/org/magnoliabridge/edge/UnreadBodies.java
+++ b/library/src/main/java/org/magnoliabridge/edge/UnreadBodies.java
@@ -21,11 +21,9 @@
         next.handleRequest(exchange);
     }
 
-    /** Announces that the connection closes, if the request that is refused may have a body too large to be dropped. */
+    /** Announces that the connection closes, if the body of the request that is refused is too large to be dropped. */
     public static void announceClose(HttpServerExchange exchange) {
-        if (!exchange.isRequestComplete()
-                && (exchange.getRequestContentLength() < 0
-                        || exchange.getRequestContentLength() > BodyConduit.MAX_DROPPED_BYTES)) {
+        if (!exchange.isRequestComplete() && exchange.getRequestContentLength() > BodyConduit.MAX_DROPPED_BYTES) {
             exchange.setPersistent(false);
         }
     }
--- a/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyFixture.java
@@ -33,6 +33,7 @@
     final List<Content> served = new CopyOnWriteArrayList<>();
     final CountDownLatch mayAnswer = new CountDownLatch(1);
     final AtomicInteger open = new AtomicInteger();
+    final Cancellation cancellation = new Cancellation();
     volatile BodyReader.Limits limits = new BodyReader.Limits(MAX_BYTES, STALL_MS);
     private final BodyReader bodies;
     private final Undertow server;
@@ -59,7 +60,7 @@
             exchange.setStatusCode(404).getResponseSender().send("none");
             return;
         }
-        bodies.read(exchange, limits, this::serve, this::refuse);
+        bodies.read(exchange, limits, cancellation, this::serve, this::refuse);
     }
 
     private void serve(HttpServerExchange exchange, ReceivedBody body, Cancellation cancellation) {
--- a/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/BodyReaderTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliabridge.calls.Cancellation;
 import org.magnoliabridge.calls.Failure;
 import org.magnoliabridge.edge.BodyFixture.Answer;
 import org.magnoliabridge.edge.BodyFixture.Connection;
@@ -177,6 +178,25 @@
         assertThat(f.served, is(empty()));
     }
 
+    /** Guards against callers that get no answer from a node that stops while their bodies wait or arrive. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void bodyIsRefusedWhenTheNodeStops(boolean waits) throws Exception {
+        if (waits) {
+            memory.holdRequests();
+        }
+        try (Connection c = f.connect()) {
+            c.sendHead("/", "Content-Length: 1000000").send(new byte[500_000]);
+            FakeClaim claim = claim();
+            f.cancellation.cancel(Cancellation.Reason.SHUTDOWN);
+            Answer answer = c.read();
+            assertThat(answer.status(), is(503));
+            assertThat(answer.body(), containsString("\"type\":\"draining\""));
+            assertThat(claim.isClosed(), is(true));
+        }
+        assertThat(f.served, is(empty()));
+    }
+
     /** Guards against a request that runs and is answered as not run. */
     @Test
     void requestThatRunsIsNotStalledAndDoesNotGiveWay() throws Exception {
