--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.magnoliabridge.edge.ServerPort;
+import org.magnoliabridge.edge.UnreadBodies;
 import org.magnoliabridge.gateway.CallerLimits;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -90,6 +91,8 @@
                 // Routes are matched against the raw path, which is forwarded unchanged.
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                // The body reader enforces the limit of the configuration in force.
+                .set(UndertowOptions.MAX_ENTITY_SIZE, -1L)
                 .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(limits.headerMs()))
@@ -121,7 +124,7 @@
     private void open(ServerPort port, InetSocketAddress address, HttpHandler handler) throws IOException {
         HttpOpenListener listener =
                 new HttpOpenListener(buffers, OptionMap.create(UndertowOptions.BUFFER_PIPELINED_DATA, true));
-        listener.setRootHandler(guard.guard(handler));
+        listener.setRootHandler(guard.guard(new UnreadBodies(handler)));
         listeners.add(listener);
         int room = guard.room(port);
         OptionMap options = OptionMap.builder()
--- a/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainServiceAdapter.java
@@ -53,7 +53,7 @@
 
     @Override
     public PlainAnswer answer(HttpAnswer answer) {
-        return new PlainAnswer(answer.status(), PlainHeaders.filterAnswer(answer.headers()), answer.body());
+        return new PlainAnswer(answer.status(), PlainHeaders.filterAnswer(answer.headers()), answer.content());
     }
 
     // The HTTP client detects truncated chunked bodies; this check detects bodies shorter than their Content-Length.
@@ -63,8 +63,8 @@
         if (bodyless || length.isEmpty()) {
             return Optional.empty();
         }
-        return length.get().strip().equals(Integer.toString(answer.body().length))
+        return length.get().strip().equals(Long.toString(answer.content().size()))
                 ? Optional.empty()
-                : Optional.of("the answer has " + answer.body().length + " of " + length.get() + " bytes");
+                : Optional.of("the answer has " + answer.content().size() + " of " + length.get() + " bytes");
     }
 }
