--- a/library/src/main/java/org/magnoliabridge/memory/ByteBudget.java
+++ b/library/src/main/java/org/magnoliabridge/memory/ByteBudget.java
@@ -25,8 +25,8 @@
     static final long STALL_MS = 1_000;
 
     /**
-     * The time without progress after which an answer gives way to others, in milliseconds; what ran is lost with it, so
-     * that a caller or connection that pauses shortly keeps it.
+     * The time without progress after which an answer gives way to others, in milliseconds; what ran is lost with it,
+     * so that a caller or connection that pauses shortly keeps it.
      */
     static final long ANSWER_STALL_MS = 5_000;
 
--- a/library/src/main/java/org/magnoliabridge/memory/Evictions.java
+++ b/library/src/main/java/org/magnoliabridge/memory/Evictions.java
@@ -12,9 +12,10 @@
 /**
  * Chooses the claims that give way to those that wait, at one time.
  *
- * <p>Load pattern: bodies that stop short of their end and stay open, and answers that nobody reads. The longest without
- * progress goes first, but only where its bytes let a waiting claim in. An origin that holds over half of the limit gives
- * way before others, and others do not give way to it, so that one caller with many connections displaces only itself.
+ * <p>Load pattern: bodies that stop short of their end and stay open, and answers that nobody reads. The longest
+ * without progress goes first, but only where its bytes let a waiting claim in. An origin that holds over half of the
+ * limit gives way before others, and others do not give way to it, so that one caller with many connections displaces
+ * only itself.
  */
 final class Evictions {
     private final long nowMs;
--- a/library/src/main/java/org/magnoliabridge/memory/SharedMemory.java
+++ b/library/src/main/java/org/magnoliabridge/memory/SharedMemory.java
@@ -331,7 +331,7 @@
                     .per(holding)
                     .atMostEvery(1, TimeUnit.SECONDS)
                     .log(
-                            "a claim of %d bytes (%s) without progress gives way: %d of %d bytes granted, %d claims wait",
+                            "a claim of %d bytes (%s) that stalls gives way: %d of %d bytes granted, %d claims wait",
                             budget.grantedBytes(id),
                             holding,
                             budget.grantedBytes(),
