Evacuate a data centre on request of the platform's operators

Cause: an entry in the platform's store asks that nothing more be sent to the endpoints of a data centre.

Change: EvacuationCore follows the entries; one node of a data centre reads them for the others, as with the configuration, with times that derive from the setting evacuate_ms. Without the setting there is no watch. Endpoints of an evacuated data centre are not eligible for requests, streams, items, scores, weights or totals; nothing is until the entries have been read once. Runs of items move and resume after their last event. If no data centre of a service is left, requests are refused at once as not run. The stores of the watches move from GatewayNode to NeighbourStores.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/FleetSizing.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.magnoliabridge.evacuation.Evacuations;
 import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.external.EndpointTotals;
 import org.magnoliabridge.external.EndpointTotals.Place;
@@ -56,7 +57,7 @@
     }
 
     /** Updates the endpoints of the fleet; control thread only. */
-    void fleetChanged(List<FleetEndpoint> fleet) {
+    void fleetChanged(List<FleetEndpoint> fleet, Evacuations evacuations) {
         Map<Place, Integer> serving = new HashMap<>();
         List<Place> reclaimed = new ArrayList<>();
         for (FleetEndpoint e : fleet) {
@@ -71,7 +72,7 @@
                 reclaimed.add(place);
             }
         }
-        handle(new TotalsInput.Fleet(serving, reclaimed));
+        handle(new TotalsInput.Fleet(serving, reclaimed, evacuations.dataCentres()));
     }
 
     /** Updates the scaling limits of the services; control thread only. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.magnoliabridge.batch.BatchHead;
 import org.magnoliabridge.core.SuspensionDetector;
+import org.magnoliabridge.evacuation.Evacuations;
 import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.ObjectWatch;
 import org.magnoliabridge.external.StoreRequest.Priority;
@@ -105,10 +106,12 @@
         return weights.isLoading(engine);
     }
 
-    /** Updates the endpoints of the fleet; control thread only. */
-    void fleetChanged(List<FleetEndpoint> fleet) {
-        weights.fleetChanged(fleet);
-        sizing.fleetChanged(fleet);
+    /** Updates the endpoints of the fleet; those in evacuated data centres get no orders. Control thread only. */
+    void fleetChanged(List<FleetEndpoint> fleet, Evacuations evacuations) {
+        weights.fleetChanged(fleet.stream()
+                .filter(e -> evacuations.allows(e.endpoint().dataCentre()))
+                .toList());
+        sizing.fleetChanged(fleet, evacuations);
     }
 
     /**
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -39,9 +39,7 @@
 import org.magnoliabridge.edge.DrainGate;
 import org.magnoliabridge.external.Backoff;
 import org.magnoliabridge.external.BudgetedStore;
-import org.magnoliabridge.external.ObjectStore;
 import org.magnoliabridge.external.ObjectWatch;
-import org.magnoliabridge.external.RecentChanges;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRouteSelector;
 import org.magnoliabridge.external.StoreRunner;
@@ -91,10 +89,6 @@
     // Leaving endpoints must receive no work later than 2 s after the store's notification. Endpoint heartbeats change
     // the list all the time, so the pause determines how often a node polls.
     private static final ObjectWatch.Times FLEET_WATCH = new ObjectWatch.Times(3_000, 700, 500);
-    private static final NeighbourReader.Times FLEET_READS = new NeighbourReader.Times(800, 600, 500);
-    // A change is known to a reader at once, and to the others at their next question; a reader that has stopped is
-    // noticed in time for the others to read the store.
-    static final NeighbourReader.Times CONFIG_READS = new NeighbourReader.Times(1_100, 1_000, 400);
     // Remaining grace period at which new requests are refused, and at which the process must have ended.
     private static final long REFUSE_BEFORE_END_MS = 2_500;
     private static final long END_BEFORE_KILL_MS = 800;
@@ -113,6 +107,7 @@
     private final ActiveCalls calls = new ActiveCalls();
     private final AdmissionCore admission;
     private final FleetDriver fleet;
+    private final EvacuationDriver evacuations;
     private final NeighbourChoice neighbour;
     private final ConfigFollower config;
     private final GatewayCluster cluster;
@@ -133,6 +128,7 @@
         Dispatcher dispatcher = closer.register(
                 new Dispatcher(admission, context.loop(), context.clock(), context.metrics(), endpoint -> {}));
         context.platform().onLeaving((endpoint, address) -> endpointLeaves(dispatcher, endpoint, address));
+        evacuations = new EvacuationDriver(context, dispatcher);
         fleet = new FleetDriver(context, dispatcher);
         neighbour = new NeighbourChoice(
                 context.settings().nodeId(), context.settings().dataCentre());
@@ -294,18 +290,28 @@
     private void startWatches() {
         config.onChange(this::applyRoutes);
         fleet.onChange(this::fleetChanged);
+        NeighbourStores stores = new NeighbourStores(context, cluster.peers(), neighbour);
         closer.register(new ObjectWatch(
-                configStore(),
+                stores.configuration(),
                 context.platform().configPrefix(),
                 CONFIG_WATCH,
                 config,
                 new Random(context.random().nextLong())));
         closer.register(new ObjectWatch(
-                fleetStore(),
+                stores.fleet(),
                 context.platform().fleetPrefix(),
                 FLEET_WATCH,
                 fleet,
                 new Random(context.random().nextLong())));
+        if (evacuations.isEnabled()) {
+            long evacuateMs = context.settings().bounds().evacuateMs();
+            closer.register(new ObjectWatch(
+                    stores.evacuations(evacuateMs),
+                    context.platform().evacuationsPrefix(),
+                    EvacuationDriver.watchTimes(evacuateMs),
+                    evacuations,
+                    new Random(context.random().nextLong())));
+        }
         ControlDelay delay = new ControlDelay(TICK_MS, context.metrics());
         context.loop().postPeriodically(TICK_MS, () -> {
             delay.started(context.clock().nowMs());
@@ -325,34 +331,9 @@
         dispatcher.observed(endpoint, SocketAddresses.format(address), EndpointSource.Observation.DRAINING);
     }
 
-    private ObjectStore fleetStore() {
-        // The same content means the same to routing, whatever heartbeats an entry shows.
-        RecentChanges recent = new RecentChanges(e -> context.platform().fleet(new ObjectStore.Listing(0, List.of(e))));
-        return neighbourReader(Priority.STATUS, PeerCalls.Method.READ_CHANGES, recent, FLEET_READS);
-    }
-
-    private ObjectStore configStore() {
-        RecentChanges recent = new RecentChanges(ObjectStore.Entry::version);
-        return neighbourReader(Priority.DECISION, PeerCalls.Method.READ_CONFIGURATION, recent, CONFIG_READS);
-    }
-
-    private ObjectStore neighbourReader(
-            Priority priority, PeerCalls.Method method, RecentChanges recent, NeighbourReader.Times times) {
-        NeighbourReader reader = new NeighbourReader(
-                context.budget().at(priority),
-                (node, call, limitMs) ->
-                        cluster.peers().call(node, method, call, limitMs).get(),
-                neighbour::neighbour,
-                recent,
-                times,
-                context.clock(),
-                context.metrics());
-        cluster.peers().serve(method, reader::answer);
-        return reader;
-    }
-
     private void tick() {
         fleet.tick();
+        evacuations.tick(fleet.endpoints());
         cluster.tick();
         if (!draining) {
             role.tick();
@@ -367,7 +348,7 @@
                 .forEach((model, version) -> scheduler.handle(new BatchInput.NewestVersion(model, version)));
         scheduler.reportProgress();
         scheduler.handle(new BatchInput.Tick());
-        boolean loaded = policy.get().isPresent() && fleet.isLoaded();
+        boolean loaded = policy.get().isPresent() && fleet.isLoaded() && evacuations.isLoaded();
         if (loaded && !ready && !draining) {
             ready = true;
             LOG.atInfo().log("node is ready");
@@ -407,8 +388,13 @@
                         weights.of(e),
                         duties.isLoading(e.endpoint().id())))
                 .toList();
-        scheduler.handle(new BatchInput.Engines(engines));
-        duties.fleetChanged(endpoints);
+        Set<EndpointId> evacuated = endpoints.stream()
+                .map(FleetEndpoint::endpoint)
+                .filter(e -> !evacuations.current().allows(e.dataCentre()))
+                .map(Endpoint::id)
+                .collect(Collectors.toSet());
+        scheduler.handle(new BatchInput.Engines(engines, evacuated));
+        duties.fleetChanged(endpoints, evacuations.current());
     }
 
     private Set<EndpointId> eligibleEndpoints(ServiceId service) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayPlatform.java
@@ -9,6 +9,7 @@
 import org.magnoliabridge.batch.Engines;
 import org.magnoliabridge.batch.Scorers;
 import org.magnoliabridge.calls.StreamServiceClient;
+import org.magnoliabridge.evacuation.EvacuationInput;
 import org.magnoliabridge.external.EndpointTotals;
 import org.magnoliabridge.external.EngineOrders;
 import org.magnoliabridge.external.EngineReports;
@@ -39,6 +40,12 @@
     /** Returns the endpoints of a listing. */
     List<FleetInput.Entry> fleet(ObjectStore.Listing listing);
 
+    /** Returns the prefix of the objects that request the evacuation of a data centre. */
+    String evacuationsPrefix();
+
+    /** Returns the entries of a listing that name a data centre; the others are logged and left out. */
+    List<EvacuationInput.Entry> evacuations(ObjectStore.Listing listing);
+
     /** Returns the prefix of the objects that name the newest weight version of each model. */
     String weightsPrefix();
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
@@ -61,8 +61,11 @@
      * @param leaseMs lease duration, the shortest time in which a duty may pass from one holder to the next
      * @param usageWindowMs length of a usage window
      * @param usageDueMs time after the end of a usage window by which it must be reported
+     * @param evacuateMs time in which an evacuated data centre must get no more work; 0 if the deployment's operators
+     *     evacuate none
      */
-    public record Bounds(long graceMs, long addressTtlMs, long leaseMs, long usageWindowMs, long usageDueMs) {}
+    public record Bounds(
+            long graceMs, long addressTtlMs, long leaseMs, long usageWindowMs, long usageDueMs, long evacuateMs) {}
 
     /**
      * Reads a settings file.
@@ -113,7 +116,8 @@
                 root.integer("address_ttl_ms", 100, 60_000, 2_000),
                 root.integer("lease_ms", 500, 60_000, 3_000),
                 root.integer("usage_window_ms", 500, 3_600_000, 5_000),
-                root.integer("usage_due_ms", 500, 3_600_000, 10_000));
+                root.integer("usage_due_ms", 500, 3_600_000, 10_000),
+                root.integer("evacuate_ms", 1_000, 3_600_000, 0));
     }
 
     private static int capacityMillicores(SettingsObject root) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -35,7 +35,8 @@
         STORE_CALL(5),
         READ_CHANGES(6),
         STOP_BATCH(7),
-        READ_CONFIGURATION(8);
+        READ_CONFIGURATION(8),
+        READ_EVACUATIONS(9);
 
         private final int number;
 
--- a/daemon/src/test/java/org/magnoliabridge/daemon/GatewaySettingsTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/GatewaySettingsTest.java
@@ -37,6 +37,14 @@
         assertThat(parse(", \"cpu_speed\": 4").capacityMillicores(), is(NodeLocation.UNKNOWN_CAPACITY));
     }
 
+    /** Guards against calls for evacuations in a deployment that does not ask for them. */
+    @Test
+    void evacuationsAreOffUnlessTheyAreAskedFor() throws SettingsException {
+        assertThat(parse("").bounds().evacuateMs(), is(0L));
+        assertThat(parse(", \"evacuate_ms\": 5000").bounds().evacuateMs(), is(5_000L));
+        assertThrows(SettingsException.class, () -> parse(", \"evacuate_ms\": 0"));
+    }
+
     /** Guards against an impossible capacity being ignored at start. */
     @Test
     void namesImpossibleCapacities() {
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -100,7 +100,7 @@
     /** Guards against a node that follows a configuration that was replaced 2 s ago, because its reader has stopped. */
     @Test
     void aConfigurationIsKnownInTimeWhileTheReaderStops() throws PlatformException {
-        NeighbourReader.Times times = GatewayNode.CONFIG_READS;
+        NeighbourReader.Times times = NeighbourStores.CONFIG_READS;
         asked = reader(Optional.empty(), times);
         NeighbourReader asking = reader(Optional.of(first), times);
         for (long phaseMs = 0; phaseMs < times.pauseMs(); phaseMs += 20) {
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -107,6 +107,7 @@
             case BatchInput.Engines update -> {
                 placement.replaceEngines(update.engines());
                 scoring.replaceEndpoints(update.engines());
+                runs.evacuate(update.evacuated(), this::target);
             }
             case BatchInput.NewestVersion update ->
                 newestVersions.merge(update.model(), update.version(), (a, b) -> b.isAfter(a) ? b : a);
--- a/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchInput.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.gateway.RouteTable;
 import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ItemId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
@@ -66,10 +68,20 @@
         }
     }
 
-    /** The engines that items may be assigned to, and the endpoints of the services that score texts. */
-    record Engines(List<EngineState> engines) implements BatchInput {
+    /**
+     * The engines that items may be assigned to, and the endpoints of the services that score texts.
+     *
+     * @param evacuated engines in evacuated data centres, whose runs move to another engine
+     */
+    record Engines(List<EngineState> engines, Set<EndpointId> evacuated) implements BatchInput {
         public Engines {
             engines = List.copyOf(engines);
+            evacuated = Set.copyOf(evacuated);
+        }
+
+        /** Creates an input without evacuated engines. */
+        public Engines(List<EngineState> engines) {
+            this(engines, Set.of());
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -82,6 +82,11 @@
         return candidates;
     }
 
+    /** Returns whether any engine may run the items of a batch, now or once it has a free slot. */
+    boolean hasEngine(BatchTarget target, BatchHead batch) {
+        return engines.stream().anyMatch(e -> serves(e, target) && !e.tooOldFor(batch));
+    }
+
     /** Returns which of several candidates gets an item; there must be at least one. */
     EngineState choose(BatchTarget target, RunningItem item, List<EngineState> candidates) {
         List<EngineState> preferred = preferred(
--- a/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ItemId;
@@ -14,7 +15,8 @@
  * Tracks the runs at engines: starts them, records their progress, and migrates those that stall or are slow.
  *
  * <p>Load pattern: an engine becomes slow or stalls in the middle of a text. The text so far is kept, and processing
- * the prompt again takes milliseconds, so the run is migrated to another engine as soon as it falls behind.
+ * the prompt again takes milliseconds, so the run is migrated to another engine as soon as it falls behind. For the
+ * same reason the runs of an evacuated data centre are migrated at once, even if they then wait for a slot.
  */
 final class RunTracker {
     // A run without an event for this long has stalled; the slowest healthy engine sends one in a tenth of this time.
@@ -139,6 +141,25 @@
         }
     }
 
+    /** Stops the runs of open batches at evacuated engines, unless no other engine could continue them. */
+    void evacuate(Set<EndpointId> evacuated, Function<RunningBatch, Optional<BatchTarget>> targets) {
+        if (evacuated.isEmpty()) {
+            return;
+        }
+        for (Run run : runs.values()) {
+            BatchHead head = run.batch.head();
+            boolean affected = evacuated.contains(run.engine) && !run.stopping && !head.ended();
+            if (affected
+                    && targets.apply(run.batch)
+                            .filter(t -> placement.hasEngine(t, head))
+                            .isPresent()) {
+                effects.add(new BatchEffect.Log(new BatchEvent.Migrated(
+                        head.id(), run.item.item.id(), run.engine, "its data centre is evacuated")));
+                stop(run);
+            }
+        }
+    }
+
     private void migrateIfSlow(long nowMs, Run run, BatchTarget target) {
         boolean stalled = nowMs - run.lastProgressMs >= STALL_MS;
         if (stalled) {
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Which data centres the platform's operator has evacuated: their endpoints get no new work. */
+package org.magnoliabridge.evacuation;
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsCore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.magnoliabridge.external.EndpointOrder.Kind;
 import org.magnoliabridge.external.EndpointTotals.Place;
@@ -23,6 +24,9 @@
  * and lost endpoints are replaced, because each start or stop costs weight loads and connections. A smaller fleet is
  * scaled up at once; a larger one is scaled down once the demand has been known for a full window.
  *
+ * <p>Nothing is ordered in an evacuated data centre, and its endpoints do not count, so the others make up for them.
+ * Its totals stay as they were ordered, because its endpoints serve again when the evacuation ends.
+ *
  * <pre>{@code
  * for (TotalsEffect effect : core.on(clock.nowMs(), lease.view(), new TotalsInput.Tick())) { ... }
  * }</pre>
@@ -45,6 +49,7 @@
     private final Map<Place, Order> orders = new HashMap<>();
     private final Map<Place, Long> avoidUntilMs = new HashMap<>();
     private Map<Place, Integer> serving = Map.of();
+    private Set<DataCentre> evacuated = Set.of();
     private final Map<Place, Long> shortSinceMs = new HashMap<>();
     private FencingToken epoch = LeaseView.NOT_HELD.fencing();
     private boolean fleetKnown;
@@ -82,6 +87,8 @@
             case TotalsInput.Demand demand -> recordDemand(nowMs, demand);
             case TotalsInput.Fleet fleet -> {
                 serving = fleet.serving();
+                evacuated = fleet.evacuated();
+                shortSinceMs.keySet().removeIf(p -> evacuated.contains(p.dc()));
                 fleet.reclaimed().forEach(p -> avoidUntilMs.put(p, nowMs + AVOIDANCE_MS));
                 fleetKnown = true;
             }
@@ -148,7 +155,7 @@
         }
     }
 
-    /** Returns the places of a service: standard ones, cheapest first, then any others that have serving endpoints. */
+    /** Returns the usable places: standard ones, cheapest first, then any others that have serving endpoints. */
     private List<Place> places(TotalsPlan plan) {
         ServiceId service = plan.capacity().service();
         List<Place> places = new ArrayList<>();
@@ -157,6 +164,7 @@
                 .filter(p -> p.service().equals(service) && !places.contains(p))
                 .sorted(PLACES)
                 .forEach(places::add);
+        places.removeIf(p -> evacuated.contains(p.dc()));
         return places;
     }
 
--- a/library/src/main/java/org/magnoliabridge/orders/TotalsInput.java
+++ b/library/src/main/java/org/magnoliabridge/orders/TotalsInput.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.magnoliabridge.external.EndpointTotals.Place;
 import org.magnoliabridge.external.EndpointTotals.Total;
+import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.ServiceId;
 
 /** Inputs of {@link TotalsCore}. */
@@ -26,11 +28,18 @@
      *
      * @param serving number of serving endpoints by place; a place that is absent has none
      * @param reclaimed places at which an endpoint has received a reclaim notice
+     * @param evacuated data centres whose endpoints get no work
      */
-    record Fleet(Map<Place, Integer> serving, List<Place> reclaimed) implements TotalsInput {
+    record Fleet(Map<Place, Integer> serving, List<Place> reclaimed, Set<DataCentre> evacuated) implements TotalsInput {
         public Fleet {
             serving = Map.copyOf(serving);
             reclaimed = List.copyOf(reclaimed);
+            evacuated = Set.copyOf(evacuated);
+        }
+
+        /** Creates an input without evacuated data centres. */
+        public Fleet(Map<Place, Integer> serving, List<Place> reclaimed) {
+            this(serving, reclaimed, Set.of());
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -20,7 +20,8 @@
  * Decides when each request gets a slot, and on which endpoint.
  *
  * <p>Requests are queued here and not at the engines, because engines admit requests in order of arrival and do not
- * support priorities. A request waits only while no endpoint that it may use has a free slot.
+ * support priorities. A request waits only while no endpoint that it may use has a free slot. If all endpoints of its
+ * service are in evacuated data centres, it is refused at once: an evacuation lasts longer than a caller waits.
  *
  * <pre>{@code
  * for (AdmissionEffect effect : core.apply(new AdmissionInput.Arrive(1, slotRequest), clock.nowMs())) {
@@ -31,6 +32,7 @@
 public final class AdmissionCore {
     private static final int INITIAL_ENGINE_SLOTS = 8;
     private static final long MIN_RETRY_AFTER_MS = 100;
+    static final long EVACUATED_RETRY_AFTER_MS = 1_000;
 
     private final RoutingSettings settings;
     private final RandomGenerator random;
@@ -67,6 +69,7 @@
             case AdmissionInput.Tick tick -> table.apply(new EndpointInput.Tick(), nowMs);
         }
         expire(nowMs, effects);
+        refuseEvacuated(nowMs, effects);
         dispatch(nowMs, effects);
         return effects;
     }
@@ -181,6 +184,15 @@
                 .forEach(r -> effects.add(new AdmissionEffect.Refuse(r.id(), new Failure.DeadlineExceeded())));
     }
 
+    private void refuseEvacuated(long nowMs, List<AdmissionEffect> effects) {
+        queues.forEach((service, queue) -> {
+            if (queue.size() > 0 && table.isEvacuated(service)) {
+                remove(r -> r.slotRequest().service().equals(service), nowMs)
+                        .forEach(r -> effects.add(refuse(r, EVACUATED_RETRY_AFTER_MS)));
+            }
+        });
+    }
+
     private List<AdmissionRequest> remove(Predicate<AdmissionRequest> predicate, long nowMs) {
         List<AdmissionRequest> removed = new ArrayList<>();
         queues.values().forEach(q -> removed.addAll(q.removeIf(predicate)));
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointInput.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointInput.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.OptionalInt;
 import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.evacuation.Evacuations;
 import org.magnoliabridge.ids.EndpointId;
 
 /** An input of the endpoint table: an event or the passing of time. */
@@ -14,6 +15,9 @@
         }
     }
 
+    /** The evacuations in force; endpoints in an evacuated data centre get no new requests until it ends. */
+    record Evacuated(Evacuations evacuations) implements EndpointInput {}
+
     /** This node has ordered the endpoint to stop. */
     record StopOrdered(EndpointId id) implements EndpointInput {}
 
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.evacuation.Evacuations;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.ServiceId;
@@ -21,7 +22,7 @@
  *
  * <p>An incarnation that was observed to be leaving never receives new requests again. Its departure is removed only
  * after it has been missing from the instance list for {@link #RETENTION_MS}; the same id and address then denote a
- * restarted endpoint.
+ * restarted endpoint. An evacuation of a data centre changes no state, so its endpoints are as before when it ends.
  */
 public final class EndpointTable {
     static final long RETENTION_MS = 60_000;
@@ -35,6 +36,7 @@
     private final Set<Identity> listed = new HashSet<>();
     // Asked for several times a second, while states change seldom.
     private final Map<ServiceId, List<Endpoint>> eligible = new HashMap<>();
+    private Evacuations evacuations = Evacuations.NONE;
 
     private record Identity(EndpointId id, String address, Incarnation incarnation) {}
 
@@ -66,6 +68,10 @@
         }
         return switch (input) {
             case EndpointInput.Listed listed -> applyList(listed.endpoints(), nowMs);
+            case EndpointInput.Evacuated update -> {
+                evacuations = update.evacuations();
+                yield List.of();
+            }
             case EndpointInput.StopOrdered stop -> markLeaving(entries.get(stop.id()), nowMs);
             case EndpointInput.ReclaimNotice notice -> markLeaving(entries.get(notice.id()), nowMs);
             case EndpointInput.LeavingAnnounced announced -> {
@@ -111,6 +117,17 @@
                 .toList();
     }
 
+    /** Returns whether a service has endpoints, and all of them are in evacuated data centres. */
+    boolean isEvacuated(ServiceId service) {
+        if (evacuations.dataCentres().isEmpty()) {
+            return false;
+        }
+        List<Entry> present = entries.values().stream()
+                .filter(e -> e.endpoint.service().equals(service) && isPresent(e))
+                .toList();
+        return !present.isEmpty() && present.stream().noneMatch(e -> evacuations.allows(e.endpoint.dataCentre()));
+    }
+
     /** Returns the maximum number of requests that this node may have in flight at the endpoint. */
     int slots(EndpointId id, int engineSlots) {
         Entry entry = entries.get(id);
@@ -151,7 +168,7 @@
             }
         }
         for (Entry entry : entries.values()) {
-            if (!listedIds.contains(entry.endpoint.id()) && canBecomeUnlisted(entry)) {
+            if (!listedIds.contains(entry.endpoint.id()) && isPresent(entry)) {
                 entry.state = EndpointState.UNLISTED;
                 entry.unlistedAtMs = nowMs;
             }
@@ -208,7 +225,8 @@
         entries.values().removeIf(e -> e.state == EndpointState.UNLISTED && nowMs - e.unlistedAtMs > RETENTION_MS);
     }
 
-    private static boolean canBecomeUnlisted(Entry entry) {
+    // Neither leaving nor unlisted.
+    private static boolean isPresent(Entry entry) {
         return entry.state != EndpointState.LEAVING && entry.state != EndpointState.UNLISTED;
     }
 
@@ -217,7 +235,8 @@
                 .filter(e -> e.endpoint.address().equals(address));
     }
 
-    private static boolean isEligible(Entry entry) {
-        return entry.state == EndpointState.ROUTABLE || entry.state == EndpointState.PROBATION;
+    private boolean isEligible(Entry entry) {
+        boolean serving = entry.state == EndpointState.ROUTABLE || entry.state == EndpointState.PROBATION;
+        return serving && evacuations.allows(entry.endpoint.dataCentre());
     }
 }
--- a/library/src/main/java/org/magnoliabridge/telemetry/LogFields.java
+++ b/library/src/main/java/org/magnoliabridge/telemetry/LogFields.java
@@ -46,6 +46,9 @@
     /** The simple name of a failure type. */
     public static final MetadataKey<String> FAILURE = MetadataKey.single("failure", String.class);
 
+    /** The data centre. */
+    public static final MetadataKey<String> DATA_CENTRE = MetadataKey.single("data_centre", String.class);
+
     /** The age of the data that a decision was based on, in milliseconds. */
     public static final MetadataKey<Long> AGE_MS = MetadataKey.single("age_ms", Long.class);
 
--- a/library/src/test/java/org/magnoliabridge/orders/TotalsCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/orders/TotalsCoreTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
@@ -36,6 +37,7 @@
     private final Map<Place, Long> orderedAtMs = new HashMap<>();
     private final Map<Place, Integer> serving = new HashMap<>();
     private final Set<Place> refusing = new HashSet<>();
+    private final Set<DataCentre> evacuated = new HashSet<>();
     private final List<TotalsEffect.Send> sent = new ArrayList<>();
     private LeaseView lease = new LeaseView(true, new FencingToken(7), 0, Long.MAX_VALUE);
     private OrderOutcome outcome = OrderOutcome.ACCEPTED;
@@ -89,6 +91,45 @@
         assertThat(serving.get(place(DCS.get(0), Kind.STANDARD)), is(3));
     }
 
+    /** Guards against orders in an evacuated data centre, and against work that waits for endpoints there. */
+    @Test
+    void evacuatedDataCentreGetsNoOrdersAndTheOthersMakeUp() {
+        simulate(20_000, 50);
+        assertThat(sent, is(empty()));
+        evacuated.add(DCS.get(1));
+        simulate(20_000, 90);
+        assertThat(sent, is(not(empty())));
+        assertThat(sent.stream().map(s -> s.total().place().dc()).toList(), not(hasItem(DCS.get(1))));
+        assertThat("endpoints that may be used", total() - serving.get(place(DCS.get(1), Kind.STANDARD)), is(9));
+        evacuated.clear();
+        simulate(60_000, 50);
+        assertThat("the fleet is reduced again", total(), is(10));
+    }
+
+    /** Guards against an order for endpoints that have left an evacuated data centre, also after it has ended. */
+    @Test
+    void endpointLostInAnEvacuationIsReplacedOnlyAfterIt() {
+        simulate(20_000, 50);
+        Place place = place(DCS.get(1), Kind.STANDARD);
+        evacuated.add(DCS.get(1));
+        serving.put(place, 1);
+        simulate(30_000, 50);
+        assertThat(sent, is(empty()));
+        evacuated.clear();
+        simulate(BOOT_MS, 50);
+        assertThat(sent, is(empty()));
+        simulate(20_000, 50);
+        assertThat(serving.get(place), is(3));
+    }
+
+    /** Guards against a core that fails or orders blindly when no data centre is left. */
+    @Test
+    void nothingIsOrderedWhileAllDataCentresAreEvacuated() {
+        evacuated.addAll(DCS);
+        simulate(30_000, 200);
+        assertThat(sent, is(empty()));
+    }
+
     /** Guards against a lost endpoint that is not replaced. */
     @Test
     void replacesALostEndpoint() {
@@ -158,7 +199,7 @@
                 }
             });
             ordered.keySet().removeIf(p -> ordered.get(p).equals(serving.get(p)));
-            carryOut(core.on(nowMs, lease, new TotalsInput.Fleet(serving, List.of())));
+            carryOut(core.on(nowMs, lease, new TotalsInput.Fleet(serving, List.of(), evacuated)));
             boolean busy = nowMs % BATCH_EVERY_MS < 1_000;
             carryOut(core.on(nowMs, lease, new TotalsInput.Demand(SERVICE, busy ? units : 0)));
             carryOut(core.on(nowMs, lease, new TotalsInput.Tick()));
