--- a/daemon/src/main/java/org/magnoliabridge/daemon/EvacuationDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/EvacuationDriver.java
@@ -57,8 +57,8 @@
     }
 
     /**
-     * Returns the times of the watch. A connection that has gone silent is noticed in half of the time that an
-     * evacuation may take, so that the entries can be listed again in the rest.
+     * Returns the times of the watch. A poll over a connection that has gone silent ends early enough for another one,
+     * through another node, in the time that an evacuation may take.
      *
      * @param evacuateMs time in which an evacuation must be in force
      */
