Share the loads of weights among the models by demand

Cause: each engine was to load every version of every model, and of several models the one with the lowest version number went first. Change: EngineShares gives each model as many engines as the loads allow, in proportion to the work that waits; loads go first to the model with the most work for each usable engine. A load pauses only the items of its model.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -20,6 +20,7 @@
 import org.magnoliabridge.batch.ItemRunId;
 import org.magnoliabridge.batch.MalformedBatchException;
 import org.magnoliabridge.batch.ReadAnswer;
+import org.magnoliabridge.batch.RemainingWork;
 import org.magnoliabridge.batch.RunOutcome;
 import org.magnoliabridge.batch.Scorers;
 import org.magnoliabridge.batch.StartGate;
@@ -30,7 +31,6 @@
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.ids.BatchId;
-import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.routing.Dispatcher;
 import org.magnoliabridge.routing.Endpoint;
@@ -107,9 +107,9 @@
         return core.open();
     }
 
-    /** Returns the slot time that the open items of each service still need, in milliseconds; control thread only. */
-    Map<ServiceId, Double> remainingSlotTimeMs() {
-        return core.remainingSlotTimeMs();
+    /** Returns the slot time that the open items still need; control thread only. */
+    RemainingWork remainingWork() {
+        return core.remainingWork();
     }
 
     /** Starts to run batches, beginning with those that are open in the store; control thread only. */
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayDuties.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.magnoliabridge.batch.BatchHead;
+import org.magnoliabridge.batch.RemainingWork;
 import org.magnoliabridge.core.SuspensionDetector;
 import org.magnoliabridge.external.ObjectKey;
 import org.magnoliabridge.external.ObjectWatch;
@@ -15,7 +17,6 @@
 import org.magnoliabridge.gateway.GatewayConfig;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ModelId;
-import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.lease.LeaseCore;
 import org.magnoliabridge.lease.LeaseSettings;
@@ -100,9 +101,9 @@
         return weights.newest();
     }
 
-    /** Returns whether an engine is loading weights that this node ordered; control thread only. */
-    boolean isLoading(EndpointId engine) {
-        return weights.isLoading(engine);
+    /** Returns the models whose weights an engine is loading at this node's order; control thread only. */
+    Set<ModelId> loadingModels(EndpointId engine) {
+        return weights.loadingModels(engine);
     }
 
     /** Updates the endpoints of the fleet; control thread only. */
@@ -117,10 +118,9 @@
      * @param candidate whether this node may hold the duties
      * @param batches the open batches
      * @param config the configuration in force, if one is known
-     * @param demand slot time that the open items of each service still need, in milliseconds
+     * @param demand what the open items still need
      */
-    void tick(
-            boolean candidate, List<BatchHead> batches, Optional<GatewayConfig> config, Map<ServiceId, Double> demand) {
+    void tick(boolean candidate, List<BatchHead> batches, Optional<GatewayConfig> config, RemainingWork demand) {
         lease.tick(candidate);
         updateWatches(candidate || lease.view().held());
         for (BatchHead batch : batches) {
@@ -129,9 +129,12 @@
                 weights.setAllowedLag(model, batch.minVersion().get());
             }
         }
+        if (candidate) {
+            weights.setDemand(demand.byModel());
+        }
         weights.tick();
         config.ifPresent(sizing::applyConfiguration);
-        demand.forEach(sizing::setDemand);
+        demand.byService().forEach(sizing::setDemand);
         sizing.tick();
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -362,7 +362,7 @@
                 role.isSelf() && !draining,
                 scheduler.open(),
                 policy.get().map(AdmissionPolicy::config),
-                scheduler.remainingSlotTimeMs());
+                scheduler.remainingWork());
         duties.newestWeights()
                 .forEach((model, version) -> scheduler.handle(new BatchInput.NewestVersion(model, version)));
         scheduler.reportProgress();
@@ -405,7 +405,7 @@
                         e.endpoint(),
                         e.slots(),
                         weights.of(e),
-                        duties.isLoading(e.endpoint().id())))
+                        duties.loadingModels(e.endpoint().id())))
                 .toList();
         scheduler.handle(new BatchInput.Engines(engines));
         duties.fleetChanged(endpoints);
--- a/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/WeightRollout.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.magnoliabridge.external.EngineOrders;
 import org.magnoliabridge.external.EngineReports;
 import org.magnoliabridge.external.ObjectStore;
@@ -70,9 +71,17 @@
         return newest;
     }
 
-    /** Returns whether an engine is loading weights; control thread only. */
-    boolean isLoading(EndpointId engine) {
-        return loading.containsKey(engine);
+    /** Returns the models whose weights an engine is loading; control thread only. */
+    Set<ModelId> loadingModels(EndpointId engine) {
+        WeightsEffect.Load load = loading.get(engine);
+        return load == null ? Set.of() : Set.of(load.model());
+    }
+
+    /** Sets the slot time that the open items of each model still need, in milliseconds; control thread only. */
+    void setDemand(Map<ModelId, Double> slotMs) {
+        for (ModelId model : newest.keySet()) {
+            handle(new WeightsInput.Demand(model, slotMs.getOrDefault(model, 0.0)));
+        }
     }
 
     /** Sets the endpoints of the fleet; draining ones get no orders. Control thread only. */
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -16,7 +16,6 @@
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.ModelId;
 import org.magnoliabridge.ids.RouteId;
-import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
 
@@ -150,22 +149,22 @@
     }
 
     /**
-     * Returns the total slot time that the open items of each service still need, in milliseconds; empty until the
-     * median time per event is known.
+     * Returns the total slot time that the open items of each service and model still need; empty until the median time
+     * per event is known.
      */
-    public Map<ServiceId, Double> remainingSlotTimeMs() {
-        Map<ServiceId, Double> remainingMs = new HashMap<>();
+    public RemainingWork remainingWork() {
+        RemainingWork remaining = new RemainingWork(new HashMap<>(), new HashMap<>());
         if (detector.medianEventMs().isPresent()) {
             for (RunningBatch batch : batches.values()) {
-                target(batch)
-                        .ifPresent(target -> remainingMs.merge(
-                                target.service(),
-                                batch.eventsLeft(target)
-                                        * detector.medianEventMs().getAsDouble(),
-                                Double::sum));
+                target(batch).ifPresent(target -> {
+                    double slotMs =
+                            batch.eventsLeft(target) * detector.medianEventMs().getAsDouble();
+                    remaining.byService().merge(target.service(), slotMs, Double::sum);
+                    batch.head().model().ifPresent(m -> remaining.byModel().merge(m, slotMs, Double::sum));
+                });
             }
         }
-        return remainingMs;
+        return remaining;
     }
 
     /** Returns the number of items that run at engines. */
--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.magnoliabridge.ids.EndpointId;
 
@@ -15,14 +13,14 @@
  * <p>Load pattern: a step submits several hundred items at once, a few of them many times as long as the rest. Engines
  * run items at nearly the same rate up to their number of slots, but preempt items and requeue them at the front when
  * the texts exceed the memory. An item therefore goes to the engine with the lowest utilization of slots and memory,
- * never beyond its slots, and beyond its memory only if no other engine is left. Engines that load weights or have just
- * refused an item get none.
+ * never beyond its slots, and beyond its memory only if no other engine is left. Engines that load the weights of the
+ * item's model, or have just refused an item, get none.
  */
 final class Placement {
     private final Map<EndpointId, Load> loads = new HashMap<>();
     private final SlowEngineDetector detector;
     private final EngineBackoff backoff;
-    private final Set<EndpointId> loading = new HashSet<>();
+    private final Map<EndpointId, EngineState> loading = new HashMap<>();
     private long nowMs;
     private List<EngineState> engines = List.of();
 
@@ -45,15 +43,16 @@
         engines = List.copyOf(current);
         loading.clear();
         for (EngineState engine : engines) {
-            if (engine.loading()) {
-                loading.add(engine.endpoint().id());
+            if (!engine.loading().isEmpty()) {
+                loading.put(engine.endpoint().id(), engine);
             }
         }
     }
 
-    /** Returns whether an engine is loading weights. */
-    boolean isLoading(EndpointId engine) {
-        return loading.contains(engine);
+    /** Returns whether an engine is loading weights of a batch's model. */
+    boolean isLoading(EndpointId engine, BatchHead batch) {
+        EngineState state = loading.get(engine);
+        return state != null && state.isLoadingFor(batch);
     }
 
     void runStarted(EndpointId engine, long tokens) {
@@ -75,7 +74,10 @@
     List<EngineState> candidates(BatchTarget target, BatchHead batch) {
         List<EngineState> candidates = new ArrayList<>();
         for (EngineState engine : engines) {
-            if (isAvailable(engine) && serves(engine, target) && !engine.tooOldFor(batch)) {
+            if (isAvailable(engine)
+                    && serves(engine, target)
+                    && !engine.isLoadingFor(batch)
+                    && !engine.tooOldFor(batch)) {
                 candidates.add(engine);
             }
         }
@@ -114,12 +116,12 @@
         return engine.endpoint().service().equals(target.service());
     }
 
-    /** Returns whether an engine can take an item now. */
+    /** Returns whether an engine has a free slot and is not left alone after a refusal. */
     boolean isAvailable(EngineState engine) {
         EndpointId id = engine.endpoint().id();
         Load load = loads.get(id);
         boolean hasSlot = load == null || load.runs < engine.slots();
-        return hasSlot && !engine.loading() && !backoff.isBackingOff(nowMs, id);
+        return hasSlot && !backoff.isBackingOff(nowMs, id);
     }
 
     private double utilization(EngineState engine, BatchTarget target, long tokens) {
--- a/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
@@ -124,7 +124,7 @@
         for (Run run : runs.values()) {
             List<Transcript.Event> newEvents = events.getOrDefault(run.id, List.of());
             run.item.runEvents.addAll(newEvents);
-            boolean loading = placement.isLoading(run.engine);
+            boolean loading = placement.isLoading(run.engine, run.batch.head());
             if (!newEvents.isEmpty() || loading) {
                 run.lastProgressMs = nowMs;
             }
@@ -145,7 +145,7 @@
             detector.markStalled(nowMs, run.engine);
         }
         boolean slow = detector.isSlow(run.engine) && run.eventsLeft(target) >= MIN_EVENTS_TO_MIGRATE;
-        if (run.stopping || placement.isLoading(run.engine) || !(stalled || slow)) {
+        if (run.stopping || placement.isLoading(run.engine, run.batch.head()) || !(stalled || slow)) {
             return;
         }
         boolean hasBetterEngine = placement.candidates(target, run.batch.head()).stream()
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
@@ -35,6 +35,9 @@
     private static final int CONCURRENT_SWAP_DIVISOR = 4;
     // A single engine that cannot load a version points to a fault of the engine, not of the version.
     private static final int MIN_EXCLUDED_TO_HALT = 2;
+    // Taken for the time of a load until one has ended.
+    private static final double FIRST_LOAD_MS = 1_200;
+    private static final double LOAD_SMOOTHING_FACTOR = 0.1;
 
     private final WeightsSettings settings;
     private final LoadRateLimiter rateLimiter;
@@ -42,10 +45,14 @@
             new TreeMap<>(Comparator.comparing(EngineModel::engine).thenComparing(EngineModel::model));
     private final Map<ModelId, Target> targets = new HashMap<>();
     private final Map<ModelId, Integer> lags = new HashMap<>();
+    private final EngineShares shares = new EngineShares();
+    private double loadMs = FIRST_LOAD_MS;
     private final List<WeightsEffect> effects = new ArrayList<>();
     private FencingToken epoch = LeaseView.NOT_HELD.fencing();
     private FencingToken supersededEpoch = LeaseView.NOT_HELD.fencing();
     private long nextOrderNumber = 1;
+    // Reports of all engines come together, so only one that ends a swap starts others before the next tick.
+    private boolean reportEndedSwap;
 
     /** An engine and one of the models that it serves. */
     private record EngineModel(EndpointId engine, ModelId model) {}
@@ -63,13 +70,16 @@
             case WeightsInput.Engines all -> replaceEngines(all);
             case WeightsInput.Newest newest -> onNewest(nowMs, newest);
             case WeightsInput.Lag lag -> lags.put(lag.model(), lag.versions());
+            case WeightsInput.Demand demand -> shares.demand(nowMs, demand.model(), demand.slotMs());
             case WeightsInput.Reported reported -> onReported(nowMs, reported);
             case WeightsInput.Permit permit -> onPermit(nowMs, lease, permit);
             case WeightsInput.Sent sent -> onSent(nowMs, sent);
         }
-        if (mayAct(nowMs, lease)) {
+        boolean frequent = input instanceof WeightsInput.Reported || input instanceof WeightsInput.Demand;
+        if (mayAct(nowMs, lease) && (reportEndedSwap || !frequent)) {
             startSwaps(nowMs);
         }
+        reportEndedSwap = false;
         List<WeightsEffect> taken = List.copyOf(effects);
         effects.clear();
         return taken;
@@ -88,15 +98,34 @@
 
     private void replaceEngines(WeightsInput.Engines all) {
         Set<EngineModel> current = new HashSet<>();
+        boolean changed = false;
         for (WeightsInput.Engine engine : all.engines()) {
             EngineModel engineModel = new EngineModel(engine.id(), engine.model());
             current.add(engineModel);
             Swap known = swaps.get(engineModel);
             if (known == null || !known.engine.equals(engine)) {
                 swaps.put(engineModel, new Swap(engine));
+                changed = true;
             }
         }
-        swaps.keySet().retainAll(current);
+        if (swaps.keySet().retainAll(current) || changed) {
+            updateShares();
+        }
+    }
+
+    private void updateShares() {
+        Map<ServiceId, Map<ModelId, Set<EndpointId>>> services = new HashMap<>();
+        swaps.values().stream()
+                .filter(s -> !s.excluded)
+                .forEach(s -> services.computeIfAbsent(
+                                s.engine.service(), id -> new TreeMap<>(Comparator.comparing(ModelId::value)))
+                        .computeIfAbsent(s.engine.model(), id -> new HashSet<>())
+                        .add(s.engine.id()));
+        services.values().forEach(models -> {
+            long engines =
+                    models.values().stream().flatMap(Set::stream).distinct().count();
+            shares.update(models, lags, new EngineShares.Capacity(maxConcurrentSwaps((int) engines), loadMs));
+        });
     }
 
     private void onNewest(long nowMs, WeightsInput.Newest newest) {
@@ -105,12 +134,15 @@
             return;
         }
         targets.put(newest.model(), new Target(newest.version(), nowMs));
+        shares.published(
+                nowMs, newest.model(), target == null ? 0 : newest.version().value() - target.version.value());
         for (Swap swap : swaps.values()) {
             if (swap.engine.model().equals(newest.model())) {
                 swap.failures = 0;
                 reinstate(swap);
             }
         }
+        updateShares();
     }
 
     private void reinstate(Swap swap) {
@@ -130,7 +162,11 @@
         Target target = targets.get(swap.engine.model());
         // The swap ends with this report even if its version is no longer the newest; a new swap then follows.
         if (swap.isSwapping() && !swap.version.isAfter(reported.version())) {
+            if (swap.step == Step.ORDERED) {
+                loadMs += LOAD_SMOOTHING_FACTOR * (nowMs - swap.sinceMs - loadMs);
+            }
             swap.step = Step.IDLE;
+            reportEndedSwap = true;
         }
         if (target != null && !target.version.isAfter(reported.version())) {
             swap.failures = 0;
@@ -142,6 +178,7 @@
     private void completeIfAllReport(long nowMs, ModelId model, Target target) {
         boolean all = swaps.values().stream()
                 .filter(s -> s.engine.model().equals(model) && !s.excluded)
+                .filter(s -> shares.isMember(s.engine.id(), model))
                 .allMatch(s -> s.hasReported && !target.version.isAfter(s.reported));
         if (all && !target.completed) {
             target.completed = true;
@@ -150,31 +187,83 @@
     }
 
     private void startSwaps(long nowMs) {
-        List<Swap> waiting = swaps.values().stream()
-                .filter(s -> s.step == Step.IDLE && !s.excluded && s.hasReported && nowMs >= s.notBeforeMs)
-                .filter(this::isBehind)
-                .sorted(Comparator.comparing((Swap s) -> !s.engine.sampler())
-                        .thenComparing(s -> s.reported)
-                        .thenComparingInt(s -> s.failures))
-                .toList();
-        if (waiting.isEmpty()) {
+        Map<ServiceId, Integer> freeSlots = freeSwapSlots();
+        if (freeSlots.values().stream().noneMatch(free -> free > 0)) {
             return;
         }
-        Map<ServiceId, Integer> freeSlots = freeSwapSlots();
-        Set<EndpointId> swapping = new HashSet<>(swappingEngines());
-        for (Swap swap : waiting) {
+        Map<ModelId, Progress> progress = progress();
+        Set<EndpointId> swapping = swappingEngines();
+        List<Swap> waiting = new ArrayList<>();
+        for (Swap swap : swaps.values()) {
+            boolean ready = swap.step == Step.IDLE && !swap.excluded && swap.hasReported && nowMs >= swap.notBeforeMs;
+            if (ready && isBehind(swap) && shares.isMember(swap.engine.id(), swap.engine.model())) {
+                waiting.add(swap);
+            }
+        }
+        while (!waiting.isEmpty()) {
+            Swap swap = waiting.stream().min(order(progress)).orElseThrow();
+            waiting.remove(swap);
             ServiceId service = swap.engine.service();
-            if (freeSlots.getOrDefault(service, 0) > 0 && !swapping.contains(swap.engine.id()) && isDue(swap)) {
+            boolean free = freeSlots.getOrDefault(service, 0) > 0 && !swapping.contains(swap.engine.id());
+            if (free && isDue(swap, progress.get(swap.engine.model()))) {
                 if (!rateLimiter.tryAcquire(nowMs)) {
                     return;
                 }
                 freeSlots.merge(service, -1, Integer::sum);
                 swapping.add(swap.engine.id());
+                progress.get(swap.engine.model()).started();
                 startSwap(nowMs, swap);
             }
         }
     }
 
+    // Engines that are too old for work come first, then the model with the most work for each engine that it can use.
+    private Comparator<Swap> order(Map<ModelId, Progress> progress) {
+        return Comparator.comparing((Swap s) -> !s.engine.sampler())
+                .thenComparing(s -> !isTooOld(s))
+                .thenComparingDouble(
+                        s -> -(1 + shares.demandMs(s.engine.model())) / (1 + progress.get(s.engine.model()).usable))
+                .thenComparing(s -> s.reported)
+                .thenComparingInt(s -> s.failures);
+    }
+
+    /** How far the engines of a model are with its newest version; those that are loading it count as up to date. */
+    private static final class Progress {
+        int members;
+        int upToDate;
+        // Engines whose weights are new enough for work.
+        int usable;
+
+        void started() {
+            upToDate++;
+            usable++;
+        }
+    }
+
+    private Map<ModelId, Progress> progress() {
+        Map<ModelId, Progress> all = new HashMap<>();
+        for (Swap swap : swaps.values()) {
+            ModelId model = swap.engine.model();
+            Target target = targets.get(model);
+            if (target == null || swap.excluded) {
+                continue;
+            }
+            Progress progress = all.computeIfAbsent(model, m -> new Progress());
+            boolean loadsTarget = swap.isSwapping() && swap.version.equals(target.version);
+            progress.usable += loadsTarget || !isTooOld(swap) ? 1 : 0;
+            if (shares.isMember(swap.engine.id(), model)) {
+                progress.members++;
+                progress.upToDate += loadsTarget || !target.version.isAfter(swap.reported) ? 1 : 0;
+            }
+        }
+        return all;
+    }
+
+    private boolean isTooOld(Swap swap) {
+        ModelId model = swap.engine.model();
+        return targets.get(model).version.value() - swap.reported.value() > lags.getOrDefault(model, 0);
+    }
+
     private void startSwap(long nowMs, Swap swap) {
         WeightVersion version = targets.get(swap.engine.model()).version;
         if (settings.permits()) {
@@ -194,30 +283,16 @@
 
     // If work may run on weights up to n versions old, an engine need not load every version. One in n + 1 engines
     // loads each version while the others serve, so that no work waits for a load.
-    private boolean isDue(Swap swap) {
-        ModelId model = swap.engine.model();
-        int lag = lags.getOrDefault(model, 0);
-        Target target = targets.get(model);
-        if (target.version.value() - swap.reported.value() > lag) {
-            return true;
-        }
-        long all = 0;
-        long upToDate = 0;
-        for (Swap other : swaps.values()) {
-            if (other.engine.model().equals(model) && !other.excluded) {
-                all++;
-                boolean loadsTarget = other.isSwapping() && other.version.equals(target.version);
-                upToDate += loadsTarget || !target.version.isAfter(other.reported) ? 1 : 0;
-            }
-        }
-        return upToDate * (lag + 1) < all;
+    private boolean isDue(Swap swap, Progress progress) {
+        int lag = lags.getOrDefault(swap.engine.model(), 0);
+        return isTooOld(swap) || (long) progress.upToDate * (lag + 1) < progress.members;
     }
 
     private Set<EndpointId> swappingEngines() {
         return swaps.values().stream()
                 .filter(Swap::isSwapping)
                 .map(s -> s.engine.id())
-                .collect(Collectors.toSet());
+                .collect(Collectors.toCollection(HashSet::new));
     }
 
     private Map<ServiceId, Integer> freeSwapSlots() {
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsInput.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsInput.java
@@ -29,6 +29,13 @@
      */
     record Lag(ModelId model, int versions) implements WeightsInput {}
 
+    /**
+     * The work that waits for a model.
+     *
+     * @param slotMs slot time that its open items still need, in milliseconds
+     */
+    record Demand(ModelId model, double slotMs) implements WeightsInput {}
+
     /** The version of a model that an engine reports as loaded. */
     record Reported(EndpointId engine, ModelId model, WeightVersion version) implements WeightsInput {}
 
--- a/library/src/test/java/org/magnoliabridge/batch/Batches.java
+++ b/library/src/test/java/org/magnoliabridge/batch/Batches.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliabridge.gateway.BatchTerms;
 import org.magnoliabridge.gateway.GatewayRoute;
 import org.magnoliabridge.gateway.RouteKind;
@@ -150,7 +151,7 @@
     /** Returns an endpoint of the service that scores texts. */
     static EngineState scorer(String id, int slots) {
         Endpoint endpoint = new Endpoint(new EndpointId(id), SCORING_SERVICE, new DataCentre("trent"), "10.0.0.2:8080");
-        return new EngineState(endpoint, slots, Map.of(), false);
+        return new EngineState(endpoint, slots, Map.of(), Set.of());
     }
 
     /** Ends a batch in a store that serves every request. */
@@ -162,7 +163,7 @@
     }
 
     static EngineState engine(String id, int slots, long version) {
-        return new EngineState(endpoint(id), slots, Map.of(MODEL, new WeightVersion(version)), false);
+        return new EngineState(endpoint(id), slots, Map.of(MODEL, new WeightVersion(version)), Set.of());
     }
 
     static Endpoint endpoint(String id) {
--- a/library/src/test/java/org/magnoliabridge/batch/EngineBackoffTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/EngineBackoffTest.java
@@ -55,8 +55,8 @@
     /** Guards against sending items to an engine that reports that it is loading weights. */
     @Test
     void loadingEngineGetsNoItems() {
-        EngineState loading =
-                new EngineState(Batches.endpoint("e1"), 12, Map.of(Batches.MODEL, new WeightVersion(1)), true);
+        EngineState loading = new EngineState(
+                Batches.endpoint("e1"), 12, Map.of(Batches.MODEL, new WeightVersion(1)), Set.of(Batches.MODEL));
         fixture.engines(loading, Batches.engine("e2", 2, 1));
         fixture.open(Batches.head("b", 8), Batches.items("a", 8), true);
         assertThat(open(REFUSING), hasSize(0));
--- a/library/src/test/java/org/magnoliabridge/batch/RunTrackerTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunTrackerTest.java
@@ -9,6 +9,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.ids.BatchId;
@@ -58,8 +59,8 @@
     /** Guards against migrating runs away from an engine that loads weights, which takes a second. */
     @Test
     void loadingEngineIsNotSilent() {
-        EngineState loading =
-                new EngineState(Batches.endpoint("e1"), 2, Map.of(Batches.MODEL, new WeightVersion(1)), true);
+        EngineState loading = new EngineState(
+                Batches.endpoint("e1"), 2, Map.of(Batches.MODEL, new WeightVersion(1)), Set.of(Batches.MODEL));
         fixture.engines(Batches.engine("e1", 2, 1));
         fixture.open(Batches.head("b", 1), longItems(1), true);
         fixture.engines(loading, Batches.engine("e2", 2, 1));
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.magnoliabridge.external.StoreReply;
@@ -153,7 +154,7 @@
             }
             held.put(model(t), weights[number][t]);
         }
-        return new EngineState(Batches.endpoint("engine-" + number), SLOTS, held, loading);
+        return new EngineState(Batches.endpoint("engine-" + number), SLOTS, held, loading ? held.keySet() : Set.of());
     }
 
     private WeightVersion newest() {
