--- a/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
@@ -108,6 +108,12 @@
         return call(() -> direct.listStale(prefix), peer -> listing(reply(peer, new StoreRequest.List(prefix))));
     }
 
+    // Saves calls only, so it is not relayed.
+    @Override
+    public Listing nextStale(ObjectKey after) throws PlatformException {
+        return call(() -> direct.nextStale(after), peer -> new Listing(ABSENT, List.of()));
+    }
+
     @Override
     public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
         DirectCall<Listing> directWatch = () -> direct.watch(prefix, sinceRevision, waitMs);
--- a/library/src/main/java/org/magnoliabridge/batch/BatchKeys.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchKeys.java
@@ -27,4 +27,14 @@
     public static ObjectKey results(BatchId batch, int segment) {
         return new ObjectKey(RESULTS + "/" + batch + "." + segment);
     }
+
+    /** Returns a key that precedes those of all segments of a batch and follows those of the batches before it. */
+    static ObjectKey beforeResults(BatchId batch) {
+        return new ObjectKey(RESULTS + "/" + batch + ".");
+    }
+
+    /** Returns whether a key is that of a segment of a batch. */
+    static boolean isResultsOf(BatchId batch, ObjectKey key) {
+        return key.value().startsWith(beforeResults(batch).value());
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
+++ b/library/src/main/java/org/magnoliabridge/batch/StoredBatches.java
@@ -80,6 +80,9 @@
             throws PlatformException, MalformedBatchException {
         CommittedResults committed = new CommittedResults();
         ResultPage page = new ResultPage(after);
+        if (segments.find(BatchKeys.results(head.id(), 0)).isEmpty()) {
+            cacheSegments(head.id());
+        }
         try {
             int number = 0;
             Optional<List<ItemResult>> segment = Optional.of(List.of());
@@ -121,6 +124,27 @@
         return Optional.of(results);
     }
 
+    // Load pattern: after a change of the runner, or a restart of all nodes, readers ask for logs of dozens of segments
+    // that no node has cached. A listing has many of them for the price of a fraction of a call. A stored segment never
+    // changes, so an old listing is as good as a new one; what it lacks is read.
+    private void cacheSegments(BatchId batch) {
+        try {
+            for (ObjectStore.Entry entry :
+                    store.nextStale(BatchKeys.beforeResults(batch)).entries()) {
+                if (BatchKeys.isResultsOf(batch, entry.key()) && entry.object().isPresent()) {
+                    segments.put(
+                            entry.key(),
+                            BatchCodec.segment(entry.object().get().value()).results());
+                }
+            }
+        } catch (PlatformException | MalformedBatchException e) {
+            LOG.atInfo()
+                    .withCause(e)
+                    .with(LogFields.BATCH, batch.value())
+                    .log("cannot list the segments of a batch; reading them one by one");
+        }
+    }
+
     // The segment may have been stored, and its results read at other nodes, while the answer was on its way.
     private void requireCurrent(long startMs) throws PlatformException.Unavailable {
         long ageMs = clock.nowMs() - startMs;
--- a/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/BudgetedStore.java
@@ -248,6 +248,11 @@
             return call("list", priority, false, end.getAsLong(), () -> store.listStale(prefix));
         }
 
+        @Override
+        public Listing nextStale(ObjectKey after) throws PlatformException {
+            return call("list", priority, false, end.getAsLong(), () -> store.nextStale(after));
+        }
+
         @Override
         public Listing watch(String prefix, long sinceRevision, long waitMs) throws PlatformException {
             openWatches.incrementAndGet();
--- a/library/src/main/java/org/magnoliabridge/external/ObjectStore.java
+++ b/library/src/main/java/org/magnoliabridge/external/ObjectStore.java
@@ -39,6 +39,14 @@
         return list(prefix);
     }
 
+    /**
+     * Returns the entries of the same kind that follow a key in the order of their names, as many as one call returns.
+     * They may be some seconds old, and a store without such calls returns none.
+     */
+    default Listing nextStale(ObjectKey after) throws PlatformException {
+        return new Listing(ABSENT, List.of());
+    }
+
     /**
      * Waits for changes under a prefix after a revision.
      *
--- a/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
@@ -57,6 +57,42 @@
         assertThat(store.reads, is(lessThanOrEqualTo(segments + reads)));
     }
 
+    /**
+     * Guards against calls for each segment after a restart of all nodes. Replays the load: each of 20 nodes is asked for
+     * three logs of 15 segments that it has not cached; the listing lacks the last two segments.
+     */
+    @Test
+    void logsThatANodeHasNotCachedCostFewCalls() throws Exception {
+        store.listedSegments = 13;
+        List<String> batches = List.of("a", "b", "c");
+        for (String batch : batches) {
+            for (int i = 0; i < 15; i++) {
+                store.append(new BatchId(batch), i, result("i" + i, "text"));
+            }
+        }
+        int nodes = 20;
+        for (int node = 0; node < nodes; node++) {
+            StoredBatches restarted = new StoredBatches(store, () -> store.nowMs);
+            for (String batch : batches) {
+                ReadAnswer.Results page = restarted.page(Batches.head(batch, 16), 0, store.nowMs + READER_MS);
+                assertThat(page.results(), hasSize(15));
+            }
+        }
+        assertThat(store.reads, is(lessThanOrEqualTo(nodes * batches.size() * 4)));
+    }
+
+    /** Guards against a listing with a segment that cannot be decoded, which must not hide the others. */
+    @Test
+    void unreadableSegmentOfAListingDoesNotHideEarlierResults() throws Exception {
+        store.listedSegments = 4;
+        for (int i = 0; i < 4; i++) {
+            store.append(i, result("i" + i, "text"));
+        }
+        store.objects.put(BatchKeys.results(BATCH, 3), new byte[] {'{'});
+        assertThat(read(4, 0), hasSize(3));
+        assertThrows(MalformedBatchException.class, () -> read(4, 3));
+    }
+
     /**
      * Guards against a long log that no reader can read in its time. Replays the load: all nodes have restarted, and
      * the store takes 100 ms for a call.
@@ -150,9 +186,34 @@
         private long callMs;
         private ObjectKey refused = new ObjectKey("none/none");
 
+        // Segments of a batch that a listing has; none if the store has no such calls.
+        private int listedSegments;
+
         void append(int number, ItemResult... results) {
+            append(BATCH, number, results);
+        }
+
+        void append(BatchId batch, int number, ItemResult... results) {
             ResultSegment segment = ResultSegment.of("n1-1", number, List.of(results));
-            objects.put(BatchKeys.results(BATCH, number), BatchCodec.segment(segment));
+            objects.put(BatchKeys.results(batch, number), BatchCodec.segment(segment));
+        }
+
+        // The store orders the objects of a kind by their names.
+        @Override
+        public Listing nextStale(ObjectKey after) {
+            if (listedSegments == 0) {
+                return new Listing(1, List.of());
+            }
+            reads++;
+            nowMs += callMs;
+            List<Entry> entries = objects.keySet().stream()
+                    .sorted()
+                    .filter(key -> key.compareTo(after) > 0)
+                    .filter(key ->
+                            Integer.parseInt(key.value().substring(key.value().lastIndexOf('.') + 1)) < listedSegments)
+                    .map(key -> Entry.of(new StoredObject(key, 1, objects.get(key))))
+                    .toList();
+            return new Listing(1, entries);
         }
 
         @Override
