--- a/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RelayedStore.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.magnoliabridge.core.MonotonicClock;
