--- a/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
@@ -20,9 +20,9 @@
 /**
  * Rolls out new weights to engines under a lease.
  *
- * <p>Samplers of trainers swap first. At most a quarter of a service's engines swap at once, except that
- * {@link WeightsSettings#minConcurrentSwaps()} are allowed in small services. Loads stay within the rate of the weight
- * store. A swap succeeds only when the engine reports the version. No intent is recorded: an order names the version to
+ * <p>Samplers of trainers swap first. Only a part of a service's engines swap at once, see {@link WeightsSettings}. Of
+ * several models, each is loaded by a share of the engines, see {@link EngineShares}. Loads stay within the rate of the
+ * weight store. A swap succeeds only when the engine reports the version. No intent is recorded: an order names the version to
  * load, and a new lease holder learns the remaining work from the engines' reports.
  *
  * <pre>{@code
@@ -31,8 +31,6 @@
  * }</pre>
  */
 public final class WeightsCore {
-    // At most one in this many engines of a service may swap at once.
-    private static final int CONCURRENT_SWAP_DIVISOR = 4;
     // A single engine that cannot load a version points to a fault of the engine, not of the version.
     private static final int MIN_EXCLUDED_TO_HALT = 2;
     // Taken for the time of a load until one has ended.
@@ -316,7 +314,7 @@
     /** Returns how many of the given number of engines may swap at once. */
     private int maxConcurrentSwaps(int engines) {
         int minSwaps = Math.min(settings.minConcurrentSwaps(), engines / 2);
-        return Math.max(1, Math.max(minSwaps, engines / CONCURRENT_SWAP_DIVISOR));
+        return Math.max(1, Math.max(minSwaps, engines / settings.concurrentSwapDivisor()));
     }
 
     private void onPermit(long nowMs, LeaseView lease, WeightsInput.Permit permit) {
