--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.magnoliabridge.ids.EndpointId;
 
 /**
@@ -14,7 +15,8 @@
  * run items at nearly the same rate up to their number of slots, but preempt items and requeue them at the front when
  * the texts exceed the memory. An item therefore goes to the engine with the lowest utilization of slots and memory,
  * never beyond its slots, and beyond its memory only if no other engine is left. Engines that load the weights of the
- * item's model, or have just refused an item, get none.
+ * item's model, or have just refused an item, get none. Engines may be of different kinds: items are started longest
+ * first, and a faster engine is taken before a slower one, so that the longest items run on the fastest engines.
  */
 final class Placement {
     private final Map<EndpointId, Load> loads = new HashMap<>();
@@ -41,6 +43,7 @@
 
     void replaceEngines(List<EngineState> current) {
         engines = List.copyOf(current);
+        detector.retain(engines.stream().map(e -> e.endpoint().id()).collect(Collectors.toSet()));
         loading.clear();
         for (EngineState engine : engines) {
             if (!engine.loading().isEmpty()) {
@@ -94,8 +97,10 @@
         double lowest = Double.MAX_VALUE;
         for (EngineState engine : fast) {
             double utilization = utilization(engine, target, item.item.expectedTotalTokens());
-            if (utilization < lowest) {
-                lowest = utilization;
+            double cost =
+                    (1 + utilization) / detector.relativeSpeed(engine.endpoint().id());
+            if (cost < lowest) {
+                lowest = cost;
                 best = engine;
             }
         }
