Take back the lease of an earlier process of the same node at once

Change: a lease record says whether its holder was past its wait for earlier holders; if so, a later process of that node acquires it without waiting for the lease duration. The wait for calls under way stays.

--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -21,8 +21,9 @@
  * the same version for the lease duration on its own clock. The holder measures the lease duration from the time before
  * it sent the renewal, so the lease expires for the holder before it expires for any candidate.
  *
- * <p>A process that acquires the lease after another process held it sends nothing until the lease duration and the
- * takeover wait have passed since it last held the lease, so that two processes never take turns within that time.
+ * <p>A process that acquires the lease after another node held it sends nothing until the lease duration and the
+ * takeover wait have passed since it last held the lease, so that two nodes never take turns within that time. The lease
+ * that an earlier process of the same node was using is acquired at once, since that process has ended.
  *
  * <pre>{@code
  * LeaseCore lease = new LeaseCore(
@@ -174,7 +175,7 @@
         } else if (releasing) {
             actWhileReleasing(nowMs);
         } else if (view.held()) {
-            write(nowMs, record(self.value(), view.fencing()));
+            write(nowMs, record(self.value(), view.fencing(), nowMs >= view.sendFromMs()));
         } else if (candidate && mayAcquire(nowMs)) {
             acquire(nowMs);
         } else if (candidate) {
@@ -183,17 +184,17 @@
     }
 
     private void acquire(long nowMs) {
-        boolean heldByAnother = highestFencing > 0 && !isOwnLease();
+        boolean heldByAnother = highestFencing > 0 && !isOwnLease() && !isOfEarlierProcess();
         if (heldByAnother && !isDisabled(LeaseMechanism.RETURN_WAIT)) {
             earliestSendMs = lastHeldMs + settings.durationMs() + settings.takeoverWaitMs();
         }
         replacedWriter = observed.map(LeaseRecord::writer).orElse("");
-        write(nowMs, record(self.value(), nextFencing()));
+        write(nowMs, record(self.value(), nextFencing(), false));
     }
 
     private void actWhileReleasing(long nowMs) {
         if (isOwnLease()) {
-            write(nowMs, record("", observed.orElseThrow().fencing()));
+            write(nowMs, record("", observed.orElseThrow().fencing(), false));
         } else {
             released = true;
             effects.add(new LeaseEffect.Released());
@@ -205,6 +206,14 @@
                 .isPresent();
     }
 
+    // An earlier process of this node has ended, because a node runs one process at a time. If it was still waiting for
+    // an earlier holder, this one has to wait as well.
+    private boolean isOfEarlierProcess() {
+        return observed.filter(r -> r.holder().equals(self.value()))
+                .filter(r -> r.incarnation() < incarnation.value() && r.sending())
+                .isPresent();
+    }
+
     private boolean mayAcquire(long nowMs) {
         if (version == ObjectStore.ABSENT) {
             return true;
@@ -214,16 +223,16 @@
             return false;
         }
         long waitMs = Math.max(observed.get().durationMs(), settings.durationMs());
-        return observed.get().released() || isOwnLease() || nowMs - observedSinceMs >= waitMs;
+        return observed.get().released() || isOwnLease() || isOfEarlierProcess() || nowMs - observedSinceMs >= waitMs;
     }
 
     private FencingToken nextFencing() {
         return new FencingToken(isDisabled(LeaseMechanism.FENCING) ? Math.max(highestFencing, 1) : highestFencing + 1);
     }
 
-    private LeaseRecord record(String holder, FencingToken fencing) {
+    private LeaseRecord record(String holder, FencingToken fencing, boolean sending) {
         String writer = self + "-" + incarnation + "-" + nextCallId;
-        return new LeaseRecord(holder, incarnation.value(), fencing, settings.durationMs(), writer);
+        return new LeaseRecord(holder, incarnation.value(), fencing, settings.durationMs(), writer, sending);
     }
 
     private void write(long nowMs, LeaseRecord record) {
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseRecord.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseRecord.java
@@ -14,8 +14,10 @@
  * @param holder node id of the holder, empty after the lease was released
  * @param writer id of the write that created this version, unique over all writers; lets a writer recognize its own
  *     write after the reply was lost
+ * @param sending whether the holder was past its wait for the calls of earlier holders when it wrote this
  */
-record LeaseRecord(String holder, long incarnation, FencingToken fencing, long durationMs, String writer) {
+record LeaseRecord(
+        String holder, long incarnation, FencingToken fencing, long durationMs, String writer, boolean sending) {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     boolean released() {
@@ -29,6 +31,7 @@
         node.put("fencing", fencing.value());
         node.put("duration_ms", durationMs);
         node.put("writer", writer);
+        node.put("sending", sending);
         try {
             return JSON.writeValueAsBytes(node);
         } catch (JsonProcessingException e) {
@@ -50,7 +53,8 @@
                     node.path("incarnation").asLong(),
                     new FencingToken(fencing),
                     durationMs,
-                    node.path("writer").asText()));
+                    node.path("writer").asText(),
+                    node.path("sending").asBoolean()));
         } catch (IOException e) {
             return Optional.empty();
         }
--- a/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/lease/LeaseCoreTest.java
@@ -137,6 +137,47 @@
         assertThat(second.view().sendFromMs(), is(50 + 10_000 + 2_000L));
     }
 
+    /** Guards against duties that nobody performs for the lease duration after a restart of all nodes at once. */
+    @Test
+    void restartedHolderTakesItsLeaseBackAtOnce() {
+        LeaseCore first = core("node-0");
+        run(first, 0, first.onTick(0));
+        run(first, 3_000, first.onTick(3_000));
+        LeaseCore second = new LeaseCore(KEY, new NodeId("node-0"), new Incarnation(2), LeaseSettings.DEFAULT, 3_500);
+        second.setCandidate(true);
+        run(second, 3_600, second.onTick(3_600));
+        assertThat(second.view().held(), is(true));
+        assertThat(second.view().fencing(), is(new FencingToken(2)));
+        assertThat(second.view().sendFromMs(), is(3_600 + 2_000L));
+    }
+
+    /** Guards against turns of two nodes: the earlier process itself was still waiting for another node. */
+    @Test
+    void restartedHolderThatWasWaitingWaitsAgain() {
+        LeaseCore other = core("node-1");
+        run(other, 0, other.onTick(0));
+        run(other, 100, other.release(100));
+        LeaseCore first = new LeaseCore(KEY, new NodeId("node-0"), new Incarnation(2), LeaseSettings.DEFAULT, 150);
+        first.setCandidate(true);
+        run(first, 200, first.onTick(200));
+        LeaseCore second = new LeaseCore(KEY, new NodeId("node-0"), new Incarnation(3), LeaseSettings.DEFAULT, 1_000);
+        second.setCandidate(true);
+        run(second, 1_100, second.onTick(1_100));
+        assertThat(second.view().held(), is(false));
+    }
+
+    /** Guards against a process that takes the lease of a later process of its node. */
+    @Test
+    void leaseOfALaterProcessIsLeftAlone() {
+        LeaseCore later = new LeaseCore(KEY, new NodeId("node-0"), new Incarnation(5), LeaseSettings.DEFAULT, 0);
+        later.setCandidate(true);
+        run(later, 0, later.onTick(0));
+        run(later, 3_000, later.onTick(3_000));
+        LeaseCore earlier = core("node-0");
+        run(earlier, 3_100, earlier.onTick(3_100));
+        assertThat(earlier.view().held(), is(false));
+    }
+
     /** Guards against a wait at the first start of all nodes. */
     @Test
     void firstHolderWaitsOnlyForCallsUnderWay() {
