Let a refused body of allowed size end, so that its caller can read the refusal

Cause: a caller that sends its whole body before it reads got a reset connection when its body found no room, not the promise that the request has not run (LargeAnswerTest.largeBodiesDoNotEndTheNode: broken pipe). Change: what is left of such a body is read and dropped, at most to its announced end or the limit, for 10 s; others as before.

--- a/library/src/main/java/org/magnoliabridge/edge/BodyConduit.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyConduit.java
@@ -8,6 +8,7 @@
 import java.nio.channels.FileChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
@@ -20,13 +21,16 @@
  *
  * <p>The server reads what is left of a body when an exchange ends, without a limit of its own. A connection that is
  * closed with unread bytes is reset, which may destroy the answer; so a limited number of bytes is read and dropped for
- * a limited time, and the connection is closed if the body has not ended by then.
+ * a limited time, and the connection is closed if the body has not ended by then. Many callers read an answer only after
+ * they have sent their body, so one of allowed size that is refused may end.
  */
 final class BodyConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** Bytes that are read and dropped at most. */
     static final int MAX_DROPPED_BYTES = 64 * 1024;
     /** Time after which a connection whose body has not ended is closed, in milliseconds. */
     static final long DROP_MS = 1_000;
+    /** The same for a body of allowed size. */
+    static final long DROP_ALLOWED_MS = 10_000;
 
     private static final AttachmentKey<BodyConduit> KEY = AttachmentKey.create(BodyConduit.class);
     private static final AttachmentKey<Boolean> INSTALLED = AttachmentKey.create(Boolean.class);
@@ -36,7 +40,8 @@
 
     private final HttpServerExchange exchange;
     private volatile boolean wanted;
-    private final AtomicInteger droppable = new AtomicInteger(MAX_DROPPED_BYTES);
+    private final AtomicLong droppable = new AtomicLong(MAX_DROPPED_BYTES);
+    private volatile long dropMs = DROP_MS;
     private final AtomicInteger emptyReads = new AtomicInteger();
     private volatile XnioExecutor.Key closing;
 
@@ -86,6 +91,13 @@
         wanted = value;
     }
 
+    /** Lets a body end that is refused although its size is allowed: {@code bytes} more of it are read and dropped. */
+    void dropRest(long bytes) {
+        droppable.set(Math.max(MAX_DROPPED_BYTES, bytes));
+        dropMs = DROP_ALLOWED_MS;
+        wanted = false;
+    }
+
     @Override
     public int read(ByteBuffer target) throws IOException {
         if (wanted) {
@@ -95,7 +107,7 @@
             return 0;
         }
         int limit = target.limit();
-        target.limit(target.position() + Math.min(target.remaining(), droppable.get()));
+        target.limit(target.position() + (int) Math.min(target.remaining(), droppable.get()));
         try {
             int count = checked(super.read(target));
             droppable.addAndGet(-Math.max(0, count));
@@ -144,7 +156,7 @@
         if (closing == null) {
             ServerConnection connection = exchange.getConnection();
             closing = exchange.getIoThread()
-                    .executeAfter(() -> IoUtils.safeClose(connection), DROP_MS, TimeUnit.MILLISECONDS);
+                    .executeAfter(() -> IoUtils.safeClose(connection), dropMs, TimeUnit.MILLISECONDS);
         }
         if (droppable.get() == 0) {
             super.suspendReads();
--- a/library/src/main/java/org/magnoliabridge/edge/BodyRead.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyRead.java
@@ -236,7 +236,11 @@
     private void refuse(Failure failure) {
         state = State.ENDED;
         channel.suspendReads();
-        BodyConduit.of(exchange).setWanted(false);
+        if (failure instanceof Failure.Overloaded) {
+            BodyConduit.of(exchange).dropRest((announced < 0 ? limits.maxBytes() : announced) - received);
+        } else {
+            BodyConduit.of(exchange).setWanted(false);
+        }
         removeTimer();
         dropBlocks();
         claim.close();
