Let requests whose bodies stall give way to new connections

Cause: a connection with a request was never closed for another one, so 300 callers that sent 9 of 10 bytes kept every other caller out of a port of a node with 512 descriptors (40 of 40 attempts closed). Change: if no connection is idle, the one whose body has made no progress for longest, at least 1 s, gives way; a request that is whole keeps its connection.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/ConnectionGuard.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ConnectionGuard.java
@@ -9,9 +9,12 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.ConnectionBudget;
 import org.magnoliabridge.edge.ConnectionBudget.Decision;
 import org.magnoliabridge.edge.ConnectionRooms;
@@ -32,6 +35,9 @@
 
     private final ConnectionRooms rooms;
     private final ConnectionBudget<StreamConnection> budget;
+    // The requests whose bodies were incomplete at last; guarded by this object.
+    private final Map<StreamConnection, HttpServerExchange> arriving = new HashMap<>();
+    private final MonotonicClock clock;
     private final MetricRegistry metrics;
 
     /**
@@ -39,9 +45,10 @@
      *
      * @param maxHeadBytes limit on the size of all incomplete heads together, in bytes
      */
-    ConnectionGuard(ConnectionRooms rooms, long maxHeadBytes, MetricRegistry metrics) {
+    ConnectionGuard(ConnectionRooms rooms, long maxHeadBytes, MonotonicClock clock, MetricRegistry metrics) {
         this.rooms = rooms;
         this.budget = new ConnectionBudget<>(rooms, maxHeadBytes);
+        this.clock = clock;
         this.metrics = metrics;
         for (ServerPort port : ServerPort.values()) {
             Gauge<Integer> open = () -> open(port);
@@ -62,7 +69,7 @@
         LOG.atInfo().log(
                 "of %d descriptors, %d are for connections of callers; incomplete heads may take %d bytes",
                 descriptors, rooms.of(ServerPort.CALLERS), maxHeadBytes);
-        return new ConnectionGuard(rooms, maxHeadBytes, metrics);
+        return new ConnectionGuard(rooms, maxHeadBytes, MonotonicClock.system(), metrics);
     }
 
     /** Why a connection was closed. */
@@ -114,10 +121,16 @@
         if (exchange.getConnection() instanceof HttpServerConnection server) {
             StreamConnection connection = server.getChannel();
             synchronized (this) {
-                budget.requestBegins(connection);
+                if (exchange.isRequestComplete()) {
+                    budget.requestBegins(connection);
+                } else {
+                    budget.bodyBegins(clock.nowMs(), connection);
+                    arriving.put(connection, exchange);
+                }
             }
             exchange.addExchangeCompleteListener((ended, next) -> {
                 synchronized (this) {
+                    arriving.remove(connection);
                     budget.requestEnds(connection);
                 }
                 next.proceed();
@@ -128,14 +141,17 @@
     private boolean isAccepted(ServerPort port, StreamConnection connection) {
         Decision<StreamConnection> decision;
         synchronized (this) {
-            decision = budget.opened(port, connection);
+            if (budget.open(port) >= rooms.of(port)) {
+                dropCompleteBodies();
+            }
+            decision = budget.opened(clock.nowMs(), port, connection);
         }
         return switch (decision) {
             case Decision.Accepted<StreamConnection> accepted -> true;
             case Decision.Replaces<StreamConnection> replaces -> {
                 close(replaces.idle(), Reason.IDLE);
                 LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-                        "closed the connection at port %s that was without a request for longest: %d are open",
+                        "closed the connection at port %s that was without a whole request for longest: %d are open",
                         lower(port), rooms.of(port));
                 yield true;
             }
@@ -148,10 +164,21 @@
         };
     }
 
+    // The end of a body is not reported, and matters only when a connection has to be closed.
+    private void dropCompleteBodies() {
+        arriving.entrySet().removeIf(e -> {
+            boolean complete = e.getValue().isRequestComplete();
+            if (complete) {
+                budget.bodyEnds(e.getKey());
+            }
+            return complete;
+        });
+    }
+
     private void received(StreamConnection connection, int count) throws IOException {
         List<StreamConnection> largest;
         synchronized (this) {
-            largest = budget.received(connection, count);
+            largest = budget.received(clock.nowMs(), connection, count);
         }
         for (StreamConnection other : largest) {
             close(other, Reason.HEAD);
@@ -169,6 +196,7 @@
     }
 
     private synchronized void closed(StreamConnection connection) {
+        arriving.remove(connection);
         budget.closed(connection);
     }
 
--- a/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.edge.ConnectionRooms;
 import org.magnoliabridge.edge.ServerPort;
 import org.magnoliabridge.gateway.CallerLimits;
@@ -51,7 +52,7 @@
                 quick,
                 quick,
                 quick,
-                new ConnectionGuard(rooms, MAX_HEAD_BYTES, metrics));
+                new ConnectionGuard(rooms, MAX_HEAD_BYTES, MonotonicClock.system(), metrics));
     }
 
     @AfterEach
--- a/library/src/main/java/org/magnoliabridge/edge/ConnectionBudget.java
+++ b/library/src/main/java/org/magnoliabridge/edge/ConnectionBudget.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,18 +12,24 @@
 
 /**
  * Decides which connections a node keeps, because callers may open any number of them, send parts of heads and stay
- * silent. A connection with a request is never closed. A connection that is to be closed no longer counts, and events
- * of connections that do not count are ignored. Not thread-safe.
+ * silent, or stop in the middle of a body. A connection with a whole request is never closed, nor one whose body makes
+ * progress. A connection that is to be closed no longer counts, and events of connections that do not count are ignored.
+ * Not thread-safe.
  *
  * @param <C> identifies a connection
  */
 public final class ConnectionBudget<C> {
+    /** The time without a byte after which a connection with an incomplete body gives way, in milliseconds. */
+    static final long STALL_MS = 1_000;
+
     private final ConnectionRooms rooms;
     private final long maxHeadBytes;
     private final Map<C, Connection<C>> connections = new HashMap<>();
     private final Map<ServerPort, Integer> open = new EnumMap<>(ServerPort.class);
     // In the order in which they became idle.
     private final Map<ServerPort, LinkedHashSet<C>> idle = new EnumMap<>(ServerPort.class);
+    // Connections whose request has an incomplete body, with the time of its last bytes, in the order of these times.
+    private final Map<ServerPort, LinkedHashMap<C, Long>> arriving = new EnumMap<>(ServerPort.class);
     private long headBytes;
 
     /**
@@ -39,6 +46,7 @@
         for (ServerPort port : ServerPort.values()) {
             open.put(port, 0);
             idle.put(port, new LinkedHashSet<>());
+            arriving.put(port, new LinkedHashMap<>());
         }
     }
 
@@ -47,10 +55,13 @@
         /** The connection is accepted. */
         record Accepted<C>() implements Decision<C> {}
 
-        /** The connection is accepted, and one that has been without a request for the longest time is to be closed. */
+        /**
+         * The connection is accepted, and another one is to be closed: the one that has been without a request for the
+         * longest time, or else the one whose body has made no progress for the longest time.
+         */
         record Replaces<C>(C idle) implements Decision<C> {}
 
-        /** All connections of the port have a request; the new one is to be closed. */
+        /** All connections of the port have a request that is whole or makes progress; the new one is to be closed. */
         record Refused<C>() implements Decision<C> {}
     }
 
@@ -66,13 +77,13 @@
     }
 
     /** Decides about a new connection at a port; it counts unless it is refused. */
-    public Decision<C> opened(ServerPort port, C id) {
+    public Decision<C> opened(long nowMs, ServerPort port, C id) {
         if (connections.containsKey(id)) {
             throw new IllegalArgumentException("expected a new connection, got " + id);
         }
         Optional<C> replaced = Optional.empty();
         if (open(port) >= rooms.of(port)) {
-            replaced = idle.get(port).stream().findFirst();
+            replaced = idle.get(port).stream().findFirst().or(() -> stalled(nowMs, port));
             if (replaced.isEmpty()) {
                 return new Decision.Refused<>();
             }
@@ -84,14 +95,24 @@
         return replaced.<Decision<C>>map(Decision.Replaces::new).orElseGet(Decision.Accepted::new);
     }
 
+    private Optional<C> stalled(long nowMs, ServerPort port) {
+        return arriving.get(port).entrySet().stream()
+                .findFirst()
+                .filter(e -> nowMs - e.getValue() >= STALL_MS)
+                .map(Map.Entry::getKey);
+    }
+
     /**
-     * Counts bytes that a connection without a request has received.
+     * Counts bytes that a connection has received.
      *
      * @return the connections that are to be closed, those with the largest incomplete heads
      */
-    public List<C> received(C id, int bytes) {
+    public List<C> received(long nowMs, C id, int bytes) {
         Connection<C> connection = connections.get(id);
         if (connection == null || !isIdle(connection)) {
+            if (connection != null && arriving.get(connection.port).remove(id) != null) {
+                arriving.get(connection.port).put(id, nowMs);
+            }
             return List.of();
         }
         connection.headBytes += bytes;
@@ -116,10 +137,28 @@
         }
     }
 
+    /** The head of a request is complete, and its body is not. */
+    public void bodyBegins(long nowMs, C id) {
+        requestBegins(id);
+        Connection<C> connection = connections.get(id);
+        if (connection != null) {
+            arriving.get(connection.port).put(id, nowMs);
+        }
+    }
+
+    /** The body of a request is complete. */
+    public void bodyEnds(C id) {
+        Connection<C> connection = connections.get(id);
+        if (connection != null) {
+            arriving.get(connection.port).remove(id);
+        }
+    }
+
     /** The request is answered; the connection can be used again. */
     public void requestEnds(C id) {
         Connection<C> connection = connections.get(id);
         if (connection != null) {
+            arriving.get(connection.port).remove(id);
             idle.get(connection.port).add(id);
         }
     }
@@ -129,6 +168,7 @@
         Connection<C> connection = connections.remove(id);
         if (connection != null) {
             idle.get(connection.port).remove(id);
+            arriving.get(connection.port).remove(id);
             open.merge(connection.port, -1, Integer::sum);
             dropHead(connection);
         }
--- a/library/src/test/java/org/magnoliabridge/edge/ConnectionBudgetTest.java
+++ b/library/src/test/java/org/magnoliabridge/edge/ConnectionBudgetTest.java
@@ -27,7 +27,23 @@
     private final ConnectionBudget<String> budget = new ConnectionBudget<>(ROOMS, MAX_HEAD_BYTES);
 
     private Decision<String> open(String id) {
-        return budget.opened(ServerPort.CALLERS, id);
+        return budget.opened(0, ServerPort.CALLERS, id);
+    }
+
+    /** Guards against callers that stop in the middle of small bodies and keep all others out. */
+    @Test
+    void stalledBodiesGiveWayToNewConnections() {
+        for (String id : List.of("progresses", "whole", "stalled")) {
+            open(id);
+            budget.bodyBegins(0, id);
+        }
+        assertThat(budget.opened(999, ServerPort.CALLERS, "early"), is(new Decision.Refused<>()));
+        budget.received(900, "progresses", 1);
+        budget.bodyEnds("whole");
+        assertThat(budget.opened(1_000, ServerPort.CALLERS, "a"), is(new Decision.Replaces<>("stalled")));
+        budget.requestBegins("a");
+        assertThat(budget.opened(1_000, ServerPort.CALLERS, "b"), is(new Decision.Refused<>()));
+        assertThat(budget.open(ServerPort.CALLERS), is(CALLERS));
     }
 
     /** Guards against callers that open connections without end and displace those that were used last. */
@@ -62,8 +78,8 @@
         for (int i = 0; i < 2 * CALLERS; i++) {
             open("c" + i);
         }
-        assertThat(budget.opened(ServerPort.READINESS, "r"), is(new Decision.Accepted<>()));
-        assertThat(budget.opened(ServerPort.READINESS, "r2"), is(new Decision.Replaces<>("r")));
+        assertThat(budget.opened(0, ServerPort.READINESS, "r"), is(new Decision.Accepted<>()));
+        assertThat(budget.opened(0, ServerPort.READINESS, "r2"), is(new Decision.Replaces<>("r")));
         assertThat(budget.open(ServerPort.CALLERS), is(CALLERS));
     }
 
@@ -73,12 +89,12 @@
         open("a");
         open("b");
         open("c");
-        assertThat(budget.received("a", 30), is(empty()));
-        assertThat(budget.received("b", 60), is(empty()));
-        assertThat(budget.received("c", 11), contains("b"));
+        assertThat(budget.received(0, "a", 30), is(empty()));
+        assertThat(budget.received(0, "b", 60), is(empty()));
+        assertThat(budget.received(0, "c", 11), contains("b"));
         assertThat(budget.headBytes(), is(41L));
-        assertThat(budget.received("a", 80), contains("a"));
-        assertThat(budget.received("a", 80), is(empty()));
+        assertThat(budget.received(0, "a", 80), contains("a"));
+        assertThat(budget.received(0, "a", 80), is(empty()));
         assertThat(budget.headBytes(), is(11L));
         assertThat(budget.open(ServerPort.CALLERS), is(1));
     }
@@ -87,12 +103,12 @@
     @Test
     void completeHeadsDoNotCount() {
         open("a");
-        budget.received("a", 90);
+        budget.received(0, "a", 90);
         budget.requestBegins("a");
-        assertThat(budget.received("a", 1_000), is(empty()));
+        assertThat(budget.received(0, "a", 1_000), is(empty()));
         assertThat(budget.headBytes(), is(0L));
         budget.requestEnds("a");
-        budget.received("a", 5);
+        budget.received(0, "a", 5);
         assertThat(budget.headBytes(), is(5L));
         budget.closed("a");
         assertThat(budget.headBytes(), is(0L));
@@ -106,7 +122,7 @@
         budget.closed("a");
         budget.requestBegins("a");
         budget.requestEnds("a");
-        budget.received("a", 10);
+        budget.received(0, "a", 10);
         assertThat(budget.open(ServerPort.CALLERS), is(0));
         assertThat(budget.headBytes(), is(0L));
         assertThat(open("a"), is(new Decision.Accepted<>()));
@@ -178,7 +194,7 @@
         }
 
         private void open(int now, ServerPort port) {
-            switch (tested.opened(port, now)) {
+            switch (tested.opened(0, port, now)) {
                 case Decision.Accepted<Integer> accepted -> assertThat(at(port).size() < ROOMS.of(port), is(true));
                 case Decision.Refused<Integer> refused -> {
                     assertThat(at(port).size(), is(ROOMS.of(port)));
@@ -198,7 +214,7 @@
 
         private void receive(int id, State state, int bytes) {
             state.headBytes += bytes;
-            for (int closed : tested.received(id, bytes)) {
+            for (int closed : tested.received(0, id, bytes)) {
                 assertThat(headBytes() > MAX_HEAD_BYTES, is(true));
                 State largest = states.remove(closed);
                 assertThat(largest.busy, is(false));
