--- a/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/GatewayServersTest.java
@@ -272,7 +272,7 @@
         assertThat(idle.all(), is(""));
     }
 
-    /** Guards against connections that together need more buffers than there is direct memory, so that none is served. */
+    /** Guards against connections whose buffers use up the direct memory, so that none is served. */
     @Test
     void buffersOfAllConnectionsFitInTheirMemory() {
         for (int descriptors : List.of(400, 2_212, 4_100, 8_192, 10_250)) {
