--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -33,8 +33,9 @@
     // content, or for that of the next call.
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int READ_BYTES = 8 * 1024;
-    private static final int MAX_QUEUED_PIECES = 64;
-    private static final int RESUME_BELOW_PIECES = 16;
+    // The pieces of all exchanges may wait at once, while there is no room for their answers.
+    private static final int MAX_QUEUED_PIECES = 16;
+    private static final int RESUME_BELOW_PIECES = 4;
     // Other calls share the I/O thread.
     private static final int MAX_READS_PER_EVENT = 16;
 
