Let a node that was frozen read the table of members at once

A node that was frozen misses the gossip about nodes that end meanwhile, and reads the whole table only every 24 s at 60 members. The directory then names ended nodes after the node counts as in touch again. A node whose tick is later than a suspicion lasts may now request tables once per period for 3 s; one request is not enough, because the first peer may have been frozen too.

--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -37,6 +37,8 @@
     private static final long MIN_SYNC_PERIOD_MS = 5_000;
     private static final long SYNC_MS_PER_MEMBER_BEHIND = 100;
     private static final long SYNC_MS_PER_MEMBER = 400;
+    // Several periods, because the first peer may have been frozen too.
+    private static final long CATCH_UP_MS = 3_000;
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
     private static final String MEMBER_TABLE = "members";
 
@@ -57,6 +59,7 @@
     private long lastTickMs = NEVER_MS;
     private long lastRejoinMs = NEVER_MS;
     private long lastSyncMs = NEVER_MS;
+    private long catchUpUntilMs = NEVER_MS;
 
     /**
      * Creates a core whose member table holds only this node.
@@ -122,6 +125,9 @@
         // When a tick is late, answers that arrived in the meantime still wait behind it, so that time doesn't count
         // yet.
         long observedMs = lastTickMs == NEVER_MS ? nowMs : Math.min(nowMs, lastTickMs + settings.indirectAfterMs());
+        if (lastTickMs != NEVER_MS && nowMs - lastTickMs >= settings.suspicionMs()) {
+            catchUpUntilMs = nowMs + CATCH_UP_MS;
+        }
         lastTickMs = nowMs;
         for (Probe probe : probes.unanswered(observedMs, settings.indirectAfterMs())) {
             table.get(probe.target().orElseThrow()).ifPresent(m -> requestIndirectPings(m, probe, effects));
@@ -336,14 +342,15 @@
 
     // A table of 340 members takes 28 KB, and digests differ for a while after every change. So the whole table is
     // requested rarely: at most once per period by a node that knows less than half as many members as the peer, as a
-    // new node does; at most every 0.1 s per known member by a node that knows fewer members than the peer; else at
-    // most every 0.4 s per known member. The last two intervals are at least 5 s.
+    // new node does, or that has missed gossip because it was frozen; at most every 0.1 s per known member by a node
+    // that knows fewer members than the peer; else at most every 0.4 s per known member. The last two intervals are at
+    // least 5 s.
     private void requestMissing(Member peer, PingBody body, long nowMs, List<MembershipEffect> effects) {
         disseminator.requestNewer(peer, body.versions(), nowMs, effects);
         int mine = table.others().size() + 1;
         long perMemberMs = body.members() > mine ? SYNC_MS_PER_MEMBER_BEHIND : SYNC_MS_PER_MEMBER;
-        long waitMs =
-                2 * mine < body.members() ? settings.periodMs() : Math.max(MIN_SYNC_PERIOD_MS, perMemberMs * mine);
+        boolean behind = 2 * mine < body.members() || nowMs < catchUpUntilMs;
+        long waitMs = behind ? settings.periodMs() : Math.max(MIN_SYNC_PERIOD_MS, perMemberMs * mine);
         if (body.digest() != table.digest() && nowMs - lastSyncMs >= waitMs) {
             lastSyncMs = nowMs;
             effects.add(send(peer, FrameType.ITEM_REQUEST, 0, MembershipCodec.pack(new ItemRequest(MEMBER_TABLE, 0))));
--- a/library/src/test/java/org/magnoliabridge/membership/Cluster.java
+++ b/library/src/test/java/org/magnoliabridge/membership/Cluster.java
@@ -4,10 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
@@ -33,6 +35,9 @@
     final Random random;
     double loss;
     boolean platformUp = true;
+    /** Nodes that do nothing and lose what is sent to them, as while their machine is frozen. */
+    final Set<Integer> frozen = new HashSet<>();
+
     BiPredicate<Integer, Integer> cut = (a, b) -> false;
     long nowMs = 1_000_000;
     private final int size;
@@ -91,7 +96,9 @@
     private void tick(int index, long incarnation) {
         Node node = nodes.get(index);
         if (node != null && node.incarnation == incarnation) {
-            node.input(new MembershipInput.Tick());
+            if (!frozen.contains(index)) {
+                node.input(new MembershipInput.Tick());
+            }
             at(nowMs + TICK_MS, () -> tick(index, incarnation));
         }
     }
@@ -223,7 +230,7 @@
 
         private void receive(int to, FrameType type, long requestId, byte[] body, long bytes) {
             Node target = nodes.get(to);
-            if (target != null) {
+            if (target != null && !frozen.contains(to)) {
                 target.receivedBytes += bytes;
                 target.input(new MembershipInput.Received(id(index), type, requestId, body));
             }
