Keep to the limits of cold endpoints in placement, scoring and admission

Items, calls for scores, requests, streams and their repetitions now ask the pacer; warm endpoints come first. Requests of callers that no cold endpoint can take before their deadline are refused at once as not run, with the time until the first endpoint is warm.

Services without limits are treated as before.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/FleetDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/FleetDriver.java
@@ -23,12 +23,14 @@
     private final GatewayContext context;
     private final FleetCore core = new FleetCore();
     private final Dispatcher dispatcher;
+    private final WarmUpDriver warmUp;
     private final List<Consumer<List<FleetEndpoint>>> listeners = new ArrayList<>();
     private boolean reachable = true;
 
-    FleetDriver(GatewayContext context, Dispatcher dispatcher) {
+    FleetDriver(GatewayContext context, Dispatcher dispatcher, WarmUpDriver warmUp) {
         this.context = context;
         this.dispatcher = dispatcher;
+        this.warmUp = warmUp;
     }
 
     /** Adds a listener that is called on the control thread with each changed list. */
@@ -96,6 +98,7 @@
                 .with(LogFields.VERSION, core.revision())
                 .with(LogFields.COUNT, (long) endpoints.size())
                 .log("endpoints changed: %s", summary(endpoints));
+        warmUp.listed(endpoints);
         List<EndpointInput.ListedEndpoint> listed = endpoints.stream()
                 .map(e -> new EndpointInput.ListedEndpoint(e.endpoint(), e.draining(), OptionalInt.of(e.slots())))
                 .toList();
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.magnoliabridge.core.Closer;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.ids.ProcessName;
+import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MemberState;
 import org.magnoliabridge.membership.MembershipCore;
@@ -64,6 +66,19 @@
         context.loop().post(() -> publishNodes(joined.peerAddresses()));
     }
 
+    /** Adds a listener for whether this node reaches a majority of the members. */
+    void onMajority(Consumer<Boolean> listener) {
+        membership.addListener(new MembershipDriver.Listener() {
+            @Override
+            public void delivered(Item item) {}
+
+            @Override
+            public void majority(boolean reached) {
+                listener.accept(reached);
+            }
+        });
+    }
+
     MembershipDriver membership() {
         return membership;
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayNode.java
@@ -111,6 +111,7 @@
     private final DrainGate gate = new DrainGate();
     private final GracePeriod grace = new GracePeriod();
     private final ActiveCalls calls = new ActiveCalls();
+    private final WarmUpDriver warmUp;
     private final AdmissionCore admission;
     private final FleetDriver fleet;
     private final NeighbourChoice neighbour;
@@ -127,17 +128,20 @@
     private GatewayNode(GatewayContext context, Closer closer) throws IOException {
         this.context = context;
         this.closer = closer;
+        warmUp = new WarmUpDriver(context);
         admission = new AdmissionCore(
                 new RoutingSettings(context.settings().dataCentre(), RoutingSettings.DEFAULT_MAX_QUEUED),
-                context.random());
+                context.random(),
+                warmUp.pacer());
         Dispatcher dispatcher = closer.register(
                 new Dispatcher(admission, context.loop(), context.clock(), context.metrics(), endpoint -> {}));
         context.platform().onLeaving((endpoint, address) -> endpointLeaves(dispatcher, endpoint, address));
-        fleet = new FleetDriver(context, dispatcher);
+        fleet = new FleetDriver(context, dispatcher, warmUp);
         neighbour = new NeighbourChoice(
                 context.settings().nodeId(), context.settings().dataCentre());
         config = new ConfigFollower(context, policy);
         cluster = new GatewayCluster(context, closer);
+        cluster.onMajority(warmUp::majority);
         context.objects()
                 .setRelay(new StoreRelay(
                         context.settings().nodeId(),
@@ -149,7 +153,8 @@
                                 call -> Thread.ofVirtual().name("store-relay").start(call)),
                         context.path()));
         StoredBatches stored = new StoredBatches(context.budget().at(Priority.DECISION), context.clock());
-        BatchCore core = new BatchCore(context.process().toString(), context.wallClock(), cluster::hasEnded);
+        BatchCore core =
+                new BatchCore(context.process().toString(), context.wallClock(), cluster::hasEnded, warmUp.pacer());
         scheduler = closer.register(new BatchScheduler(
                 context, core, context.platform().engines(), context.platform().scorers(), dispatcher, stored));
         role = new BatchRole(
@@ -292,6 +297,7 @@
     }
 
     private void startWatches() {
+        config.onChange(warmUp::apply);
         config.onChange(this::applyRoutes);
         fleet.onChange(this::fleetChanged);
         closer.register(new ObjectWatch(
@@ -357,6 +363,7 @@
         if (!draining) {
             role.tick();
         }
+        warmUp.tick(cluster.membership().members(), role.isSelf() && !draining);
         neighbour.update(role.runner(), cluster.membership().members());
         duties.tick(
                 role.isSelf() && !draining,
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -19,6 +19,7 @@
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.warmup.WarmUpPacer;
 
 /**
  * Runs the batches of a deployment: assigns items to engines, appends results to the result logs and answers reads.
@@ -47,7 +48,7 @@
     private final TranscriptCache transcripts = new TranscriptCache();
     private final SlowEngineDetector detector = new SlowEngineDetector();
     private final EngineBackoff backoff = new EngineBackoff();
-    private final Placement placement = new Placement(detector, backoff);
+    private final Placement placement;
     private final PendingReads reads;
     private final Set<BatchMechanism> mechanisms;
     private final Set<TextMechanism> textMechanisms;
@@ -56,7 +57,7 @@
     private final EndedBatches<EndRequest> requestedEnds = new EndedBatches<>();
     private final Map<Long, RunningBatch> pendingRequests = new HashMap<>();
     private final List<BatchEffect> effects = new ArrayList<>();
-    private final RunTracker runs = new RunTracker(placement, detector, effects);
+    private final RunTracker runs;
     private final Scoring scoring;
     private final RunOutcomeHandler outcomeHandler;
     private final Map<ModelId, WeightVersion> newestVersions = new HashMap<>();
@@ -72,7 +73,18 @@
      * @param hasEnded whether the process of another runner is known to have terminated
      */
     public BatchCore(String runner, LongSupplier wallClock, Predicate<String> hasEnded) {
-        this(runner, wallClock, hasEnded, EnumSet.allOf(BatchMechanism.class), EnumSet.allOf(TextMechanism.class));
+        this(runner, wallClock, hasEnded, WarmUpPacer.unlimited());
+    }
+
+    /** Creates a core without batches that keeps to the limits of cold engines. */
+    public BatchCore(String runner, LongSupplier wallClock, Predicate<String> hasEnded, WarmUpPacer pacer) {
+        this(
+                runner,
+                wallClock,
+                hasEnded,
+                EnumSet.allOf(BatchMechanism.class),
+                EnumSet.allOf(TextMechanism.class),
+                pacer);
     }
 
     BatchCore(
@@ -81,13 +93,25 @@
             Predicate<String> hasEnded,
             Set<BatchMechanism> mechanisms,
             Set<TextMechanism> textMechanisms) {
+        this(runner, wallClock, hasEnded, mechanisms, textMechanisms, WarmUpPacer.unlimited());
+    }
+
+    private BatchCore(
+            String runner,
+            LongSupplier wallClock,
+            Predicate<String> hasEnded,
+            Set<BatchMechanism> mechanisms,
+            Set<TextMechanism> textMechanisms,
+            WarmUpPacer pacer) {
         this.textMechanisms = textMechanisms;
         this.hasEnded = Objects.requireNonNull(hasEnded);
         this.mechanisms = mechanisms;
         this.reads = new PendingReads(mechanisms.contains(BatchMechanism.CURRENT_CHECK));
         this.runner = Objects.requireNonNull(runner);
         this.wallClock = Objects.requireNonNull(wallClock);
-        this.scoring = new Scoring(wallClock, mechanisms, effects);
+        this.placement = new Placement(detector, backoff, pacer);
+        this.runs = new RunTracker(placement, detector, effects);
+        this.scoring = new Scoring(pacer, wallClock, mechanisms, effects);
         this.outcomeHandler = new RunOutcomeHandler(runs, scoring, effects);
     }
 
--- a/library/src/main/java/org/magnoliabridge/batch/Placement.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Placement.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.warmup.Sender;
+import org.magnoliabridge.warmup.WarmUpPacer;
 
 /**
  * Chooses the engine of an item.
@@ -17,11 +19,15 @@
  * the texts exceed the memory. An item therefore goes to the engine with the lowest utilization of slots and memory,
  * never beyond its slots, and beyond its memory only if no other engine is left. Engines that load weights or have just
  * refused an item get none.
+ *
+ * <p>Load pattern: engines restart one after the other while items wait. A cold engine gets items at the rate that it
+ * tolerates, and only while no warm engine has a free slot.
  */
 final class Placement {
     private final Map<EndpointId, Load> loads = new HashMap<>();
     private final SlowEngineDetector detector;
     private final EngineBackoff backoff;
+    private final WarmUpPacer pacer;
     private final Set<EndpointId> loading = new HashSet<>();
     private long nowMs;
     private List<EngineState> engines = List.of();
@@ -31,9 +37,10 @@
         long tokens;
     }
 
-    Placement(SlowEngineDetector detector, EngineBackoff backoff) {
+    Placement(SlowEngineDetector detector, EngineBackoff backoff, WarmUpPacer pacer) {
         this.detector = detector;
         this.backoff = backoff;
+        this.pacer = pacer;
     }
 
     /** Sets the time for the following choices. */
@@ -60,6 +67,7 @@
         Load load = loads.computeIfAbsent(engine, id -> new Load());
         load.runs++;
         load.tokens += tokens;
+        pacer.sent(nowMs, Sender.RUNNER, engine);
     }
 
     void runEnded(EndpointId engine, long tokens) {
@@ -88,9 +96,11 @@
                 candidates, e -> !item.avoidedEngines.contains(e.endpoint().id()));
         List<EngineState> fast =
                 preferred(preferred, e -> !detector.isSlow(e.endpoint().id()));
-        EngineState best = fast.getFirst();
+        List<EngineState> warm =
+                preferred(fast, e -> !pacer.isCold(nowMs, e.endpoint().id()));
+        EngineState best = warm.getFirst();
         double lowest = Double.MAX_VALUE;
-        for (EngineState engine : fast) {
+        for (EngineState engine : warm) {
             double utilization = utilization(engine, target, item.item.expectedTotalTokens());
             if (utilization < lowest) {
                 lowest = utilization;
@@ -119,7 +129,10 @@
         EndpointId id = engine.endpoint().id();
         Load load = loads.get(id);
         boolean hasSlot = load == null || load.runs < engine.slots();
-        return hasSlot && !engine.loading() && !backoff.isBackingOff(nowMs, id);
+        return hasSlot
+                && !engine.loading()
+                && !backoff.isBackingOff(nowMs, id)
+                && pacer.maySend(nowMs, Sender.RUNNER, id);
     }
 
     private double utilization(EngineState engine, BatchTarget target, long tokens) {
--- a/library/src/main/java/org/magnoliabridge/batch/Scoring.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Scoring.java
@@ -20,6 +20,8 @@
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.warmup.Sender;
+import org.magnoliabridge.warmup.WarmUpPacer;
 
 /**
  * Obtains the scores of complete texts: an item with a {@link ScoreRequest} has a result only with its score.
@@ -45,6 +47,7 @@
     private final LongSupplier wallClock;
     private final Set<BatchMechanism> mechanisms;
     private final List<BatchEffect> effects;
+    private final WarmUpPacer pacer;
     private final EngineBackoff backoff = new EngineBackoff();
     private final Set<Pending> pending = new LinkedHashSet<>();
     private final Map<ScoreCallId, Call> calls = new HashMap<>();
@@ -103,10 +106,12 @@
     /**
      * Creates an instance without items.
      *
+     * @param pacer limits the calls to cold endpoints
      * @param wallClock milliseconds since the epoch
      * @param effects receives the requested effects
      */
-    Scoring(LongSupplier wallClock, Set<BatchMechanism> mechanisms, List<BatchEffect> effects) {
+    Scoring(WarmUpPacer pacer, LongSupplier wallClock, Set<BatchMechanism> mechanisms, List<BatchEffect> effects) {
+        this.pacer = Objects.requireNonNull(pacer);
         this.wallClock = Objects.requireNonNull(wallClock);
         this.mechanisms = mechanisms;
         this.effects = effects;
@@ -208,7 +213,8 @@
 
     private boolean isFree(long nowMs, EngineState endpoint) {
         return calls(endpoint) < maxCalls(endpoint)
-                && !backoff.isBackingOff(nowMs, endpoint.endpoint().id());
+                && !backoff.isBackingOff(nowMs, endpoint.endpoint().id())
+                && pacer.maySend(nowMs, Sender.RUNNER, endpoint.endpoint().id());
     }
 
     /** Handles the end of a call. */
@@ -288,10 +294,14 @@
     }
 
     private Optional<EngineState> choose(long nowMs, Pending entry, Service service) {
-        return leastUsed(service.endpoints().stream()
+        List<EngineState> free = service.endpoints().stream()
                 .filter(e -> !entry.avoided.contains(e.endpoint().id()))
                 .filter(e -> isFree(nowMs, e))
-                .toList());
+                .toList();
+        List<EngineState> warm = free.stream()
+                .filter(e -> !pacer.isCold(nowMs, e.endpoint().id()))
+                .toList();
+        return leastUsed(warm.isEmpty() ? free : warm);
     }
 
     // Starts at another endpoint each time, so that endpoints in equal use take turns.
@@ -327,6 +337,7 @@
         entry.call = Optional.of(id);
         calls.put(id, new Call(entry, endpointId, nowMs));
         callsAt.merge(endpointId, 1, Integer::sum);
+        pacer.sent(nowMs, Sender.RUNNER, endpointId);
         callsOf.merge(head.team(), 1, Integer::sum);
         effects.add(new BatchEffect.StartScoring(
                 new ScoreCall(id, head, entry.item.item.id(), entry.request, endpoint.endpoint(), silenceMs, limitMs)));
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -15,12 +15,15 @@
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.warmup.Sender;
+import org.magnoliabridge.warmup.WarmUpPacer;
 
 /**
  * Decides when each request gets a slot, and on which endpoint.
  *
  * <p>Requests are queued here and not at the engines, because engines admit requests in order of arrival and do not
- * support priorities. A request waits only while no endpoint that it may use has a free slot.
+ * support priorities. A request waits only while no endpoint that it may use has a free slot, or while all of them are
+ * cold and have had what they tolerate.
  *
  * <pre>{@code
  * for (AdmissionEffect effect : core.apply(new AdmissionInput.Arrive(1, slotRequest), clock.nowMs())) {
@@ -34,6 +37,7 @@
 
     private final RoutingSettings settings;
     private final RandomGenerator random;
+    private final WarmUpPacer pacer;
     private final EndpointTable table = new EndpointTable();
     private final LoadEstimator loads = new LoadEstimator();
     private final TeamRates rates = new TeamRates();
@@ -43,9 +47,16 @@
 
     private record InFlight(AdmissionRequest request, Endpoint endpoint) {}
 
+    /** Creates a core for services whose endpoints need no time to warm up. */
     public AdmissionCore(RoutingSettings settings, RandomGenerator random) {
+        this(settings, random, WarmUpPacer.unlimited());
+    }
+
+    /** Creates a core that keeps to the limits of cold endpoints. */
+    public AdmissionCore(RoutingSettings settings, RandomGenerator random, WarmUpPacer pacer) {
         this.settings = settings;
         this.random = random;
+        this.pacer = pacer;
     }
 
     /** Applies an input and returns the resulting effects, in the order in which they are to be carried out. */
@@ -58,7 +69,12 @@
             case AdmissionInput.Cancel cancel -> cancel(cancel, nowMs, effects);
             case AdmissionInput.Observed observed -> observe(observed, nowMs, effects);
             case AdmissionInput.Reported report -> loads.report(report.endpoint(), report.report(), nowMs);
-            case AdmissionInput.Endpoints endpoints -> announceLeaving(table.apply(endpoints.input(), nowMs), effects);
+            case AdmissionInput.Endpoints endpoints -> {
+                if (endpoints.input() instanceof EndpointInput.Observed observed) {
+                    noteReachability(observed.id(), observed.observation(), nowMs);
+                }
+                announceLeaving(table.apply(endpoints.input(), nowMs), effects);
+            }
             case AdmissionInput.Policies policies -> {
                 rates.setPolicies(policies.teams(), nowMs);
                 engineSlots = policies.engineSlots();
@@ -68,6 +84,7 @@
         }
         expire(nowMs, effects);
         dispatch(nowMs, effects);
+        refuseHopeless(nowMs, effects);
         return effects;
     }
 
@@ -168,10 +185,19 @@
         if (call != null) {
             Endpoint endpoint = call.endpoint();
             EndpointInput input = new EndpointInput.Observed(endpoint.id(), endpoint.address(), observed.observation());
+            noteReachability(endpoint.id(), observed.observation(), nowMs);
             announceLeaving(table.apply(input, nowMs), effects);
         }
     }
 
+    private void noteReachability(EndpointId endpoint, EndpointSource.Observation observation, long nowMs) {
+        switch (observation) {
+            case UNREACHABLE -> pacer.unreachable(nowMs, endpoint);
+            case ANSWERED -> pacer.answered(nowMs, endpoint);
+            case DRAINING, FAULTY_ANSWER -> {}
+        }
+    }
+
     private static void announceLeaving(List<Endpoint> leaving, List<AdmissionEffect> effects) {
         leaving.forEach(e -> effects.add(new AdmissionEffect.AnnounceLeaving(e)));
     }
@@ -199,9 +225,9 @@
     private void dispatch(ServiceId service, ServiceQueue queue, long nowMs, List<AdmissionEffect> effects) {
         List<Endpoint> endpoints = table.eligibleEndpoints(service);
         boolean placed = true;
-        while (placed && queue.size() > 0 && endpoints.stream().anyMatch(this::isFree)) {
+        while (placed && queue.size() > 0 && endpoints.stream().anyMatch(e -> isFree(e, nowMs))) {
             Optional<AdmissionRequest> next =
-                    queue.poll(r -> allowed(r, endpoints).stream().anyMatch(this::isFree));
+                    queue.poll(r -> allowed(r, endpoints).stream().anyMatch(e -> isFree(e, nowMs)));
             next.ifPresent(r -> place(r, endpoints, nowMs, effects));
             placed = next.isPresent();
         }
@@ -212,11 +238,12 @@
         List<Endpoint> allowed = allowed(request, endpoints);
         Map<EndpointId, Double> estimates =
                 loads.estimates(allowed.stream().map(Endpoint::id).toList(), nowMs);
+        boolean warmIsFree = allowed.stream().anyMatch(e -> isFree(e, nowMs) && !pacer.isCold(nowMs, e.id()));
         List<EngineChoice.Candidate> candidates = allowed.stream()
                 .map(e -> new EngineChoice.Candidate(
                         e,
                         estimates.get(e.id()),
-                        isFree(e),
+                        isFree(e, nowMs) && !(warmIsFree && pacer.isCold(nowMs, e.id())),
                         loads.reportsPrefix(e.id(), slotRequest.prefixHash()),
                         slotRequest.preferredVersion().isPresent()
                                 && slotRequest.preferredVersion().equals(loads.version(e.id()))))
@@ -225,12 +252,36 @@
                 new EngineChoice.Request(settings.dataCentre(), slotRequest.prefixHash(), slotRequest.promptTokens());
         Endpoint chosen = EngineChoice.choose(candidates, choiceRequest, random).orElseThrow();
         loads.begin(chosen.id(), request.estimatedTokens());
+        pacer.sent(nowMs, Sender.CALLERS, chosen.id());
         inFlight.put(request.id(), new InFlight(request, chosen));
         effects.add(new AdmissionEffect.Dispatch(request.id(), chosen));
     }
 
-    private boolean isFree(Endpoint endpoint) {
-        return loads.requests(endpoint.id()) < table.slots(endpoint.id(), engineSlots);
+    private boolean isFree(Endpoint endpoint, long nowMs) {
+        return loads.requests(endpoint.id()) < table.slots(endpoint.id(), engineSlots)
+                && pacer.maySend(nowMs, Sender.CALLERS, endpoint.id());
+    }
+
+    // While all endpoints of a service are cold, a request that this node cannot send in time is refused at once, so
+    // that its caller can try another node or wait.
+    private void refuseHopeless(long nowMs, List<AdmissionEffect> effects) {
+        if (!pacer.isLimited()) {
+            return;
+        }
+        queues.forEach((service, queue) -> {
+            List<EndpointId> endpoints = queue.size() == 0
+                    ? List.of()
+                    : table.eligibleEndpoints(service).stream()
+                            .map(Endpoint::id)
+                            .toList();
+            if (!endpoints.isEmpty() && endpoints.stream().allMatch(e -> pacer.isCold(nowMs, e))) {
+                ColdServiceCheck check = new ColdServiceCheck(pacer, endpoints, nowMs);
+                for (AdmissionRequest refused : queue.removeIf(check)) {
+                    rates.take(refused.team(), -refused.estimatedGeneratedTokens(), nowMs);
+                    effects.add(refuse(refused, check.warmInMs()));
+                }
+            }
+        });
     }
 
     // An endpoint on which this request has just failed is used again only if no other endpoint is available.
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerFixture.java
@@ -8,6 +8,7 @@
 import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.BatchId;
+import org.magnoliabridge.warmup.WarmUpPacer;
 
 /** A batch core with one route on a virtual clock, and the effects that it has requested so far. */
 final class RunnerFixture {
@@ -16,9 +17,14 @@
     private final Map<ItemRunId, List<Transcript.Event>> unreportedEvents = new HashMap<>();
     private long nowMs = 1_000;
     private long lastTicket = 1_000;
-    private final BatchCore core = new BatchCore("n1-1", () -> nowMs, process -> false);
+    private final BatchCore core;
 
     RunnerFixture() {
+        this(WarmUpPacer.unlimited());
+    }
+
+    RunnerFixture(WarmUpPacer pacer) {
+        core = new BatchCore("n1-1", () -> nowMs, process -> false, pacer);
         handle(new BatchInput.Routes(Batches.CONFIG_VERSION, Map.of(Batches.ROUTE, Batches.TARGET), Batches.SCORERS));
     }
 
--- a/library/src/test/java/org/magnoliabridge/routing/RoutingFixture.java
+++ b/library/src/test/java/org/magnoliabridge/routing/RoutingFixture.java
@@ -12,6 +12,7 @@
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.warmup.WarmUpPacer;
 
 /** An admission core with engines of one service, on virtual time. Collects the effects of all inputs. */
 final class RoutingFixture {
@@ -24,7 +25,11 @@
     private long lastAdmissionId;
 
     RoutingFixture(int engines, int slots, int maxQueued, Map<TeamId, TeamPolicy> teams) {
-        core = new AdmissionCore(new RoutingSettings(OWN, maxQueued), new Random(1));
+        this(engines, slots, maxQueued, teams, WarmUpPacer.unlimited());
+    }
+
+    RoutingFixture(int engines, int slots, int maxQueued, Map<TeamId, TeamPolicy> teams, WarmUpPacer pacer) {
+        core = new AdmissionCore(new RoutingSettings(OWN, maxQueued), new Random(1), pacer);
         apply(new AdmissionInput.Policies(teams, slots));
         List<EndpointInput.ListedEndpoint> listed = new ArrayList<>();
         for (int i = 0; i < engines; i++) {
