--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -191,10 +191,10 @@
     }
 
     private void noteReachability(EndpointId endpoint, EndpointSource.Observation observation, long nowMs) {
-        switch (observation) {
-            case UNREACHABLE -> pacer.unreachable(nowMs, endpoint);
-            case ANSWERED -> pacer.answered(nowMs, endpoint);
-            case DRAINING, FAULTY_ANSWER -> {}
+        if (observation == EndpointSource.Observation.UNREACHABLE) {
+            pacer.unreachable(nowMs, endpoint);
+        } else if (observation == EndpointSource.Observation.ANSWERED) {
+            pacer.answered(nowMs, endpoint);
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/warmup/CallerShare.java
+++ b/library/src/main/java/org/magnoliabridge/warmup/CallerShare.java
@@ -18,8 +18,8 @@
  *
  * <p>Nodes do not have the same view of the members. If each node's view holds every node that sends, then the nodes
  * that take themselves for the first ones are among the first of those that send, so the limit holds whatever else the
- * views hold. So a node that has joined or rejoined sends nothing before all others know it, and counts a node that it no longer sees for as long as
- * that one may need to learn that it has no majority, and then sends nothing either.
+ * views hold. So a node that has joined or rejoined sends nothing before all others know it, and counts a node that it
+ * no longer sees for as long as that one may need to learn that it has no majority, and then sends nothing either.
  */
 final class CallerShare {
     // The smaller side of a partition knows within 13 s that it has no majority, and sooner all nodes know a new one.
--- a/library/src/test/java/org/magnoliabridge/batch/EngineReleaseTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/EngineReleaseTest.java
@@ -23,8 +23,8 @@
 import org.magnoliabridge.warmup.WarmUps;
 
 /**
- * Replays a release: four engines restart one after the other while more than 100 items wait, and each item takes 0.3 s. What the
- * platform allows a cold engine in a second is 1.5 times the tolerated rate and 5 requests.
+ * Replays a release: four engines restart one after the other while more than 100 items wait. Each item takes 0.3 s.
+ * What the platform allows a cold engine in a second is 1.5 times the tolerated rate and 5 requests.
  */
 class EngineReleaseTest {
     private static final int ENGINES = 4;
