--- a/daemon/src/main/java/org/magnoliabridge/daemon/EvacuationDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/EvacuationDriver.java
@@ -3,8 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.magnoliabridge.evacuation.EvacuationChange;
 import org.magnoliabridge.evacuation.EvacuationCore;
@@ -34,14 +34,22 @@
     private final boolean enabled;
     private final EvacuationCore core = new EvacuationCore();
     private final Dispatcher dispatcher;
+    private final Consumer<DataCentre> onEnd;
     private final Set<DataCentre> unknown = new HashSet<>();
     // Read by the metrics.
     private volatile Evacuations current;
     private volatile long currentAtMs;
 
-    EvacuationDriver(GatewayContext context, Dispatcher dispatcher) {
+    /**
+     * Creates a driver.
+     *
+     * @param onEnd called on the control thread when the evacuation of a data centre has ended, before its endpoints are
+     *     used; they may have become cold
+     */
+    EvacuationDriver(GatewayContext context, Dispatcher dispatcher, Consumer<DataCentre> onEnd) {
         this.context = context;
         this.dispatcher = dispatcher;
+        this.onEnd = onEnd;
         this.enabled = context.settings().bounds().evacuateMs() > 0;
         this.current = enabled ? Evacuations.UNKNOWN : Evacuations.NONE;
         this.currentAtMs = context.clock().nowMs();
@@ -91,14 +99,6 @@
         return current;
     }
 
-    /**
-     * Returns when the end of a data centre's last evacuation was found, on the node's monotonic clock; its endpoints
-     * may have become cold before. Control thread only.
-     */
-    OptionalLong endedMs(DataCentre dc) {
-        return core.endedMs(dc);
-    }
-
     /** Handles a clock tick; control thread only. */
     void tick(List<FleetEndpoint> endpoints) {
         handle(new EvacuationInput.Tick());
@@ -157,6 +157,7 @@
                         .log("evacuation begins: the data centre's endpoints get no new work");
             }
             case EvacuationChange.Ended ended -> {
+                onEnd.accept(ended.dc());
                 context.metrics().counter("evacuation.ends").inc();
                 LOG.atWarning()
                         .with(LogFields.DATA_CENTRE, ended.dc().value())
