--- a/library/src/main/java/org/magnoliabridge/batch/SlowEngineDetector.java
+++ b/library/src/main/java/org/magnoliabridge/batch/SlowEngineDetector.java
@@ -146,8 +146,8 @@
     }
 
     /**
-     * Returns how much faster than the median an engine usually is, as a factor; 1 for engines of nearly the same speed,
-     * so that these do not differ, and for engines that are not known.
+     * Returns how much faster than the median an engine usually is, as a factor; 1 for engines of nearly the same
+     * speed, so that these do not differ, and for engines that are not known.
      */
     double relativeSpeed(EndpointId engine) {
         Double usual = usualRates.get(engine);
--- a/library/src/main/java/org/magnoliabridge/edge/BodyConduit.java
+++ b/library/src/main/java/org/magnoliabridge/edge/BodyConduit.java
@@ -21,8 +21,8 @@
  *
  * <p>The server reads what is left of a body when an exchange ends, without a limit of its own. A connection that is
  * closed with unread bytes is reset, which may destroy the answer; so a limited number of bytes is read and dropped for
- * a limited time, and the connection is closed if the body has not ended by then. Many callers read an answer only after
- * they have sent their body, so one of allowed size that is refused may end.
+ * a limited time, and the connection is closed if the body has not ended by then. Many callers read an answer only
+ * after they have sent their body, so one of allowed size that is refused may end.
  */
 final class BodyConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** Bytes that are read and dropped at most. */
--- a/library/src/main/java/org/magnoliabridge/edge/ConnectionBudget.java
+++ b/library/src/main/java/org/magnoliabridge/edge/ConnectionBudget.java
@@ -13,8 +13,8 @@
 /**
  * Decides which connections a node keeps, because callers may open any number of them, send parts of heads and stay
  * silent, or stop in the middle of a body. A connection with a whole request is never closed, nor one whose body makes
- * progress. A connection that is to be closed no longer counts, and events of connections that do not count are ignored.
- * Not thread-safe.
+ * progress. A connection that is to be closed no longer counts, and events of connections that do not count are
+ * ignored. Not thread-safe.
  *
  * @param <C> identifies a connection
  */
--- a/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
+++ b/library/src/main/java/org/magnoliabridge/lease/LeaseCore.java
@@ -22,8 +22,8 @@
  * it sent the renewal, so the lease expires for the holder before it expires for any candidate.
  *
  * <p>A process that acquires the lease after another node held it sends nothing until the lease duration and the
- * takeover wait have passed since it last held the lease, so that two nodes never take turns within that time. The lease
- * that an earlier process of the same node was using is acquired at once, since that process has ended.
+ * takeover wait have passed since it last held the lease, so that two nodes never take turns within that time. The
+ * lease that an earlier process of the same node was using is acquired at once, since that process has ended.
  *
  * <pre>{@code
  * LeaseCore lease = new LeaseCore(
--- a/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
+++ b/library/src/main/java/org/magnoliabridge/orders/WeightsCore.java
@@ -22,8 +22,8 @@
  *
  * <p>Samplers of trainers swap first. Only a part of a service's engines swap at once, see {@link WeightsSettings}. Of
  * several models, each is loaded by a share of the engines, see {@link EngineShares}. Loads stay within the rate of the
- * weight store. A swap succeeds only when the engine reports the version. No intent is recorded: an order names the version to
- * load, and a new lease holder learns the remaining work from the engines' reports.
+ * weight store. A swap succeeds only when the engine reports the version. No intent is recorded: an order names the
+ * version to load, and a new lease holder learns the remaining work from the engines' reports.
  *
  * <pre>{@code
  * WeightsCore weights = new WeightsCore(WeightsSettings.forRate(60, 20), clock.nowMs());
--- a/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/StoredResultsTest.java
@@ -58,8 +58,8 @@
     }
 
     /**
-     * Guards against calls for each segment after a restart of all nodes. Replays the load: each of 20 nodes is asked for
-     * three logs of 15 segments that it has not cached; the listing lacks the last two segments.
+     * Guards against calls for each segment after a restart of all nodes. Replays the load: each of 20 nodes is asked
+     * for three logs of 15 segments that it has not cached; the listing lacks the last two segments.
      */
     @Test
     void logsThatANodeHasNotCachedCostFewCalls() throws Exception {
