--- a/daemon/src/main/java/org/magnoliabridge/daemon/EvacuationDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/EvacuationDriver.java
@@ -43,8 +43,8 @@
     /**
      * Creates a driver.
      *
-     * @param onEnd called on the control thread when the evacuation of a data centre has ended, before its endpoints are
-     *     used; they may have become cold
+     * @param onEnd called on the control thread when the evacuation of a data centre has ended, before its endpoints
+     *     are used; they may have become cold
      */
     EvacuationDriver(GatewayContext context, Dispatcher dispatcher, Consumer<DataCentre> onEnd) {
         this.context = context;
