--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewaySettings.java
@@ -97,7 +97,8 @@
         InetSocketAddress orders = address(root, "orders_api");
         Bounds bounds = bounds(root);
         int capacity = capacityMillicores(root);
-        int descriptors = (int) root.integer("max_descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS, 0);
+        int descriptors = (int)
+                root.integer("max_descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS, fromEnvironment("MAX_DESCRIPTORS"));
         String name = root.optionalText("log_level").orElse("info").toLowerCase(Locale.ROOT);
         if (!LEVELS.containsKey(name)) {
             root.report(Kind.INVALID, "log_level", "debug, info, warning or error");
@@ -116,6 +117,12 @@
                 LEVELS.get(name));
     }
 
+    // Settings that not every deployment's platform gives come as variables, which are empty without a value.
+    private static long fromEnvironment(String name) {
+        String text = System.getenv("MAGNOLIABRIDGE_" + name);
+        return text != null && text.matches("\\d{1,9}") ? Long.parseLong(text) : 0;
+    }
+
     private static Bounds bounds(SettingsObject root) {
         return new Bounds(
                 root.integer("grace_ms", 500, 3_600_000, 8_000),
@@ -123,7 +130,7 @@
                 root.integer("lease_ms", 500, 60_000, 3_000),
                 root.integer("usage_window_ms", 500, 3_600_000, 5_000),
                 root.integer("usage_due_ms", 500, 3_600_000, 10_000),
-                root.integer("evacuate_ms", 1_000, 3_600_000, 0));
+                root.integer("evacuate_ms", 1_000, 3_600_000, fromEnvironment("EVACUATE_MS")));
     }
 
     private static int capacityMillicores(SettingsObject root) {
