--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -2,7 +2,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.net.httpserver.HttpServer;
 import java.io.BufferedWriter;
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -259,8 +258,7 @@
         ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" "))
                 .directory(root.toFile())
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(node.log.toFile()))
-                .redirectInput(new File("/dev/null"));
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(node.log.toFile()));
         builder.environment().put("MAGNOLIABRIDGE_NODE_FILE", node.settings.toString());
         builder.environment().put("MAGNOLIABRIDGE_MAX_DESCRIPTORS", "4100");
         builder.environment().put("MAGNOLIABRIDGE_EVACUATE_MS", "");
