Log each change of an endpoint's state with its cause

Change: each change of state by an observation or a back-off is a line in the log, with the observation, the faults in a row and the back-off, and a metric routing.endpoints.STATE counts it. No decision changes.

Result: EndpointTableTest.reportsEachChangeOfStateWithItsCause; the tests of the package routing pass.

--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -88,6 +88,7 @@
         refuseEvacuated(nowMs, effects);
         dispatch(nowMs, effects);
         refuseHopeless(nowMs, effects);
+        table.takeChanges().forEach(c -> effects.add(new AdmissionEffect.LogChange(c)));
         return effects;
     }
 
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionEffect.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionEffect.java
@@ -12,4 +12,7 @@
 
     /** Tells the other members that this incarnation of an endpoint is leaving. */
     record AnnounceLeaving(Endpoint endpoint) implements AdmissionEffect {}
+
+    /** Writes a change of an endpoint's state to the log. */
+    record LogChange(EndpointChange change) implements AdmissionEffect {}
 }
--- a/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
@@ -3,7 +3,9 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -22,12 +24,14 @@
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.EndpointId;
+import org.magnoliabridge.telemetry.LogFields;
 
 /**
  * Blocks calls on their own threads until the admission core, which runs on the control thread, gives them a slot or
  * refuses them.
  */
 public final class Dispatcher implements EndpointSource, AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long TICK_MS = 100;
 
     private final AdmissionCore core;
@@ -37,6 +41,7 @@
     private final AtomicLong lastAdmissionId = new AtomicLong();
     private final Timer queueWaits;
     private final Counter refusals;
+    private final Map<EndpointState, Counter> changes = new EnumMap<>(EndpointState.class);
     private final ScheduledFuture<?> tickTask;
     // Confined to the control thread.
     private final Map<Long, CompletableFuture<AdmissionEffect>> pending = new HashMap<>();
@@ -59,6 +64,9 @@
         this.announceLeaving = announceLeaving;
         queueWaits = metrics.timer("routing.queue_wait");
         refusals = metrics.counter("routing.refusals");
+        for (EndpointState state : EndpointState.values()) {
+            changes.put(state, metrics.counter("routing.endpoints." + state));
+        }
         // Refuses requests past their deadline and ends back-offs.
         tickTask = loop.scheduleWithFixedDelay(TICK_MS, () -> apply(new AdmissionInput.Tick()));
     }
@@ -117,6 +125,8 @@
             }
             case AdmissionEffect.AnnounceLeaving announce ->
                 throw new IllegalStateException("AnnounceLeaving is not the outcome of a request");
+            case AdmissionEffect.LogChange log ->
+                throw new IllegalStateException("LogChange is not the outcome of a request");
         };
     }
 
@@ -131,10 +141,24 @@
                 case AdmissionEffect.Dispatch dispatch -> complete(dispatch.admissionId(), effect);
                 case AdmissionEffect.Refuse refuse -> complete(refuse.admissionId(), effect);
                 case AdmissionEffect.AnnounceLeaving announce -> announceLeaving.accept(announce.endpoint());
+                case AdmissionEffect.LogChange log -> log(log.change());
             }
         }
     }
 
+    private void log(EndpointChange change) {
+        changes.get(change.state()).inc();
+        LOG.atInfo()
+                .with(LogFields.ENDPOINT, change.endpoint().id().value())
+                .with(LogFields.SERVICE, change.endpoint().service().value())
+                .log(
+                        "endpoint is %s after %s; %d faults in a row, back-off %d ms",
+                        change.state(),
+                        change.observation().map(Observation::name).orElse("its back-off"),
+                        change.faults(),
+                        change.backOffMs());
+    }
+
     private void complete(long admissionId, AdmissionEffect effect) {
         CompletableFuture<AdmissionEffect> outcome = pending.remove(admissionId);
         if (outcome != null) {
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -36,6 +36,7 @@
     private final Set<Identity> listed = new HashSet<>();
     // Asked for several times a second, while states change seldom.
     private final Map<ServiceId, List<Endpoint>> eligible = new HashMap<>();
+    private final List<EndpointChange> changes = new ArrayList<>();
     private Evacuations evacuations = Evacuations.NONE;
 
     private record Identity(EndpointId id, String address, Incarnation incarnation) {}
@@ -93,6 +94,13 @@
         };
     }
 
+    /** Returns the changes of state since the last call, in order. */
+    List<EndpointChange> takeChanges() {
+        List<EndpointChange> taken = List.copyOf(changes);
+        changes.clear();
+        return taken;
+    }
+
     /** Returns the state of an endpoint; empty if the table has no entry for it. */
     public Optional<EndpointState> state(EndpointId id) {
         return Optional.ofNullable(entries.get(id)).map(e -> e.state);
@@ -194,9 +202,9 @@
         if (observation == EndpointSource.Observation.ANSWERED) {
             // In FAILED, an answer belongs to a request sent before the failure, so it does not show a recovery.
             if (entry.state != EndpointState.FAILED) {
-                entry.state = EndpointState.ROUTABLE;
                 entry.faultyAnswers = 0;
                 entry.backOffMs = FIRST_BACK_OFF_MS;
+                change(entry, EndpointState.ROUTABLE, Optional.of(observation));
             }
             return List.of();
         }
@@ -205,17 +213,25 @@
         boolean failed =
                 unreachable || entry.state == EndpointState.PROBATION || entry.faultyAnswers >= MAX_FAULTY_ANSWERS;
         if (failed && entry.state != EndpointState.FAILED) {
-            entry.state = EndpointState.FAILED;
+            change(entry, EndpointState.FAILED, Optional.of(observation));
             entry.retryAtMs = nowMs + entry.backOffMs;
             entry.backOffMs = Math.min(MAX_BACK_OFF_MS, entry.backOffMs * 2);
         }
         return List.of();
     }
 
+    private void change(Entry entry, EndpointState state, Optional<EndpointSource.Observation> observation) {
+        if (entry.state != state) {
+            entry.state = state;
+            long backOffMs = state == EndpointState.FAILED ? entry.backOffMs : 0;
+            changes.add(new EndpointChange(entry.endpoint, state, observation, entry.faultyAnswers, backOffMs));
+        }
+    }
+
     private void tick(long nowMs) {
         for (Entry entry : entries.values()) {
             if (entry.state == EndpointState.FAILED && nowMs >= entry.retryAtMs) {
-                entry.state = EndpointState.PROBATION;
+                change(entry, EndpointState.PROBATION, Optional.empty());
                 eligible.clear();
             }
         }
--- a/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
@@ -195,6 +195,7 @@
                     }
                     case AdmissionEffect.Refuse r -> assertTrue(answered.add(r.admissionId()));
                     case AdmissionEffect.AnnounceLeaving s -> assertTrue(false, "no endpoint leaves in this test");
+                    case AdmissionEffect.LogChange log -> assertTrue(false, "no endpoint changes in this test");
                 }
             }
             checked = f.effects.size();
--- a/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.sameInstance;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.magnoliabridge.calls.EndpointSource.Observation;
@@ -99,6 +100,27 @@
         assertThat(eligible(), is(empty()));
     }
 
+    /** Guards against an endpoint that gets no requests without a line in the log that says why. */
+    @Test
+    void reportsEachChangeOfStateWithItsCause() {
+        observe(Observation.ANSWERED);
+        assertThat(table.takeChanges(), is(empty()));
+        observe(Observation.UNREACHABLE);
+        tick(EndpointTable.FIRST_BACK_OFF_MS);
+        observe(Observation.ANSWERED);
+        assertThat(
+                table.takeChanges(),
+                contains(
+                        new EndpointChange(
+                                endpoint,
+                                EndpointState.FAILED,
+                                Optional.of(Observation.UNREACHABLE),
+                                1,
+                                EndpointTable.FIRST_BACK_OFF_MS),
+                        new EndpointChange(endpoint, EndpointState.PROBATION, Optional.empty(), 1, 0),
+                        new EndpointChange(endpoint, EndpointState.ROUTABLE, Optional.of(Observation.ANSWERED), 0, 0)));
+    }
+
     /** Guards against requests to a leaving endpoint whose list has not changed for longer than the retention time. */
     @Test
     void keepsTheDepartureOfAnEndpointThatIsStillListed() {
--- a/library/src/test/java/org/magnoliabridge/routing/SimulatedNode.java
+++ b/library/src/test/java/org/magnoliabridge/routing/SimulatedNode.java
@@ -92,6 +92,8 @@
                     case AdmissionEffect.Refuse r -> waiting.remove(r.admissionId());
                     case AdmissionEffect.AnnounceLeaving s ->
                         throw new IllegalStateException("no endpoint leaves in this simulation");
+                    case AdmissionEffect.LogChange log ->
+                        throw new IllegalStateException("no endpoint changes in this simulation");
                 }
             }
         }
