Charge an endpoint with a failed request only if another endpoint answers it

Cause: the batch scheduler reported each answer of status 500 to an item as a faulty answer of its engine. Three in a row take an engine out for all teams, and one more at each trial doubles the back-off up to 30 s. The items of a step that fails reach every engine, so all engines go out together and only failing items try them again. The plain and the stream path did the opposite, by code of their own: they took each failure for a good answer, so a faulty endpoint was never taken out.

Change: FaultAttribution decides for all calls (plain, stream, generation, item, score) what the attempts of a request show. A failure or a refusal, which the request may cause, counts against an endpoint only when another endpoint answers the same request. A whole answer that reports a failure shows that an endpoint can be reached, and ends the trial of one that could not be. The batch core requests the reports as effects.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -27,13 +27,11 @@
 import org.magnoliabridge.batch.StoreCheck;
 import org.magnoliabridge.batch.StoredBatches;
 import org.magnoliabridge.batch.Transcript;
-import org.magnoliabridge.calls.EndpointSource.Observation;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.ids.BatchId;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.routing.Dispatcher;
-import org.magnoliabridge.routing.Endpoint;
 import org.magnoliabridge.telemetry.LogFields;
 
 /** Runs the batch core: decisions on the control thread, runs and store calls on virtual threads. */
@@ -73,7 +71,7 @@
         this.core = core;
         this.engines = engines;
         this.hold = new SendHold(gate, context.clock(), context.metrics());
-        this.scoreCalls = new ScoreCalls(scorers, hold, context, this::observe, this::handle);
+        this.scoreCalls = new ScoreCalls(scorers, hold, context, this::handle);
         this.dispatcher = dispatcher;
         this.stored = stored;
         this.check = new StoreCheck(stored, gate, context.clock(), new StoreCheck.Receiver() {
@@ -240,6 +238,8 @@
                     reader.accept(answer.answer());
                 }
             }
+            case BatchEffect.Observe observe ->
+                dispatcher.observed(observe.endpoint().id(), observe.endpoint().address(), observe.observation());
             case BatchEffect.Log entry -> log.write(entry.event());
         }
     }
@@ -263,29 +263,10 @@
             outcome = new RunOutcome.Broken("unexpected failure");
         }
         runs.remove(run.id());
-        observation(outcome).ifPresent(observed -> observe(run.endpoint(), observed));
         RunOutcome result = outcome;
         context.loop().post(() -> handle(new BatchInput.RunEnded(run.id(), result, events.all())));
     }
 
-    private void observe(Endpoint endpoint, Observation observed) {
-        dispatcher.observed(endpoint.id(), endpoint.address(), observed);
-    }
-
-    private static Optional<Observation> observation(RunOutcome outcome) {
-        return switch (outcome) {
-            case RunOutcome.Completed completed -> Optional.of(Observation.ANSWERED);
-            case RunOutcome.Impossible impossible -> Optional.of(Observation.ANSWERED);
-            case RunOutcome.Unreachable unreachable -> Optional.of(Observation.UNREACHABLE);
-            case RunOutcome.Failed failed -> Optional.of(Observation.FAULTY_ANSWER);
-            case RunOutcome.Broken broken -> Optional.of(Observation.FAULTY_ANSWER);
-            case RunOutcome.Refused refused -> refused.leaving() ? Optional.of(Observation.DRAINING) : Optional.empty();
-            case RunOutcome.Stale stale -> Optional.empty();
-            case RunOutcome.Withheld withheld -> Optional.empty();
-            case RunOutcome.Stopped stopped -> Optional.empty();
-        };
-    }
-
     private void load(List<BatchHead> heads) {
         for (BatchHead head : heads) {
             boolean expired = context.wallClock().getAsLong() >= head.giveUpAtMs();
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ScoreCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ScoreCalls.java
@@ -2,17 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.magnoliabridge.batch.BatchInput;
 import org.magnoliabridge.batch.ScoreCall;
 import org.magnoliabridge.batch.ScoreCallId;
 import org.magnoliabridge.batch.ScoreOutcome;
 import org.magnoliabridge.batch.Scorers;
-import org.magnoliabridge.calls.EndpointSource.Observation;
-import org.magnoliabridge.routing.Endpoint;
 
 /** Makes the calls for the scores of texts, each on a virtual thread, and reports their ends on the control thread. */
 final class ScoreCalls {
@@ -21,26 +17,18 @@
     private final Scorers scorers;
     private final SendHold hold;
     private final GatewayContext context;
-    private final BiConsumer<Endpoint, Observation> observer;
     private final Consumer<BatchInput> core;
     private final Map<ScoreCallId, Thread> threads = new ConcurrentHashMap<>();
 
     /**
      * Creates an instance without calls.
      *
-     * @param observer receives what a call shows about its endpoint; called on any thread
      * @param core receives the end of each call on the control thread
      */
-    ScoreCalls(
-            Scorers scorers,
-            SendHold hold,
-            GatewayContext context,
-            BiConsumer<Endpoint, Observation> observer,
-            Consumer<BatchInput> core) {
+    ScoreCalls(Scorers scorers, SendHold hold, GatewayContext context, Consumer<BatchInput> core) {
         this.scorers = scorers;
         this.hold = hold;
         this.context = context;
-        this.observer = observer;
         this.core = core;
     }
 
@@ -78,22 +66,7 @@
         context.metrics()
                 .counter("batch.scores." + outcome.getClass().getSimpleName())
                 .inc();
-        observation(outcome).ifPresent(observed -> observer.accept(call.endpoint(), observed));
         ScoreOutcome result = outcome;
         context.loop().post(() -> core.accept(new BatchInput.ScoreEnded(call.id(), result)));
     }
-
-    private static Optional<Observation> observation(ScoreOutcome outcome) {
-        return switch (outcome) {
-            case ScoreOutcome.Scored scored -> Optional.of(Observation.ANSWERED);
-            // The service fails some calls at every endpoint.
-            case ScoreOutcome.Failed failed -> Optional.of(Observation.ANSWERED);
-            case ScoreOutcome.Unreachable unreachable -> Optional.of(Observation.UNREACHABLE);
-            case ScoreOutcome.Broken broken -> Optional.of(Observation.FAULTY_ANSWER);
-            case ScoreOutcome.Refused refused ->
-                refused.leaving() ? Optional.of(Observation.DRAINING) : Optional.empty();
-            case ScoreOutcome.Withheld withheld -> Optional.empty();
-            case ScoreOutcome.Stopped stopped -> Optional.empty();
-        };
-    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchCore.java
@@ -309,6 +309,10 @@
         } else if (!ended.events().isEmpty()) {
             backoff.recordSuccess(run.engine);
         }
+        item.faults.attemptEnded(
+                run.engine,
+                ended.outcome().attemptEnd(),
+                observation -> effects.add(new BatchEffect.Observe(run.endpoint, observation)));
         item.transcript = item.transcript.extended(ended.events(), completed);
         log(new BatchEvent.RunEnded(
                 run.batch.head().id(),
--- a/library/src/main/java/org/magnoliabridge/batch/BatchEffect.java
+++ b/library/src/main/java/org/magnoliabridge/batch/BatchEffect.java
@@ -1,6 +1,8 @@
 package org.magnoliabridge.batch;
 
+import org.magnoliabridge.calls.EndpointSource.Observation;
 import org.magnoliabridge.external.StoreRequest;
+import org.magnoliabridge.routing.Endpoint;
 
 /** A side effect that {@link BatchCore} requests. */
 public sealed interface BatchEffect {
@@ -22,6 +24,9 @@
     /** Answer the read that has this ticket. */
     record Answer(long ticket, ReadAnswer answer) implements BatchEffect {}
 
+    /** Report what the end of a run or of a call for a score shows about an endpoint. */
+    record Observe(Endpoint endpoint, Observation observation) implements BatchEffect {}
+
     /** Write an event to the log. */
     record Log(BatchEvent event) implements BatchEffect {}
 }
--- a/library/src/main/java/org/magnoliabridge/batch/Run.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Run.java
@@ -4,10 +4,12 @@
 import java.util.Optional;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.WeightVersion;
+import org.magnoliabridge.routing.Endpoint;
 
 /** A run of an item at an engine. */
 final class Run {
     final ItemRunId id;
+    final Endpoint endpoint;
     final EndpointId engine;
     final long startedMs;
     final long reservedTokens;
@@ -28,14 +30,15 @@
             ItemRunId id,
             RunningBatch batch,
             RunningItem item,
-            EndpointId engine,
+            Endpoint endpoint,
             long startedMs,
             long reservedTokens,
             Optional<WeightVersion> version) {
         this.id = Objects.requireNonNull(id);
         this.batch = Objects.requireNonNull(batch);
         this.item = Objects.requireNonNull(item);
-        this.engine = Objects.requireNonNull(engine);
+        this.endpoint = Objects.requireNonNull(endpoint);
+        this.engine = endpoint.id();
         this.startedMs = startedMs;
         this.lastProgressMs = startedMs;
         this.reservedTokens = reservedTokens;
--- a/library/src/main/java/org/magnoliabridge/batch/RunOutcome.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunOutcome.java
@@ -1,5 +1,6 @@
 package org.magnoliabridge.batch;
 
+import org.magnoliabridge.calls.AttemptEnd;
 import org.magnoliabridge.ids.WeightVersion;
 
 /** How a run of an item at an engine ended. */
@@ -34,4 +35,20 @@
 
     /** The run was stopped by this node. */
     record Stopped() implements RunOutcome {}
+
+    /** Returns how the run ended, as far as this concerns its engine. */
+    default AttemptEnd attemptEnd() {
+        return switch (this) {
+            case Completed completed -> AttemptEnd.ANSWERED;
+            case Impossible impossible -> AttemptEnd.ANSWERED;
+            case Failed failed -> AttemptEnd.FAILED;
+            case Unreachable unreachable -> AttemptEnd.UNREACHABLE;
+            case Broken broken -> AttemptEnd.BROKEN;
+            // An engine refuses while it loads weights or is full; EngineBackoff covers that.
+            case Refused refused -> refused.leaving() ? AttemptEnd.LEAVING : AttemptEnd.STOPPED;
+            case Stale stale -> AttemptEnd.STOPPED;
+            case Withheld withheld -> AttemptEnd.STOPPED;
+            case Stopped stopped -> AttemptEnd.STOPPED;
+        };
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunTracker.java
@@ -49,12 +49,11 @@
     /** Starts a run of an item. */
     void start(long nowMs, RunningBatch batch, RunningItem item, EngineState engine, long lastEvent, long limitMs) {
         ItemRunId id = new ItemRunId(++lastRun);
-        EndpointId endpoint = engine.endpoint().id();
         Optional<WeightVersion> version = batch.head().model().flatMap(engine::version);
-        Run run = new Run(id, batch, item, endpoint, nowMs, item.item.expectedTotalTokens(), version);
+        Run run = new Run(id, batch, item, engine.endpoint(), nowMs, item.item.expectedTotalTokens(), version);
         item.run = Optional.of(id);
         runs.put(id, run);
-        placement.runStarted(endpoint, run.reservedTokens);
+        placement.runStarted(run.engine, run.reservedTokens);
         effects.add(new BatchEffect.StartRun(
                 new ItemRun(id, batch.head(), item.item, engine.endpoint(), lastEvent, limitMs)));
     }
--- a/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunningItem.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.magnoliabridge.calls.FaultAttribution;
 import org.magnoliabridge.ids.EndpointId;
 
 /** An item of an open batch and its state. */
@@ -22,6 +23,8 @@
     // The events of the current run so far.
     final List<Transcript.Event> runEvents = new ArrayList<>();
     long notBeforeMs = Long.MIN_VALUE;
+    // What the runs of the item show about their engines.
+    final FaultAttribution faults = new FaultAttribution();
     // Engines at which earlier runs did not succeed; used only if no other engine is available.
     final Set<EndpointId> avoidedEngines = new HashSet<>();
 
--- a/library/src/main/java/org/magnoliabridge/batch/ScoreOutcome.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ScoreOutcome.java
@@ -1,6 +1,7 @@
 package org.magnoliabridge.batch;
 
 import java.util.Objects;
+import org.magnoliabridge.calls.AttemptEnd;
 
 /** How a call for a score ended. */
 public sealed interface ScoreOutcome {
@@ -32,4 +33,18 @@
 
     /** The call was stopped by this node. */
     record Stopped() implements ScoreOutcome {}
+
+    /** Returns how the call ended, as far as this concerns its endpoint. */
+    default AttemptEnd attemptEnd() {
+        return switch (this) {
+            case Scored scored -> AttemptEnd.ANSWERED;
+            case Failed failed -> AttemptEnd.FAILED;
+            case Unreachable unreachable -> AttemptEnd.UNREACHABLE;
+            case Broken broken -> AttemptEnd.BROKEN;
+            // An endpoint refuses while it is full; EngineBackoff covers that.
+            case Refused refused -> refused.leaving() ? AttemptEnd.LEAVING : AttemptEnd.STOPPED;
+            case Withheld withheld -> AttemptEnd.STOPPED;
+            case Stopped stopped -> AttemptEnd.STOPPED;
+        };
+    }
 }
--- a/library/src/main/java/org/magnoliabridge/batch/Scoring.java
+++ b/library/src/main/java/org/magnoliabridge/batch/Scoring.java
@@ -14,12 +14,14 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.magnoliabridge.calls.FaultAttribution;
 import org.magnoliabridge.gateway.GatewayRoute;
 import org.magnoliabridge.gateway.RouteTable;
 import org.magnoliabridge.gateway.ServiceChoice;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.ServiceId;
 import org.magnoliabridge.ids.TeamId;
+import org.magnoliabridge.routing.Endpoint;
 import org.magnoliabridge.warmup.Sender;
 import org.magnoliabridge.warmup.WarmUpPacer;
 
@@ -63,6 +65,8 @@
         private final RunningItem item;
         private final ScoreRequest request;
         private final long sinceMs;
+        // What the calls of the item show about their endpoints.
+        private final FaultAttribution faults = new FaultAttribution();
         private final Set<EndpointId> avoided = new HashSet<>();
         private Optional<ServiceId> service;
         private Optional<ScoreCallId> call = Optional.empty();
@@ -91,7 +95,11 @@
         }
     }
 
-    private record Call(Pending pending, EndpointId endpoint, long startedMs) {}
+    private record Call(Pending pending, Endpoint target, long startedMs) {
+        EndpointId endpoint() {
+            return target.id();
+        }
+    }
 
     /** The endpoints of a service that scores texts. */
     private record Service(List<EngineState> endpoints, Set<EndpointId> ids) {
@@ -227,6 +235,10 @@
         callsOf.computeIfPresent(call.pending().team(), (team, n) -> n == 1 ? null : n - 1);
         Pending entry = call.pending();
         entry.call = Optional.empty();
+        entry.faults.attemptEnded(
+                call.endpoint(),
+                ended.outcome().attemptEnd(),
+                observation -> effects.add(new BatchEffect.Observe(call.target(), observation)));
         log(new BatchEvent.ScoreEnded(
                 entry.batch.head().id(),
                 entry.item.item.id(),
@@ -335,7 +347,7 @@
         long limitMs = Math.max(1, head.giveUpAtMs() - wallClock.getAsLong());
         long silenceMs = Math.min(limitMs, SILENCE_MS << Math.min(MAX_DOUBLINGS, entry.unanswered));
         entry.call = Optional.of(id);
-        calls.put(id, new Call(entry, endpointId, nowMs));
+        calls.put(id, new Call(entry, endpoint.endpoint(), nowMs));
         callsAt.merge(endpointId, 1, Integer::sum);
         pacer.sent(nowMs, Sender.RUNNER, endpointId);
         callsOf.merge(head.team(), 1, Integer::sum);
--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.magnoliabridge.http.HttpAnswer;
 import org.magnoliabridge.http.HttpFailure;
 import org.magnoliabridge.http.HttpLimits;
 import org.magnoliabridge.ids.EndpointId;
@@ -11,6 +12,9 @@
 
 /** Tracks the attempts of one request: the endpoints tried so far, and the attempts and time that remain. */
 final class Attempts {
+    /** Answers from this status on report a failure of the server. */
+    static final int FIRST_SERVER_ERROR = 500;
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     // A refusal does not count as an attempt; this limit stops retries when every endpoint of a service refuses.
     private static final int MAX_REFUSALS = 3;
@@ -21,6 +25,7 @@
     private final CallDependencies dependencies;
     private final Cancellation cancellation;
     private final CallProgress progress = new CallProgress();
+    private final FaultAttribution faults = new FaultAttribution();
     private final Set<EndpointId> excluded = new HashSet<>();
     private int attempts;
     private int refusals;
@@ -111,6 +116,16 @@
                         reason, attempts, request.maxAttempts(), refusals, remainingMs());
     }
 
+    /** Records how an attempt ended, which may show a fault of its endpoint or of those before it. */
+    void ended(EndpointSource.Slot slot, AttemptEnd end) {
+        faults.attemptEnded(slot.endpoint(), end, slot::observed);
+    }
+
+    /** Records a complete answer, whatever its status. */
+    void ended(EndpointSource.Slot slot, HttpAnswer answer) {
+        ended(slot, answer.status() < FIRST_SERVER_ERROR ? AttemptEnd.ANSWERED : AttemptEnd.FAILED);
+    }
+
     /** Records that the endpoint has begun to respond. */
     void answered() {
         progress.answered();
@@ -119,7 +134,7 @@
     /** Records that the endpoint of the current attempt was unreachable; returns the failure to report. */
     Failure unreachable(EndpointSource.Slot slot, HttpFailure.NotSent cause) {
         notRun();
-        slot.observed(EndpointSource.Observation.UNREACHABLE);
+        ended(slot, AttemptEnd.UNREACHABLE);
         logFailed(slot, cause.getMessage());
         return new Failure.BackEndFailed("the service could not be reached");
     }
@@ -127,8 +142,7 @@
     /** Records that the endpoint of the current attempt refused to run the request; returns the failure to report. */
     Failure refused(EndpointSource.Slot slot, BackEndRefusal refusal) {
         notRun();
-        slot.observed(
-                refusal.draining() ? EndpointSource.Observation.DRAINING : EndpointSource.Observation.FAULTY_ANSWER);
+        ended(slot, refusal.draining() ? AttemptEnd.LEAVING : AttemptEnd.REFUSED);
         logFailed(slot, "refused with status " + refusal.status());
         return new Failure.BackEndFailed("the service did not run the request");
     }
--- a/library/src/main/java/org/magnoliabridge/calls/EndpointSource.java
+++ b/library/src/main/java/org/magnoliabridge/calls/EndpointSource.java
@@ -78,13 +78,15 @@
 
     /** What an attempt shows about the state of its endpoint. */
     enum Observation {
-        /** The endpoint responded. */
+        /** The endpoint answered a request. */
         ANSWERED,
+        /** The endpoint answered completely, but that a request failed; the request may be the cause. */
+        REPORTED_FAILURE,
         /** The endpoint is shutting down and refuses new work. */
         DRAINING,
         /** The endpoint could not be reached, also not over a new connection. */
         UNREACHABLE,
-        /** The endpoint can be reached but sent no complete response. */
+        /** The endpoint can be reached but sent no complete response, or failed what another endpoint answered. */
         FAULTY_ANSWER
     }
 
@@ -96,7 +98,7 @@
         /** Returns the endpoint's address. */
         InetSocketAddress address();
 
-        /** Reports an observation of the endpoint, which influences later choices. */
+        /** Reports an observation of the endpoint, which influences later choices; also after the release. */
         void observed(Observation observation);
 
         /** Releases the slot; {@code usedTokens} replaces the estimated cost. */
--- /dev/null
+++ b/library/src/main/java/org/magnoliabridge/calls/FaultAttribution.java
@@ -0,0 +1,48 @@
+package org.magnoliabridge.calls;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.magnoliabridge.calls.EndpointSource.Observation;
+import org.magnoliabridge.ids.EndpointId;
+
+/**
+ * Decides what the attempts of one request show about the endpoints that it was sent to. All calls ask here: plain
+ * calls, streams, generations, items of batches and calls for scores.
+ *
+ * <p>A refusal, or an answer that reports a failure, may be caused by the request. It counts against the endpoint only
+ * if another endpoint answers the same request; a request that fails wherever it is sent shows no fault of the endpoints.
+ *
+ * <p>Load pattern: one team sends many requests that fail at each endpoint, as fast as the endpoints fail them, while
+ * other teams use the same endpoints. Not thread-safe.
+ */
+public final class FaultAttribution {
+    private final Map<EndpointId, Consumer<Observation>> suspects = new LinkedHashMap<>();
+
+    /**
+     * Records the end of an attempt.
+     *
+     * @param report receives what is shown about the endpoint of this attempt, now or at the end of a later one
+     */
+    public void attemptEnded(EndpointId endpoint, AttemptEnd end, Consumer<Observation> report) {
+        switch (end) {
+            case ANSWERED -> {
+                report.accept(Observation.ANSWERED);
+                suspects.remove(endpoint);
+                suspects.values().forEach(suspect -> suspect.accept(Observation.FAULTY_ANSWER));
+                suspects.clear();
+            }
+            case FAILED -> {
+                report.accept(Observation.REPORTED_FAILURE);
+                suspects.put(endpoint, report);
+            }
+            case REFUSED -> suspects.put(endpoint, report);
+            case LEAVING -> report.accept(Observation.DRAINING);
+            case UNREACHABLE -> report.accept(Observation.UNREACHABLE);
+            case BROKEN -> report.accept(Observation.FAULTY_ANSWER);
+            case STOPPED -> {
+                // Says nothing about the endpoint.
+            }
+        }
+    }
+}
--- a/library/src/main/java/org/magnoliabridge/calls/GenerationCall.java
+++ b/library/src/main/java/org/magnoliabridge/calls/GenerationCall.java
@@ -18,6 +18,7 @@
     private final Cancellation cancellation;
     private final TokenReceiver receiver;
     private final CallProgress progress = new CallProgress();
+    private final FaultAttribution faults = new FaultAttribution();
     private final Set<EndpointId> excluded = new HashSet<>();
     private final StringBuilder text = new StringBuilder();
     private VersionRangeBuilder ranges = new VersionRangeBuilder();
@@ -178,11 +179,11 @@
         throwIfStopped();
         Optional<String> fault = check.incompleteReason();
         if (fault.isEmpty()) {
-            slot.observed(EndpointSource.Observation.ANSWERED);
+            ended(slot, AttemptEnd.ANSWERED);
             return new Outcome.Done(check.finishReason().orElseThrow());
         }
         dependencies.metrics().brokenAnswers.inc();
-        slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
+        ended(slot, AttemptEnd.BROKEN);
         cancelAt(slot.address(), hopId);
         String detail = tooManyTokens ? "the engine sent more tokens than asked for" : fault.get();
         boolean resumable = !tooManyTokens && !check.isContradicted();
@@ -220,8 +221,8 @@
         if (refusal.notRun()) {
             progress.notRun();
         }
-        slot.observed(
-                refusal.draining() ? EndpointSource.Observation.DRAINING : EndpointSource.Observation.FAULTY_ANSWER);
+        AttemptEnd end = refusal.notRun() ? AttemptEnd.REFUSED : AttemptEnd.FAILED;
+        ended(slot, refusal.draining() ? AttemptEnd.LEAVING : end);
         return new Outcome.Failed(
                 new Failure.BackEndFailed("the engine answered with status " + refusal.status()), true);
     }
@@ -233,10 +234,14 @@
             adapter.fetchLoad(slot.address());
         } catch (EngineFailure e) {
             dependencies.metrics().probesFailed.inc();
-            slot.observed(EndpointSource.Observation.UNREACHABLE);
+            ended(slot, AttemptEnd.UNREACHABLE);
         }
     }
 
+    private void ended(EndpointSource.Slot slot, AttemptEnd end) {
+        faults.attemptEnded(slot.endpoint(), end, slot::observed);
+    }
+
     private void cancelAt(InetSocketAddress engine, RequestId hopId) {
         dependencies.metrics().cancels.inc();
         dependencies.background().execute(() -> adapter.cancel(engine, hopId));
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -12,7 +12,6 @@
  * remaining time is retried at another one, so that one unresponsive endpoint does not use up the deadline.
  */
 public final class PlainCaller {
-    private static final int FIRST_SERVER_ERROR = 500;
 
     private final PlainServiceClient client;
     private final CallDependencies dependencies;
@@ -71,7 +70,7 @@
                 }
                 switch (attempt) {
                     case Attempt.Answered answered -> {
-                        boolean failed = answered.answer().status() >= FIRST_SERVER_ERROR;
+                        boolean failed = answered.answer().status() >= Attempts.FIRST_SERVER_ERROR;
                         if (!failed || !request.idempotent() || !attempts.tryAcquireRetry()) {
                             return answered.answer();
                         }
@@ -142,7 +141,7 @@
             if (refusal.notRun()) {
                 return new Attempt.NotRun(attempts.refused(slot, refusal));
             }
-            slot.observed(EndpointSource.Observation.ANSWERED);
+            attempts.ended(slot, answer);
             return new Attempt.Answered(client.answer(answer));
         }
 
@@ -150,7 +149,7 @@
         private Attempt tooLarge(EndpointSource.Slot slot, HttpFailure.TooLarge cause) {
             dependencies.metrics().brokenAnswers.inc();
             attempts.logFailed(slot, cause.getMessage());
-            slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
+            attempts.ended(slot, AttemptEnd.BROKEN);
             return new Attempt.Lost(new Failure.IncompleteAnswer("the answer is over the size limit"));
         }
 
@@ -160,7 +159,7 @@
             if (!request.idempotent()) {
                 return new Attempt.Lost(new Failure.OutcomeUnknown());
             }
-            slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
+            attempts.ended(slot, AttemptEnd.BROKEN);
             return attempts.remainingMs() <= 0
                     ? new Attempt.NotRetryable(new Failure.DeadlineExceeded())
                     : new Attempt.Lost(new Failure.IncompleteAnswer(
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -17,7 +17,6 @@
  */
 public final class StreamCaller {
     private static final int OK = 200;
-    private static final int FIRST_SERVER_ERROR = 500;
 
     private final StreamServiceClient client;
     private final CallDependencies dependencies;
@@ -93,7 +92,7 @@
                         return Optional.empty();
                     }
                     case Attempt.Answered answered -> {
-                        boolean failed = answered.answer().status() >= FIRST_SERVER_ERROR;
+                        boolean failed = answered.answer().status() >= Attempts.FIRST_SERVER_ERROR;
                         if (!failed || !tryAcquireRetry()) {
                             return answerUnlessBegun(answered.answer());
                         }
@@ -177,7 +176,7 @@
             if (!begin()) {
                 return new Attempt.Broken(fault.orElseThrow());
             }
-            slot.observed(EndpointSource.Observation.ANSWERED);
+            attempts.ended(slot, AttemptEnd.ANSWERED);
             return new Attempt.Complete();
         }
 
@@ -187,7 +186,7 @@
                 return new Attempt.NotRun(attempts.refused(slot, refusal));
             }
             attempts.answered();
-            slot.observed(EndpointSource.Observation.ANSWERED);
+            attempts.ended(slot, answer);
             return new Attempt.Answered(client.answer(answer));
         }
 
@@ -198,7 +197,7 @@
                 return new Attempt.Broken(
                         Cancellation.failure(cancellation.reason().get()));
             }
-            slot.observed(EndpointSource.Observation.FAULTY_ANSWER);
+            attempts.ended(slot, AttemptEnd.BROKEN);
             return new Attempt.Broken(
                     attempts.remainingMs() <= 0
                             ? new Failure.DeadlineExceeded()
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -69,7 +69,6 @@
                 arrive(new AdmissionRequest(arrive.admissionId(), arrive.request()), nowMs, effects);
             case AdmissionInput.Finished done -> finish(done.admissionId(), done.usedTokens(), nowMs);
             case AdmissionInput.Cancel cancel -> cancel(cancel, nowMs, effects);
-            case AdmissionInput.Observed observed -> observe(observed, nowMs, effects);
             case AdmissionInput.Reported report -> loads.report(report.endpoint(), report.report(), nowMs);
             case AdmissionInput.Endpoints endpoints -> {
                 if (endpoints.input() instanceof EndpointInput.Observed observed) {
@@ -184,21 +183,13 @@
                 .forEach(r -> effects.add(new AdmissionEffect.Refuse(r.id(), cancel.failure())));
     }
 
-    private void observe(AdmissionInput.Observed observed, long nowMs, List<AdmissionEffect> effects) {
-        InFlight call = inFlight.get(observed.admissionId());
-        if (call != null) {
-            Endpoint endpoint = call.endpoint();
-            EndpointInput input = new EndpointInput.Observed(endpoint.id(), endpoint.address(), observed.observation());
-            noteReachability(endpoint.id(), observed.observation(), nowMs);
-            announceLeaving(table.apply(input, nowMs), effects);
-        }
-    }
-
     private void noteReachability(EndpointId endpoint, EndpointSource.Observation observation, long nowMs) {
-        if (observation == EndpointSource.Observation.UNREACHABLE) {
-            pacer.unreachable(nowMs, endpoint);
-        } else if (observation == EndpointSource.Observation.ANSWERED) {
-            pacer.answered(nowMs, endpoint);
+        switch (observation) {
+            case UNREACHABLE -> pacer.unreachable(nowMs, endpoint);
+            case ANSWERED, REPORTED_FAILURE -> pacer.answered(nowMs, endpoint);
+            case DRAINING, FAULTY_ANSWER -> {
+                // Does not tell whether the endpoint was restarted.
+            }
         }
     }
 
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionInput.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionInput.java
@@ -18,9 +18,6 @@
     /** A request is cancelled, whether it is queued or has a slot. */
     record Cancel(long admissionId, Failure failure) implements AdmissionInput {}
 
-    /** A call has observed the state of the endpoint of its slot. */
-    record Observed(long admissionId, EndpointSource.Observation observation) implements AdmissionInput {}
-
     /** An engine has reported its load. */
     record Reported(EndpointId endpoint, LoadReport report) implements AdmissionInput {}
 
--- a/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
+++ b/library/src/main/java/org/magnoliabridge/routing/Dispatcher.java
@@ -81,7 +81,7 @@
         loop.post(() -> apply(input));
     }
 
-    /** Reports what a call without a slot has observed of an endpoint; may be called from any thread. */
+    /** Reports what a call has observed of an endpoint; may be called from any thread. */
     public void observed(EndpointId endpoint, String address, Observation observation) {
         post(new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint, address, observation)));
     }
@@ -190,7 +190,7 @@
 
         @Override
         public void observed(Observation observation) {
-            post(new AdmissionInput.Observed(admissionId, observation));
+            Dispatcher.this.observed(endpoint.id(), endpoint.address(), observation);
         }
 
         @Override
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -11,7 +11,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
-import org.magnoliabridge.calls.EndpointSource;
+import org.magnoliabridge.calls.EndpointSource.Observation;
 import org.magnoliabridge.evacuation.Evacuations;
 import org.magnoliabridge.ids.EndpointId;
 import org.magnoliabridge.ids.Incarnation;
@@ -28,7 +28,9 @@
     static final long RETENTION_MS = 60_000;
     static final long FIRST_BACK_OFF_MS = 1_000;
     static final long MAX_BACK_OFF_MS = 30_000;
-    // A single faulty answer may be caused by its connection; three in a row are attributed to the endpoint.
+    // A single faulty answer may be caused by its connection; three in a row are attributed to the endpoint. What may
+    // be
+    // caused by the request is sorted out before, in FaultAttribution.
     private static final int MAX_FAULTY_ANSWERS = 3;
 
     private final Map<EndpointId, Entry> entries = new TreeMap<>();
@@ -46,6 +48,8 @@
         private EndpointState state = EndpointState.ROUTABLE;
         private OptionalInt slots = OptionalInt.empty();
         private int faultyAnswers;
+        // The observation before the last failure.
+        private Observation failedBy = Observation.UNREACHABLE;
         private long backOffMs = FIRST_BACK_OFF_MS;
         private long retryAtMs;
         private long unlistedAtMs;
@@ -192,35 +196,55 @@
         return List.of(entry.endpoint);
     }
 
-    private List<Endpoint> observe(Entry entry, EndpointSource.Observation observation, long nowMs) {
-        if (observation == EndpointSource.Observation.DRAINING) {
+    private List<Endpoint> observe(Entry entry, Observation observation, long nowMs) {
+        if (observation == Observation.DRAINING) {
             return markLeaving(entry, nowMs);
         }
         if (entry.state == EndpointState.LEAVING || entry.state == EndpointState.UNLISTED) {
             return List.of();
         }
-        if (observation == EndpointSource.Observation.ANSWERED) {
-            // In FAILED, an answer belongs to a request sent before the failure, so it does not show a recovery.
-            if (entry.state != EndpointState.FAILED) {
-                entry.faultyAnswers = 0;
-                entry.backOffMs = FIRST_BACK_OFF_MS;
-                change(entry, EndpointState.ROUTABLE, Optional.of(observation));
+        switch (observation) {
+            case ANSWERED -> answered(entry, observation);
+            case REPORTED_FAILURE -> {
+                // Shows that the endpoint can be reached, but not that it serves requests.
+                if (entry.state == EndpointState.PROBATION && entry.failedBy == Observation.UNREACHABLE) {
+                    answered(entry, observation);
+                }
             }
-            return List.of();
+            case FAULTY_ANSWER -> {
+                entry.faultyAnswers++;
+                if (entry.state == EndpointState.PROBATION || entry.faultyAnswers >= MAX_FAULTY_ANSWERS) {
+                    fail(entry, observation, nowMs);
+                }
+            }
+            case UNREACHABLE -> {
+                entry.faultyAnswers++;
+                fail(entry, observation, nowMs);
+            }
+            case DRAINING -> throw new IllegalArgumentException("a departure is not a fault");
+        }
+        return List.of();
+    }
+
+    // In FAILED, an answer belongs to a request sent before the failure, so it does not show a recovery.
+    private void answered(Entry entry, Observation observation) {
+        if (entry.state != EndpointState.FAILED) {
+            entry.faultyAnswers = 0;
+            entry.backOffMs = FIRST_BACK_OFF_MS;
+            change(entry, EndpointState.ROUTABLE, Optional.of(observation));
         }
-        entry.faultyAnswers++;
-        boolean unreachable = observation == EndpointSource.Observation.UNREACHABLE;
-        boolean failed =
-                unreachable || entry.state == EndpointState.PROBATION || entry.faultyAnswers >= MAX_FAULTY_ANSWERS;
-        if (failed && entry.state != EndpointState.FAILED) {
+    }
+
+    private void fail(Entry entry, Observation observation, long nowMs) {
+        if (entry.state != EndpointState.FAILED) {
+            entry.failedBy = observation;
             change(entry, EndpointState.FAILED, Optional.of(observation));
             entry.retryAtMs = nowMs + entry.backOffMs;
             entry.backOffMs = Math.min(MAX_BACK_OFF_MS, entry.backOffMs * 2);
         }
-        return List.of();
     }
 
-    private void change(Entry entry, EndpointState state, Optional<EndpointSource.Observation> observation) {
+    private void change(Entry entry, EndpointState state, Optional<Observation> observation) {
         if (entry.state != state) {
             entry.state = state;
             long backOffMs = state == EndpointState.FAILED ? entry.backOffMs : 0;
--- a/library/src/test/java/org/magnoliabridge/batch/BatchSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/batch/BatchSimulation.java
@@ -380,6 +380,7 @@
                         reader.accept(a.answer());
                     }
                 }
+                case BatchEffect.Observe o -> {}
                 case BatchEffect.Log l -> {}
             }
         }
--- a/library/src/test/java/org/magnoliabridge/batch/EndSimulation.java
+++ b/library/src/test/java/org/magnoliabridge/batch/EndSimulation.java
@@ -414,6 +414,7 @@
                 case BatchEffect.StartScoring scoring -> throw new IllegalStateException("no item has a scorer");
                 case BatchEffect.StopScoring scoring -> throw new IllegalStateException("no item has a scorer");
                 case BatchEffect.Answer a -> {}
+                case BatchEffect.Observe o -> {}
                 case BatchEffect.Log l -> {}
             }
         }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerGroup.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerGroup.java
@@ -200,6 +200,7 @@
                     case BatchEffect.StartScoring scoring -> throw new IllegalStateException("no item has a scorer");
                     case BatchEffect.StopScoring scoring -> throw new IllegalStateException("no item has a scorer");
                     case BatchEffect.Answer answer -> {}
+                    case BatchEffect.Observe observe -> {}
                     case BatchEffect.Log log -> {}
                 }
             }
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerMeasurement.java
@@ -247,6 +247,7 @@
             case BatchEffect.StartScoring scoring -> throw new IllegalStateException("no item has a scorer");
             case BatchEffect.StopScoring scoring -> throw new IllegalStateException("no item has a scorer");
             case BatchEffect.Answer answer -> answered(answer);
+            case BatchEffect.Observe observe -> {}
             case BatchEffect.Log log -> {}
         }
     }
--- a/library/src/test/java/org/magnoliabridge/routing/ColdEndpointsTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/ColdEndpointsTest.java
@@ -136,12 +136,12 @@
     void endpointThatWasUnreachableIsUsedInSteps() {
         RoutingFixture fixture = fixture(1, 0);
         long id = arrive(fixture, START_MS + 60_000);
-        fixture.apply(new AdmissionInput.Observed(id, Observation.UNREACHABLE));
+        observe(fixture, Observation.UNREACHABLE);
         fixture.apply(new AdmissionInput.Finished(id, 1));
         fixture.nowMs += EndpointTable.FIRST_BACK_OFF_MS;
         fixture.apply(new AdmissionInput.Tick());
-        long probe = arrive(fixture, START_MS + 60_000);
-        fixture.apply(new AdmissionInput.Observed(probe, Observation.ANSWERED));
+        arrive(fixture, START_MS + 60_000);
+        observe(fixture, Observation.ANSWERED);
         int before = fixture.dispatched().size();
         for (int i = 0; i < 20; i++) {
             arrive(fixture, START_MS + 60_000);
@@ -152,6 +152,13 @@
         assertThat(fixture.dispatched().size() - before, is(20));
     }
 
+    // Of the endpoint that the last request was dispatched to.
+    private static void observe(RoutingFixture fixture, Observation observation) {
+        EndpointId endpoint = dispatchedTo(fixture).getLast();
+        String address = RoutingFixture.endpoint(endpoint.value(), 1).address();
+        fixture.apply(new AdmissionInput.Endpoints(new EndpointInput.Observed(endpoint, address, observation)));
+    }
+
     private static List<EndpointId> dispatchedTo(RoutingFixture fixture) {
         return fixture.effects.stream()
                 .filter(AdmissionEffect.Dispatch.class::isInstance)
