Charge no endpoint with what a caller or a request has ended

Cause: when a caller leaves, its thread is interrupted and the call fails as lost. The plain path reported that as a faulty answer of the endpoint without asking whether the call was cancelled; the stream path asked. Three in a row take an engine out of the table that the batches use too, and each trial that the next caller leaves doubles the back-off. The same holds for what a request ends otherwise: a deadline that is too short (also while connecting, which took the endpoint out at once), the end of a batch's time, a text, line or answer over the size limits, a path or a scorer that no endpoint has, an answer for which this node has no room.

On each of the three nodes every engine is FAILED after FAULTY_ANSWER with 3 faults in a row, then again with back-offs of 2 and 4 s and more; all 67 failed attempts of the nodes are "interrupted while waiting for the answer".

Change: AttemptEnd tells what ended an attempt, from the failure of the HTTP call and whether the time that the request allows was over, for the plain, stream, item and score paths. FaultAttribution takes a timeout at the request's own deadline and an answer that is too large as evidence only if another endpoint answers the request, and what the caller or this node ended as none. An endpoint that does not react at all within the node's own limits is still charged at once, now also by requests that may not be repeated.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -27,6 +27,7 @@
 import org.magnoliabridge.batch.StoreCheck;
 import org.magnoliabridge.batch.StoredBatches;
 import org.magnoliabridge.batch.Transcript;
+import org.magnoliabridge.calls.AttemptEnd;
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.ids.BatchId;
@@ -260,7 +261,7 @@
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log(
                     "run of item %s failed unexpectedly", run.item().id());
-            outcome = new RunOutcome.Broken("unexpected failure");
+            outcome = new RunOutcome.Broken("unexpected failure", AttemptEnd.STOPPED);
         }
         runs.remove(run.id());
         RunOutcome result = outcome;
--- a/daemon/src/main/java/org/magnoliabridge/daemon/ScoreCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/ScoreCalls.java
@@ -9,6 +9,7 @@
 import org.magnoliabridge.batch.ScoreCallId;
 import org.magnoliabridge.batch.ScoreOutcome;
 import org.magnoliabridge.batch.Scorers;
+import org.magnoliabridge.calls.AttemptEnd;
 
 /** Makes the calls for the scores of texts, each on a virtual thread, and reports their ends on the control thread. */
 final class ScoreCalls {
@@ -60,7 +61,7 @@
             outcome = new ScoreOutcome.Stopped();
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log("call for the score of item %s failed unexpectedly", call.item());
-            outcome = new ScoreOutcome.Broken("unexpected failure");
+            outcome = new ScoreOutcome.Broken("unexpected failure", AttemptEnd.STOPPED);
         }
         threads.remove(call.id());
         context.metrics()
--- a/library/src/main/java/org/magnoliabridge/batch/RunOutcome.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunOutcome.java
@@ -24,8 +24,17 @@
     /** The engine could not be reached; the item did not run there. */
     record Unreachable() implements RunOutcome {}
 
-    /** The connection closed, failed or timed out before the end of the text. */
-    record Broken(String reason) implements RunOutcome {}
+    /**
+     * There was no text, or only a part.
+     *
+     * @param end how the run ended, as far as this concerns its engine
+     */
+    record Broken(String reason, AttemptEnd end) implements RunOutcome {
+        /** Creates an outcome that the engine or its connection has caused. */
+        public Broken(String reason) {
+            this(reason, AttemptEnd.BROKEN);
+        }
+    }
 
     /** The engine's weights are older than the batch allows. */
     record Stale(WeightVersion version) implements RunOutcome {}
@@ -43,7 +52,7 @@
             case Impossible impossible -> AttemptEnd.ANSWERED;
             case Failed failed -> AttemptEnd.FAILED;
             case Unreachable unreachable -> AttemptEnd.UNREACHABLE;
-            case Broken broken -> AttemptEnd.BROKEN;
+            case Broken broken -> broken.end();
             // An engine refuses while it loads weights or is full; EngineBackoff covers that.
             case Refused refused -> refused.leaving() ? AttemptEnd.LEAVING : AttemptEnd.STOPPED;
             case Stale stale -> AttemptEnd.STOPPED;
--- a/library/src/main/java/org/magnoliabridge/batch/ScoreOutcome.java
+++ b/library/src/main/java/org/magnoliabridge/batch/ScoreOutcome.java
@@ -25,8 +25,17 @@
     /** The endpoint could not be reached; the call did not run there. */
     record Unreachable() implements ScoreOutcome {}
 
-    /** There was no answer in time, or one that cannot be used. */
-    record Broken(String reason) implements ScoreOutcome {}
+    /**
+     * There was no answer in time, or one that cannot be used.
+     *
+     * @param end how the call ended, as far as this concerns its endpoint
+     */
+    record Broken(String reason, AttemptEnd end) implements ScoreOutcome {
+        /** Creates an outcome that the endpoint or its connection has caused. */
+        public Broken(String reason) {
+            this(reason, AttemptEnd.BROKEN);
+        }
+    }
 
     /** The call was not sent, because its batch has ended or may have. */
     record Withheld() implements ScoreOutcome {}
@@ -40,7 +49,7 @@
             case Scored scored -> AttemptEnd.ANSWERED;
             case Failed failed -> AttemptEnd.FAILED;
             case Unreachable unreachable -> AttemptEnd.UNREACHABLE;
-            case Broken broken -> AttemptEnd.BROKEN;
+            case Broken broken -> broken.end();
             // An endpoint refuses while it is full; EngineBackoff covers that.
             case Refused refused -> refused.leaving() ? AttemptEnd.LEAVING : AttemptEnd.STOPPED;
             case Withheld withheld -> AttemptEnd.STOPPED;
--- a/library/src/main/java/org/magnoliabridge/calls/Attempts.java
+++ b/library/src/main/java/org/magnoliabridge/calls/Attempts.java
@@ -16,6 +16,8 @@
     static final int FIRST_SERVER_ERROR = 500;
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    // Many times the latency between data centres. A connection attempt that the request ends sooner shows nothing.
+    private static final long MIN_CONNECT_MS = 250;
     // A refusal does not count as an attempt; this limit stops retries when every endpoint of a service refuses.
     private static final int MAX_REFUSALS = 3;
     // While a retry is possible, an attempt gets at most half of the remaining time.
@@ -27,6 +29,10 @@
     private final CallProgress progress = new CallProgress();
     private final FaultAttribution faults = new FaultAttribution();
     private final Set<EndpointId> excluded = new HashSet<>();
+    private long attemptStartMs;
+    // The time that the request allows for the current attempt.
+    private long attemptLimitMs;
+    private boolean answered;
     private int attempts;
     private int refusals;
 
@@ -83,20 +89,25 @@
     void attemptStarted() {
         progress.attemptStarted();
         attempts++;
+        attemptStartMs = dependencies.clock().nowMs();
+        answered = false;
     }
 
     /** Returns the time limits of the current attempt; they leave time for a retry if one is possible. */
     HttpLimits limits() {
+        long remainingMs = remainingMs();
+        attemptLimitMs = mayRepeat() ? Math.max(1, remainingMs / ATTEMPT_TIME_DIVISOR) : remainingMs;
         return mayRepeat()
-                ? dependencies.limits().within(Math.max(1, remainingMs() / ATTEMPT_TIME_DIVISOR))
-                : dependencies.limits().deadlineOnly(remainingMs());
+                ? dependencies.limits().within(attemptLimitMs)
+                : dependencies.limits().deadlineOnly(attemptLimitMs);
     }
 
     /** Returns the time limits of the current attempt of a stream, which may last until the request's deadline. */
     HttpLimits streamLimits() {
+        attemptLimitMs = remainingMs();
         return mayRepeat()
-                ? dependencies.limits().within(remainingMs())
-                : dependencies.limits().deadlineOnly(remainingMs());
+                ? dependencies.limits().within(attemptLimitMs)
+                : dependencies.limits().deadlineOnly(attemptLimitMs);
     }
 
     /** Returns whether the request may be sent to another endpoint after the current attempt. */
@@ -121,6 +132,25 @@
         faults.attemptEnded(slot.endpoint(), end, slot::observed);
     }
 
+    /** Records an attempt without a usable answer. */
+    void ended(EndpointSource.Slot slot, HttpFailure failure) {
+        ended(slot, endOf(failure));
+    }
+
+    private AttemptEnd endOf(HttpFailure failure) {
+        return cancellation.reason().isPresent() ? AttemptEnd.STOPPED : AttemptEnd.of(failure, isTimeUp(failure));
+    }
+
+    // An endpoint that does not react at all within the node's own time limits is unresponsive, however much time the
+    // request allowed.
+    private boolean isTimeUp(HttpFailure failure) {
+        long elapsedMs = dependencies.clock().nowMs() - attemptStartMs;
+        boolean connecting = failure instanceof HttpFailure.NotSent;
+        long ownLimitMs = connecting ? MIN_CONNECT_MS : dependencies.limits().firstByteMs();
+        boolean unresponsive = !answered && elapsedMs >= ownLimitMs;
+        return elapsedMs >= attemptLimitMs - AttemptEnd.TIME_LIMIT_MARGIN_MS && !unresponsive;
+    }
+
     /** Records a complete answer, whatever its status. */
     void ended(EndpointSource.Slot slot, HttpAnswer answer) {
         ended(slot, answer.status() < FIRST_SERVER_ERROR ? AttemptEnd.ANSWERED : AttemptEnd.FAILED);
@@ -128,13 +158,14 @@
 
     /** Records that the endpoint has begun to respond. */
     void answered() {
+        answered = true;
         progress.answered();
     }
 
-    /** Records that the endpoint of the current attempt was unreachable; returns the failure to report. */
+    /** Records that the current attempt got no connection to its endpoint; returns the failure to report. */
     Failure unreachable(EndpointSource.Slot slot, HttpFailure.NotSent cause) {
         notRun();
-        ended(slot, AttemptEnd.UNREACHABLE);
+        ended(slot, cause);
         logFailed(slot, cause.getMessage());
         return new Failure.BackEndFailed("the service could not be reached");
     }
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -149,17 +149,17 @@
         private Attempt tooLarge(EndpointSource.Slot slot, HttpFailure.TooLarge cause) {
             dependencies.metrics().brokenAnswers.inc();
             attempts.logFailed(slot, cause.getMessage());
-            attempts.ended(slot, AttemptEnd.BROKEN);
+            attempts.ended(slot, cause);
             return new Attempt.Lost(new Failure.IncompleteAnswer("the answer is over the size limit"));
         }
 
         private Attempt lost(EndpointSource.Slot slot, HttpFailure cause) {
             dependencies.metrics().brokenAnswers.inc();
             attempts.logFailed(slot, cause.getMessage());
+            attempts.ended(slot, cause);
             if (!request.idempotent()) {
                 return new Attempt.Lost(new Failure.OutcomeUnknown());
             }
-            attempts.ended(slot, AttemptEnd.BROKEN);
             return attempts.remainingMs() <= 0
                     ? new Attempt.NotRetryable(new Failure.DeadlineExceeded())
                     : new Attempt.Lost(new Failure.IncompleteAnswer(
--- a/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/StreamCaller.java
@@ -156,6 +156,7 @@
             } catch (HttpFailure.NotSent e) {
                 return new Attempt.NotRun(attempts.unreachable(slot, e));
             } catch (HttpFailure e) {
+                attempts.ended(slot, e);
                 return broken(slot, "the stream broke off: " + e.getMessage());
             }
         }
@@ -165,13 +166,13 @@
                 return new Attempt.Broken(fault.get());
             }
             if (otherMediaType) {
-                return broken(slot, "the response is not of type " + mediaType);
+                return faulty(slot, "the response is not of type " + mediaType);
             }
             if (stalled) {
-                return broken(slot, "the endpoint sends bytes but no event");
+                return faulty(slot, "the endpoint sends bytes but no event");
             }
             if (!splitter.atBoundary()) {
-                return broken(slot, "the stream ended within an event");
+                return faulty(slot, "the stream ended within an event");
             }
             if (!begin()) {
                 return new Attempt.Broken(fault.orElseThrow());
@@ -190,6 +191,12 @@
             return new Attempt.Answered(client.answer(answer));
         }
 
+        private Attempt faulty(EndpointSource.Slot slot, String detail) {
+            boolean stopped = cancellation.reason().isPresent();
+            attempts.ended(slot, stopped ? AttemptEnd.STOPPED : AttemptEnd.BROKEN);
+            return broken(slot, detail);
+        }
+
         private Attempt broken(EndpointSource.Slot slot, String detail) {
             dependencies.metrics().brokenAnswers.inc();
             attempts.logFailed(slot, detail + ", last event " + lastEventId.orElse(0));
@@ -197,7 +204,6 @@
                 return new Attempt.Broken(
                         Cancellation.failure(cancellation.reason().get()));
             }
-            attempts.ended(slot, AttemptEnd.BROKEN);
             return new Attempt.Broken(
                     attempts.remainingMs() <= 0
                             ? new Failure.DeadlineExceeded()
--- a/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
+++ b/library/src/main/java/org/magnoliabridge/http/HttpFailure.java
@@ -30,6 +30,13 @@
         }
     }
 
+    /** The answer names no request and is not marked as the server's, as when a server rejects what it cannot parse. */
+    public static final class Unidentified extends Lost {
+        public Unidentified(String message) {
+            super(message, null);
+        }
+    }
+
     /** The answer exceeds the size limit of the call, or the memory for all answers; the call was executed. */
     public static sealed class TooLarge extends HttpFailure {
         public TooLarge(int bytes) {
--- a/library/src/test/java/org/magnoliabridge/calls/FaultAttributionTest.java
+++ b/library/src/test/java/org/magnoliabridge/calls/FaultAttributionTest.java
@@ -22,7 +22,7 @@
 
     /** Guards against sound endpoints that are charged with a request which fails at each of them. */
     @ParameterizedTest
-    @EnumSource(names = {"FAILED", "REFUSED", "STOPPED"})
+    @EnumSource(names = {"FAILED", "REFUSED", "OVERSIZED", "TIMED_OUT", "STOPPED"})
     void requestThatFailsEverywhereChargesNoEndpoint(AttemptEnd end) {
         ended("one", end);
         ended("two", end);
@@ -33,12 +33,12 @@
 
     /** Guards against a faulty endpoint that is not charged although another one answers what it fails. */
     @ParameterizedTest
-    @EnumSource(names = {"FAILED", "REFUSED"})
+    @EnumSource(names = {"FAILED", "REFUSED", "OVERSIZED", "TIMED_OUT"})
     void endpointIsChargedIfAnotherAnswersTheSameRequest(AttemptEnd end) {
         ended("one", end);
         reports.clear();
         ended("two", AttemptEnd.ANSWERED);
-        assertThat(reports, contains("two ANSWERED", "one FAULTY_ANSWER"));
+        assertThat(reports, contains("one FAULTY_ANSWER", "two ANSWERED"));
     }
 
     /** Guards against a charge for each retry: one request shows at most one fault of an endpoint. */
@@ -49,7 +49,7 @@
         reports.clear();
         ended("two", AttemptEnd.ANSWERED);
         ended("two", AttemptEnd.ANSWERED);
-        assertThat(reports, contains("two ANSWERED", "one FAULTY_ANSWER", "two ANSWERED"));
+        assertThat(reports, contains("one FAULTY_ANSWER", "two ANSWERED", "two ANSWERED"));
     }
 
     /** Guards against an endpoint that is charged for a failure which it has itself made good. */
