Pass no answer on whose status HTTP does not have

Here a status below 200 ends the call as lost, so 000 does not, but a status above 599 was passed on with its seal and body.

Change: an answer whose status is outside of 200 to 599 (RFC 9110, section 15) ends the call as lost, and its connection is closed.

Result: OddStatusTest, a node whose endpoint answers with 16 odd statuses on three routes, among them 000, 0, 99 and no status at all. Before, 9 of its 48 cases failed (600, 700 and 999 on each route); the cases with 000 passed. Now all 48 pass, and so do BrokenAnswerTest, ScorerClientTest, EngineStreamClientTest and EndpointClientTest.

--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -32,6 +32,8 @@
     // Undertow's client skips an interim answer with status 100 only; after another one it takes the final answer for
     // content, or for that of the next call.
     private static final int FIRST_FINAL_STATUS = 200;
+    // RFC 9110, section 15: a status outside of 100 to 599 is invalid.
+    private static final int LAST_STATUS = 599;
     private static final int READ_BYTES = 8 * 1024;
     // The pieces of all exchanges may wait at once, while there is no room for their answers.
     private static final int MAX_QUEUED_PIECES = 16;
@@ -223,8 +225,9 @@
     private void answerStarted(ClientExchange exchange) {
         connection.limit().received();
         ClientResponse response = exchange.getResponse();
-        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
-            failed(new IOException("expected the final answer, found status " + response.getResponseCode()));
+        int status = response.getResponseCode();
+        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+            failed(new IOException("expected a final answer with a valid status, found status " + status));
             return;
         }
         events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
