Report what items show about engines with their team

Cause: added the team to the effect, but the scheduler still passed the report on without it, so faults that one team's items show took an engine out for all teams.

Change: the scheduler passes the team on.

Result: EndpointFaultsTest.engineThatFailsOneTeamIsTakenOutForThatTeamOnly (a whole node) failed before: the other team's items did not reach the engine. Now its 11 tests pass.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchScheduler.java
@@ -240,7 +240,7 @@
                 }
             }
             case BatchEffect.Observe observe ->
-                dispatcher.observed(observe.endpoint().id(), observe.endpoint().address(), observe.observation());
+                dispatcher.observed(observe.endpoint(), observe.observation(), observe.team());
             case BatchEffect.Log entry -> log.write(entry.event());
         }
     }
--- a/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
+++ b/library/src/main/java/org/magnoliabridge/calls/PlainCaller.java
@@ -12,7 +12,6 @@
  * remaining time is retried at another one, so that one unresponsive endpoint does not use up the deadline.
  */
 public final class PlainCaller {
-
     private final PlainServiceClient client;
     private final CallDependencies dependencies;
 
