--- a/library/src/main/java/org/magnoliabridge/calls/FaultAttribution.java
+++ b/library/src/main/java/org/magnoliabridge/calls/FaultAttribution.java
@@ -10,10 +10,10 @@
  * Decides what the attempts of one request show about the endpoints that it was sent to. All calls ask here: plain
  * calls, streams, generations, items of batches and calls for scores.
  *
- * <p>The request may be the cause of a refusal, of an answer that reports a failure or is too large, and of a timeout at
- * its own deadline. These count against the endpoint only if another endpoint answers the same request; a request that
- * fails wherever it is sent shows no fault of the endpoints. An attempt that its caller or this node has ended shows
- * nothing.
+ * <p>The request may be the cause of a refusal, of an answer that reports a failure or is too large, and of a timeout
+ * at its own deadline. These count against the endpoint only if another endpoint answers the same request; a request
+ * that fails wherever it is sent shows no fault of the endpoints. An attempt that its caller or this node has ended
+ * shows nothing.
  *
  * <p>Load pattern: one team sends many requests that fail at each endpoint, allows too little time for them or leaves
  * before the answer, while other teams use the same endpoints. Not thread-safe.
@@ -42,8 +42,8 @@
             case LEAVING -> report.accept(Observation.DRAINING);
             case UNREACHABLE -> report.accept(Observation.UNREACHABLE);
             case BROKEN -> report.accept(Observation.FAULTY_ANSWER);
-            case STOPPED -> {
-                // Says nothing about the endpoint.
+            default -> {
+                // STOPPED says nothing about the endpoint.
             }
         }
     }
--- a/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
+++ b/library/src/main/java/org/magnoliabridge/routing/AdmissionCore.java
@@ -193,7 +193,7 @@
         switch (observation) {
             case UNREACHABLE -> pacer.unreachable(nowMs, endpoint);
             case ANSWERED, REPORTED_FAILURE -> pacer.answered(nowMs, endpoint);
-            case DRAINING, FAULTY_ANSWER -> {
+            default -> {
                 // Does not tell whether the endpoint was restarted.
             }
         }
--- a/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
+++ b/library/src/main/java/org/magnoliabridge/routing/EndpointTable.java
@@ -248,7 +248,7 @@
                 entry.faultyAnswers++;
                 fail(entry, observation, nowMs);
             }
-            case DRAINING -> throw new IllegalArgumentException("a departure is not a fault");
+            default -> throw new IllegalArgumentException(observation + " is no answer and no fault");
         }
         return List.of();
     }
--- a/library/src/main/java/org/magnoliabridge/routing/TeamFaults.java
+++ b/library/src/main/java/org/magnoliabridge/routing/TeamFaults.java
@@ -10,8 +10,8 @@
 /**
  * The faults of one endpoint that the requests of single teams show, and the teams for which it is taken out.
  *
- * <p>Load pattern: the requests of one team make an endpoint fail that serves all others, or an endpoint fails one team's
- * requests only. What one team's requests show affects no other team. Deterministic and not thread-safe.
+ * <p>Load pattern: the requests of one team make an endpoint fail that serves all others, or an endpoint fails one
+ * team's requests only. What one team's requests show affects no other team. Deterministic and not thread-safe.
  */
 final class TeamFaults {
     private final int maxFaults;
--- a/library/src/test/java/org/magnoliabridge/batch/FailingItemsTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/FailingItemsTest.java
@@ -28,8 +28,8 @@
 import org.magnoliabridge.routing.RoutingSettings;
 
 /**
- * Replays a load on the batches and the endpoint table together, on virtual time: items of one team fail, as fast as the
- * engines fail them, beside the step of another team.
+ * Replays a load on the batches and the endpoint table together, on virtual time: items of one team fail, as fast as
+ * the engines fail them, beside the step of another team.
  */
 class FailingItemsTest {
     private static final List<EngineState> ENGINES =
@@ -68,7 +68,7 @@
         assertThat(takenOut(), is(empty()));
     }
 
-    /** Guards against idle engines that run nothing of a team, because another team's items fail at every second run. */
+    /** Guards against engines that a team loses because another team's items fail at every second run. */
     @Test
     void itemsThatFailNowAndThenTakeNoEngineFromAnotherTeam() {
         int[] runs = {0};
--- a/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/AdmissionCoreTest.java
@@ -73,7 +73,7 @@
         assertThat(Math.abs(served - 30), is(lessThanOrEqualTo(2L)));
     }
 
-    /** Guards against faults of one team's requests that send other teams elsewhere, or leave a team without any endpoint. */
+    /** Guards against faults of one team that send other teams elsewhere, or leave a team without any endpoint. */
     @Test
     void teamAvoidsAnEndpointThatIsTakenOutForItIfThereIsAnother() {
         RoutingFixture f = new RoutingFixture(2, 1, 10, NO_TEAMS);
--- a/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
+++ b/library/src/test/java/org/magnoliabridge/routing/EndpointTableTest.java
@@ -193,7 +193,7 @@
         assertThat(table.slots(endpoint.id(), 8), is(8));
     }
 
-    /** Guards against an endpoint that a team never gets back, and one that it gets back for good while it is faulty. */
+    /** Guards against an endpoint that a team never gets back, or gets back for good while it is faulty. */
     @Test
     void teamTriesAnEndpointAgainAfterItsBackOff() {
         for (int i = 0; i < 3; i++) {
