Let the I/O thread select between the reads of a long answer

What callers saw: while one endpoint sent an answer in chunks of a byte without end, other calls of the same node got no answer within 10 s.

Cause: the I/O thread runs all tasks that are due before it selects. An answer whose receiver keeps up resumes its reads by such a task, after 16 reads and each time its queue runs low, so there was always one due, and no other connection was selected.

Change: reads resume by a timer, 1 ms later, before which the I/O thread selects.

--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -40,6 +40,8 @@
     private static final int RESUME_BELOW_PIECES = 4;
     // Other calls share the I/O thread.
     private static final int MAX_READS_PER_EVENT = 16;
+    // The I/O thread runs all tasks that are due before it selects, so reads that resume at once could go on for ever.
+    private static final long READ_PAUSE_MS = 1;
 
     private final LimitedConnection connection;
     private final HttpCall call;
@@ -146,11 +148,15 @@
 
     private byte[] taken(Piece piece) {
         if (queuedPieces.decrementAndGet() == RESUME_BELOW_PIECES) {
-            source.getIoThread().execute(source::resumeReads);
+            resumeLater(source);
         }
         return piece.bytes;
     }
 
+    private static void resumeLater(StreamSourceChannel channel) {
+        channel.getIoThread().executeAfter(channel::resumeReads, READ_PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
     private ClientRequest request() {
         ClientRequest request = new ClientRequest()
                 .setMethod(new HttpString(call.method()))
@@ -266,7 +272,8 @@
                     return;
                 }
                 if (reads == MAX_READS_PER_EVENT) {
-                    channel.resumeReads();
+                    channel.suspendReads();
+                    resumeLater(channel);
                     return;
                 }
                 count = channel.read(buffer);
