Take only answers that are well formed, in one place for all readers

What callers saw: an endpoint whose answer had a spoilt length or coding, a chunk size that is none, or an unknown HTTP version got its answer through, with its seal and a body that was not the endpoint's: the chunks with their sizes, a part of the body, or bytes of a stream. The store's answers, reports, orders, items, generations and scores were read in the same way.

Cause: Undertow's client parses leniently. It takes the first of several lengths, ignores a length beside a coding and a coding that it does not know, so that the answer ends with its connection, and does not check the framing of chunks. It also merges blanks inside values. All readers trusted it.

Change: a conduit below the client (http.AnswerConduit) passes bytes on only if a strict parser takes them (http.AnswerParser, around the parser of jetty-http in its strict mode). Status, fields and framing come from that parser, and Exchange compares the content that the client finds with it. What is malformed ends the call as lost and closes its connection, so it counts as a fault of the endpoint (BROKEN) and promises nothing. A line of the size of a chunk at the start of an answer without length and coding is malformed, as a coding whose name is spoilt leaves just that.

UndertowHttpCallerTest: the answer with status 304 timed out. Not distinguishable, so not refused: a length that is spoilt into a smaller one.

--- a/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
+++ b/library/src/main/java/org/magnoliabridge/http/ConnectionPool.java
@@ -129,7 +129,8 @@
             throw new HttpFailure.NotSent("no connection to " + target + " within " + limitMs + " ms", null);
         }
         try {
-            return new LimitedConnection(future.get(), connector.stream(), connector.limit(), false);
+            return new LimitedConnection(
+                    future.get(), connector.stream(), connector.limit(), connector.answers(), false);
         } catch (IOException | RuntimeException e) {
             throw new HttpFailure.NotSent("cannot connect to " + target, e);
         }
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -3,7 +3,6 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -12,14 +11,12 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.magnoliabridge.settings.SocketAddresses;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -28,12 +25,7 @@
 
 /** One request and its answer on a connection; passes events from the I/O thread to the calling thread. */
 final class Exchange {
-    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
-    // Undertow's client skips an interim answer with status 100 only; after another one it takes the final answer for
-    // content, or for that of the next call.
-    private static final int FIRST_FINAL_STATUS = 200;
-    // RFC 9110, section 15: a status outside of 100 to 599 is invalid.
-    private static final int LAST_STATUS = 599;
+    private static final int NOT_MODIFIED = 304;
     private static final int READ_BYTES = 8 * 1024;
     // The pieces of all exchanges may wait at once, while there is no room for their answers.
     private static final int MAX_QUEUED_PIECES = 16;
@@ -47,6 +39,8 @@
     private final HttpCall call;
     private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final AtomicInteger queuedPieces = new AtomicInteger();
+    // Used by the I/O thread only.
+    private long contentBytes;
     private volatile StreamSourceChannel source;
     private volatile boolean sent;
     private volatile boolean withheld;
@@ -80,13 +74,14 @@
             return;
         }
         connection.limit().expectHead();
+        connection.answers().expectAnswer(call.method());
         connection.client().sendRequest(request(), callback(this::requestStarted));
     }
 
     /** Waits for the answer's status and headers. */
-    Head awaitHead(long limitMs) throws HttpFailure {
+    AnswerHead awaitHead(long limitMs) throws HttpFailure {
         return switch (next(limitMs, "no answer within ")) {
-            case Head head -> head;
+            case Head head -> head.answer();
             case Withheld withheld ->
                 throw new HttpFailure.NotSent(
                         "not written to " + call.target() + ": the condition of the call does not hold", null);
@@ -230,38 +225,39 @@
 
     private void answerStarted(ClientExchange exchange) {
         connection.limit().received();
-        ClientResponse response = exchange.getResponse();
-        int status = response.getResponseCode();
-        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
-            failed(new IOException("expected a final answer with a valid status, found status " + status));
+        int status = exchange.getResponse().getResponseCode();
+        // Undertow's client skips an interim answer with status 100 only; after another one it takes the final answer
+        // for content, or for that of the next call.
+        Optional<AnswerHead> head = connection.answers().head().filter(h -> h.status() == status);
+        if (head.isEmpty()) {
+            failed(new IOException("expected the head of a final answer, found status " + status));
             return;
         }
-        events.add(new Head(response.getResponseCode(), response.getResponseHeaders()));
-        if (!call.unframedAnswer() && !isFramed(response)) {
+        // An answer that is delimited only by the end of its connection cannot be distinguished from a truncated one.
+        if (!call.unframedAnswer() && head.get().framing() instanceof AnswerHead.EndOfConnection) {
             failed(new IOException("the answer has neither a length nor chunks"));
             return;
         }
+        if (status == NOT_MODIFIED) {
+            // Undertow's client waits for the content that the head describes, which is not sent.
+            events.add(new Head(head.get().onClosingConnection()));
+            events.add(new End());
+            return;
+        }
+        events.add(new Head(head.get()));
         source = exchange.getResponseChannel();
         source.getReadSetter().set(this::read);
         read(source);
     }
 
-    // An answer that is delimited only by the end of its connection cannot be distinguished from a truncated one.
-    private static boolean isFramed(ClientResponse response) {
-        HeaderMap headers = response.getResponseHeaders();
-        int status = response.getResponseCode();
-        return headers.contains(Headers.CONTENT_LENGTH)
-                || headers.contains(Headers.TRANSFER_ENCODING)
-                || status == 204
-                || status == 304;
-    }
-
     private void read(StreamSourceChannel channel) {
         ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
         try {
             int count = channel.read(buffer);
             for (int reads = 1; count > 0; reads++) {
                 connection.limit().received();
+                contentBytes += count;
+                requireParsed(contentBytes <= connection.answers().contentBytes());
                 buffer.flip();
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
@@ -279,6 +275,8 @@
                 count = channel.read(buffer);
             }
             if (count < 0) {
+                requireParsed(connection.answers().isComplete()
+                        && contentBytes == connection.answers().contentBytes());
                 events.add(new End());
             } else {
                 channel.resumeReads();
@@ -288,6 +286,12 @@
         }
     }
 
+    private static void requireParsed(boolean same) throws IOException {
+        if (!same) {
+            throw new IOException("the parsers of the answer disagree on its content");
+        }
+    }
+
     private void failed(IOException cause) {
         events.add(new Failed(cause, connection.limit().answerBegun()));
     }
@@ -313,20 +317,7 @@
     private record Withheld() implements Event {}
 
     /** The answer's status and headers. */
-    record Head(int status, HeaderMap headers) implements Event {
-        boolean keepAlive() {
-            return !"close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
-        }
-
-        /** Returns how long the server keeps an idle connection open, in milliseconds, if it announces that. */
-        OptionalLong idleLimitMs() {
-            String value = headers.getFirst("Keep-Alive");
-            Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(value == null ? "" : value);
-            return timeout.find()
-                    ? OptionalLong.of(TimeUnit.SECONDS.toMillis(Long.parseLong(timeout.group(1))))
-                    : OptionalLong.empty();
-        }
-    }
+    record Head(AnswerHead answer) implements Event {}
 
     @SuppressWarnings("ArrayRecordComponent")
     private record Piece(byte[] bytes) implements Event {}
--- a/library/src/main/java/org/magnoliabridge/http/FramingLimit.java
+++ b/library/src/main/java/org/magnoliabridge/http/FramingLimit.java
@@ -17,9 +17,7 @@
     static final int MAX_BYTES = 24 * 1024;
 
     private long bytes;
-    private boolean inHead;
     private boolean answerBegun;
-    private int lineBytes;
 
     private FramingLimit(StreamSourceConduit next) {
         super(next);
@@ -35,15 +33,12 @@
     /** Starts to count from 0 and expects a head; called when a request is sent. */
     void expectHead() {
         bytes = 0;
-        inHead = true;
         answerBegun = false;
-        lineBytes = 0;
     }
 
     /** Starts to count from 0; called when a head or content has been received. */
     void received() {
         bytes = 0;
-        inHead = false;
     }
 
     /** Returns whether any byte was received since the request was sent. */
@@ -53,24 +48,7 @@
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-        int start = target.position();
-        int count = (int) counted(super.read(target));
-        for (int i = start; inHead && i < target.position(); i++) {
-            rejectFoldedLine(target.get(i));
-        }
-        return count;
-    }
-
-    // Folded headers are obsolete, and the client's time to parse them grows with the square of their size.
-    private void rejectFoldedLine(byte b) throws IOException {
-        if (b == '\n') {
-            inHead = lineBytes > 0;
-            lineBytes = 0;
-        } else if (lineBytes == 0 && (b == ' ' || b == '\t')) {
-            throw new IOException("expected a header without folded lines");
-        } else if (b != '\r') {
-            lineBytes++;
-        }
+        return (int) counted(super.read(target));
     }
 
     @Override
--- a/library/src/main/java/org/magnoliabridge/http/LimitedConnection.java
+++ b/library/src/main/java/org/magnoliabridge/http/LimitedConnection.java
@@ -13,19 +13,20 @@
 import org.xnio.StreamConnection;
 
 /**
- * A connection and the limit of what it receives without a head or content.
+ * A connection, the limit of what it receives without a head or content, and the check of its answers.
  *
  * @param stream the connection below the client, which closes without the client's wait for the server
  * @param reused whether the connection has served an earlier call
  */
-record LimitedConnection(ClientConnection client, StreamConnection stream, FramingLimit limit, boolean reused)
+record LimitedConnection(
+        ClientConnection client, StreamConnection stream, FramingLimit limit, AnswerConduit answers, boolean reused)
         implements Closeable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long ABORT_TIMEOUT_MS = 1_000;
 
     /** Returns this connection for its next call. */
     LimitedConnection forReuse() {
-        return new LimitedConnection(client, stream, limit, true);
+        return new LimitedConnection(client, stream, limit, answers, true);
     }
 
     boolean isOpen() {
--- a/library/src/main/java/org/magnoliabridge/http/LimitedConnector.java
+++ b/library/src/main/java/org/magnoliabridge/http/LimitedConnector.java
@@ -9,13 +9,14 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens one connection on an I/O thread and adds a {@link FramingLimit} below Undertow's client, which offers no access
- * to the connection. Never started as a thread.
+ * Opens one connection on an I/O thread and adds a {@link FramingLimit} and an {@link AnswerConduit} below Undertow's
+ * client, which offers no access to the connection. Never started as a thread.
  */
 final class LimitedConnector extends XnioIoThread {
     private final XnioIoThread thread;
     private volatile StreamConnection stream;
     private volatile FramingLimit limit;
+    private volatile AnswerConduit answers;
 
     LimitedConnector(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
@@ -32,12 +33,18 @@
         return limit;
     }
 
+    /** Returns the check of the connection's answers; the connection must be open. */
+    AnswerConduit answers() {
+        return answers;
+    }
+
     @Override
     public IoFuture<StreamConnection> openStreamConnection(
             SocketAddress target, ChannelListener<? super StreamConnection> listener, OptionMap options) {
         ChannelListener<StreamConnection> limited = connection -> {
             stream = connection;
             limit = FramingLimit.addTo(connection.getSourceChannel());
+            answers = AnswerConduit.addTo(connection.getSourceChannel());
             listener.handleEvent(connection);
         };
         return thread.openStreamConnection(target, limited, options);
--- a/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/magnoliabridge/http/UndertowHttpCaller.java
@@ -1,13 +1,8 @@
 package org.magnoliabridge.http;
 
 import com.google.common.flogger.FluentLogger;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.HeaderValues;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.magnoliabridge.memory.Content;
 import org.magnoliabridge.memory.NodeMemory;
@@ -162,12 +157,11 @@
         OptionalLong idleLimitMs = OptionalLong.empty();
         try {
             exchange.start();
-            Exchange.Head head =
-                    exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
+            AnswerHead head = exchange.awaitHead(deadline.atMost(call.limits().firstByteMs()));
             boolean toReceiver = head.status() == 200 || takesEveryStatus;
             ContentReceiver receiver = toReceiver ? content : collected;
-            HttpAnswer begun = new HttpAnswer(head.status(), headers(head.headers()), Content.EMPTY);
-            keepAlive = call.answerCheck().check(begun) && head.keepAlive();
+            HttpAnswer begun = new HttpAnswer(head.status(), head.headers(), Content.EMPTY);
+            keepAlive = call.answerCheck().check(begun) && head.persistent();
             complete = receiver.head(begun) && receive(exchange, receiver, call, deadline) && exchange.isSent();
             idleLimitMs = head.idleLimitMs();
             return new HttpAnswer(begun.status(), begun.headers(), collected.toContent());
@@ -195,14 +189,6 @@
         return receiver.end();
     }
 
-    private static Map<String, String> headers(HeaderMap map) {
-        Map<String, String> headers = new TreeMap<>();
-        for (HeaderValues values : map) {
-            headers.put(values.getHeaderName().toString().toLowerCase(Locale.ROOT), values.getFirst());
-        }
-        return headers;
-    }
-
     /** Receives the content of an answer piece by piece. */
     interface ContentReceiver {
         /** Called with the status and headers; returns false to stop. */
--- a/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/magnoliabridge/http/UndertowHttpCallerTest.java
@@ -49,6 +49,22 @@
         assertThat(got.header("x-thing").orElse(""), is("a"));
     }
 
+    /** Guards against a call that waits for content that its answer describes but does not have. */
+    @Test
+    void returnsAnAnswerWithoutContent() throws HttpFailure {
+        answer = "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\nETag: \"a\"\r\n\r\n";
+        HttpAnswer unchanged = caller.call(HttpCall.get(target(), "/"));
+        assertThat(unchanged.status(), is(304));
+        assertThat(unchanged.text(), is(""));
+        answer = OK + "Content-Length: 5\r\n\r\n";
+        assertThat(caller.call(HttpCall.of("HEAD", target(), "/")).text(), is(""));
+        answer = OK + "Transfer-Encoding: chunked\r\n\r\n";
+        assertThat(caller.call(HttpCall.of("HEAD", target(), "/")).text(), is(""));
+        answer = "HTTP/1.1 204 No Content\r\n\r\n";
+        assertThat(caller.call(HttpCall.get(target(), "/")).status(), is(204));
+        assertThat("only the first connection is closed", connections.get(), is(2));
+    }
+
     /** Guards against a limit for endless heads that rejects heads of common sizes, or counts across answers. */
     @Test
     void acceptsLargeHeadsOnAReusedConnection() throws HttpFailure {
