--- a/library/src/main/java/org/magnoliabridge/http/AnswerHead.java
+++ b/library/src/main/java/org/magnoliabridge/http/AnswerHead.java
@@ -11,31 +11,19 @@
  *
  * @param status the HTTP status
  * @param headers header names in lower case, with their first value
- * @param framing what ends the content
+ * @param endsWithConnection whether only the end of the connection ends the content
  * @param persistent whether the server keeps the connection open after the answer
  */
-record AnswerHead(int status, Map<String, String> headers, Framing framing, boolean persistent) {
+record AnswerHead(int status, Map<String, String> headers, boolean endsWithConnection, boolean persistent) {
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
-    /** What ends the content of an answer. */
-    sealed interface Framing {}
-
-    /** The content has a number of bytes that is known from the head. */
-    record Length(long bytes) implements Framing {}
-
-    /** The content ends with its last chunk. */
-    record Chunks() implements Framing {}
-
-    /** The content ends with its connection. */
-    record EndOfConnection() implements Framing {}
-
     AnswerHead {
         headers = Map.copyOf(headers);
     }
 
     /** Returns the same head of an answer whose connection is closed after it. */
     AnswerHead onClosingConnection() {
-        return new AnswerHead(status, headers, framing, false);
+        return new AnswerHead(status, headers, endsWithConnection, false);
     }
 
     /** Returns how long the server keeps an idle connection open, in milliseconds, if it announces that. */
--- a/library/src/main/java/org/magnoliabridge/http/AnswerParser.java
+++ b/library/src/main/java/org/magnoliabridge/http/AnswerParser.java
@@ -21,10 +21,10 @@
     // An equal length twice is valid, see RFC 9110, section 8.6.
     private static final HttpCompliance COMPLIANCE =
             HttpCompliance.STRICT.with("answers", HttpCompliance.Violation.MULTIPLE_CONTENT_LENGTHS);
-    private static final int FIRST_FINAL_STATUS = 200;
     // RFC 9110, section 15: a status outside of 100 to 599 is invalid.
     private static final int FIRST_STATUS = 100;
     private static final int LAST_STATUS = 599;
+    private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final String CONTENT_LENGTH = HttpHeader.CONTENT_LENGTH.lowerCaseName();
@@ -183,7 +183,8 @@
                     headers.put(CONTENT_LENGTH, Long.toString(parser.getContentLength()));
                 }
                 boolean persistent = version == HttpVersion.HTTP_1_1 ? !close : keepAlive && !close;
-                head = new AnswerHead(status, headers, framing(), persistent);
+                boolean endsWithConnection = hasContent() && length == null && coding == null;
+                head = new AnswerHead(status, headers, endsWithConnection, persistent);
             }
             return false;
         }
@@ -193,20 +194,14 @@
             return version == HttpVersion.HTTP_1_1 && coding.equalsIgnoreCase(CHUNKED);
         }
 
-        private AnswerHead.Framing framing() {
-            if (toHeadRequest || status == NO_CONTENT || status == NOT_MODIFIED) {
-                return new AnswerHead.Length(0);
-            }
-            if (coding != null) {
-                return new AnswerHead.Chunks();
-            }
-            return length != null ? new AnswerHead.Length(parser.getContentLength()) : new AnswerHead.EndOfConnection();
+        private boolean hasContent() {
+            return !toHeadRequest && status != NO_CONTENT && status != NOT_MODIFIED;
         }
 
         @Override
         public boolean content(ByteBuffer bytes) {
             contentBytes += bytes.remaining();
-            if (head != null && head.framing() instanceof AnswerHead.EndOfConnection) {
+            if (head != null && head.endsWithConnection()) {
                 checkFirstLine(bytes);
             }
             return false;
--- a/library/src/main/java/org/magnoliabridge/http/Exchange.java
+++ b/library/src/main/java/org/magnoliabridge/http/Exchange.java
@@ -234,7 +234,7 @@
             return;
         }
         // An answer that is delimited only by the end of its connection cannot be distinguished from a truncated one.
-        if (!call.unframedAnswer() && head.get().framing() instanceof AnswerHead.EndOfConnection) {
+        if (!call.unframedAnswer() && head.get().endsWithConnection()) {
             failed(new IOException("the answer has neither a length nor chunks"));
             return;
         }
