Parse answers with a parser of the project, which costs a start nothing

Its classes build tables when they are first used: the first parser of a process took 138 to 140 ms on one core of this machine, with the archive of classes, and 316 to 325 ms without. A node pays that at each start, before its first answer of the store.

--- a/library/src/main/java/org/magnoliabridge/http/AnswerConduit.java
+++ b/library/src/main/java/org/magnoliabridge/http/AnswerConduit.java
@@ -16,7 +16,7 @@
  * are malformed. Used by the connection's I/O thread only.
  */
 final class AnswerConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    private final AnswerParser parser = new AnswerParser(FramingLimit.MAX_BYTES);
+    private final AnswerParser parser = new AnswerParser();
     private boolean expected;
 
     private AnswerConduit(StreamSourceConduit next) {
--- a/library/src/main/java/org/magnoliabridge/http/AnswerParser.java
+++ b/library/src/main/java/org/magnoliabridge/http/AnswerParser.java
@@ -2,50 +2,49 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.regex.Pattern;
-import org.eclipse.jetty.http.HttpCompliance;
-import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpParser;
-import org.eclipse.jetty.http.HttpVersion;
 
 /**
- * Parses the answers that arrive on one connection, and rejects all that are malformed by RFC 9110, section 5, or
- * RFC 9112, sections 2 to 7. Not thread-safe.
+ * Parses the answers that arrive on one connection, and rejects all that are malformed by {@link AnswerGrammar}. A line
+ * must end with CR LF. Not thread-safe.
  */
 final class AnswerParser {
-    // An equal length twice is valid, see RFC 9110, section 8.6.
-    private static final HttpCompliance COMPLIANCE =
-            HttpCompliance.STRICT.with("answers", HttpCompliance.Violation.MULTIPLE_CONTENT_LENGTHS);
-    // RFC 9110, section 15: a status outside of 100 to 599 is invalid.
-    private static final int FIRST_STATUS = 100;
-    private static final int LAST_STATUS = 599;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
-    private static final String CONTENT_LENGTH = HttpHeader.CONTENT_LENGTH.lowerCaseName();
-    // RFC 9112, section 7.1: the size of a chunk with its extensions.
-    private static final Pattern CHUNK_LINE = Pattern.compile("[0-9A-Fa-f]{1,16}([ \t]*;[^\r\n]*)?\r\n");
     private static final int MAX_CHUNK_LINE = 128;
+    private static final String CONTENT_LENGTH = "content-length";
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
+    private static final String CONNECTION = "connection";
     private static final String CHUNKED = "chunked";
 
-    private final Message message = new Message();
-    private final HttpParser parser;
+    private final StringBuilder line = new StringBuilder();
+    private final Map<String, String> headers = new HashMap<>();
     private boolean toHeadRequest;
+    private State state = State.COMPLETE;
+    private AnswerGrammar.StatusLine status;
+    private Optional<Long> length = Optional.empty();
+    private Optional<String> coding = Optional.empty();
+    private boolean close;
+    private boolean keepAlive;
+    private Optional<AnswerHead> head = Optional.empty();
+    // What is left of the content, or of the chunk.
+    private long leftBytes;
+    private long contentBytes;
 
-    /**
-     * Creates a parser.
-     *
-     * @param maxHeadBytes size limit of a head
-     */
-    AnswerParser(int maxHeadBytes) {
-        parser = new HttpParser(message, maxHeadBytes, COMPLIANCE);
-        // Values that differ in case only from common ones are kept as they are.
-        parser.setHeaderCacheCaseSensitive(true);
+    /** The part of an answer that is due. */
+    private enum State {
+        STATUS_LINE,
+        FIELD_LINE,
+        CONTENT,
+        CONTENT_UP_TO_THE_END,
+        CHUNK_SIZE,
+        CHUNK_DATA,
+        CHUNK_END,
+        TRAILER_LINE,
+        COMPLETE
     }
 
     /**
@@ -55,6 +54,7 @@
      */
     void expectAnswer(String method) {
         toHeadRequest = method.equals("HEAD");
+        contentBytes = 0;
         restart();
     }
 
@@ -64,11 +64,15 @@
      * @throws IOException if the answer is malformed
      */
     void parse(ByteBuffer bytes) throws IOException {
-        while (bytes.hasRemaining() && !message.complete) {
-            parser.parseNext(bytes);
-            requireValid();
-            if (message.complete && message.status < FIRST_FINAL_STATUS) {
-                restart();
+        while (bytes.hasRemaining() && state != State.COMPLETE) {
+            switch (state) {
+                case CONTENT, CHUNK_DATA -> readContent(bytes);
+                case CONTENT_UP_TO_THE_END -> {
+                    readFirstLine(bytes);
+                    contentBytes += bytes.remaining();
+                    bytes.position(bytes.limit());
+                }
+                default -> readLine(bytes);
             }
         }
     }
@@ -79,171 +83,180 @@
      * @throws IOException if the answer is incomplete
      */
     void end() throws IOException {
-        if (!message.complete) {
-            parser.atEOF();
-            parser.parseNext(ByteBuffer.allocate(0));
-            requireValid();
+        if (state == State.CONTENT_UP_TO_THE_END) {
+            state = State.COMPLETE;
+        } else if (state != State.COMPLETE) {
+            throw new IOException("the connection ended before the answer");
         }
     }
 
     /** Returns the head of the final answer; empty until all of it was parsed. */
     Optional<AnswerHead> head() {
-        return Optional.ofNullable(message.head);
+        return head;
     }
 
     /** Returns how many bytes of content were parsed, without their framing. */
     long contentBytes() {
-        return message.contentBytes;
+        return contentBytes;
     }
 
     /** Returns whether the final answer was parsed up to its end. */
     boolean isComplete() {
-        return message.complete;
+        return state == State.COMPLETE;
     }
 
     private void restart() {
-        parser.reset();
-        parser.setHeadResponse(toHeadRequest);
-        message.clear();
+        state = State.STATUS_LINE;
+        line.setLength(0);
+        headers.clear();
+        length = Optional.empty();
+        coding = Optional.empty();
+        close = false;
+        keepAlive = false;
+        head = Optional.empty();
     }
 
-    private void requireValid() throws IOException {
-        if (message.fault != null) {
-            throw new IOException("malformed answer: " + message.fault);
+    private void readLine(ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            char c = (char) (bytes.get() & 0xff);
+            if (c == '\n') {
+                int last = line.length() - 1;
+                if (last < 0 || line.charAt(last) != '\r') {
+                    throw malformed("a line without CR LF");
+                }
+                String complete = line.substring(0, last);
+                line.setLength(0);
+                lineRead(complete);
+                return;
+            }
+            line.append(c);
         }
     }
 
-    /** The message that is being parsed. */
-    private final class Message implements HttpParser.ResponseHandler {
-        private final Map<String, String> headers = new LinkedHashMap<>();
-        private final StringBuilder firstLine = new StringBuilder();
-        private HttpVersion version;
-        private int status;
-        private String length;
-        private String coding;
-        private boolean close;
-        private boolean keepAlive;
-        private AnswerHead head;
-        private long contentBytes;
-        private boolean complete;
-        private String fault;
-
-        private void clear() {
-            headers.clear();
-            version = null;
-            status = 0;
-            length = null;
-            coding = null;
-            close = false;
-            keepAlive = false;
-            head = null;
-            firstLine.setLength(0);
-            contentBytes = 0;
-            complete = false;
-            fault = null;
-        }
-
-        @Override
-        public void startResponse(HttpVersion newVersion, int newStatus, String reason) {
-            version = newVersion;
-            status = newStatus;
-            if (status < FIRST_STATUS || status > LAST_STATUS) {
-                fail("invalid status " + status);
+    private void lineRead(String complete) throws IOException {
+        switch (state) {
+            case STATUS_LINE -> {
+                status = AnswerGrammar.statusLine(complete);
+                state = State.FIELD_LINE;
             }
-            if (version != HttpVersion.HTTP_1_1 && version != HttpVersion.HTTP_1_0) {
-                fail("unsupported version " + version);
+            case FIELD_LINE -> {
+                if (complete.isEmpty()) {
+                    headRead();
+                } else {
+                    fieldRead(AnswerGrammar.fieldLine(complete));
+                }
             }
-        }
-
-        @Override
-        public void parsedHeader(HttpField field) {
-            String value = field.getValue() == null ? "" : field.getValue();
-            headers.putIfAbsent(field.getLowerCaseName(), value);
-            if (field.getHeader() == HttpHeader.CONTENT_LENGTH) {
-                length = value;
-            } else if (field.getHeader() == HttpHeader.TRANSFER_ENCODING) {
-                coding = coding == null ? value : coding + ", " + value;
-            } else if (field.getHeader() == HttpHeader.CONNECTION) {
-                close |= field.contains("close");
-                keepAlive |= field.contains("keep-alive");
+            case CHUNK_SIZE -> {
+                leftBytes = AnswerGrammar.chunkSize(complete);
+                state = leftBytes > 0 ? State.CHUNK_DATA : State.TRAILER_LINE;
             }
-        }
-
-        @Override
-        public boolean headerComplete() {
-            if (coding != null && !isChunked()) {
-                fail("expected the transfer coding chunked alone in HTTP/1.1, found \"" + coding + "\"");
-            } else if (coding != null && length != null) {
-                fail("found both a length and a transfer coding");
-            } else if (status == NO_CONTENT && (coding != null || parser.getContentLength() > 0)) {
-                fail("found content in an answer with status " + status);
-            } else if (status >= FIRST_FINAL_STATUS) {
-                if (length != null) {
-                    // Leading zeros are valid.
-                    headers.put(CONTENT_LENGTH, Long.toString(parser.getContentLength()));
+            case CHUNK_END -> {
+                if (!complete.isEmpty()) {
+                    throw malformed("a chunk that is longer than its size");
                 }
-                boolean persistent = version == HttpVersion.HTTP_1_1 ? !close : keepAlive && !close;
-                boolean endsWithConnection = hasContent() && length == null && coding == null;
-                head = new AnswerHead(status, headers, endsWithConnection, persistent);
+                state = State.CHUNK_SIZE;
             }
-            return false;
-        }
-
-        // RFC 9112, section 6.1: the framing of a coded message is faulty in HTTP/1.0.
-        private boolean isChunked() {
-            return version == HttpVersion.HTTP_1_1 && coding.equalsIgnoreCase(CHUNKED);
-        }
-
-        private boolean hasContent() {
-            return !toHeadRequest && status != NO_CONTENT && status != NOT_MODIFIED;
-        }
-
-        @Override
-        public boolean content(ByteBuffer bytes) {
-            contentBytes += bytes.remaining();
-            if (head != null && head.endsWithConnection()) {
-                checkFirstLine(bytes);
+            case TRAILER_LINE -> {
+                if (complete.isEmpty()) {
+                    state = State.COMPLETE;
+                } else {
+                    AnswerGrammar.fieldLine(complete);
+                }
             }
-            return false;
+            default -> throw new IllegalStateException("no line is due: " + state);
         }
+    }
 
-        // A transfer coding whose field is unreadable leaves an answer that seems to end with its connection.
-        private void checkFirstLine(ByteBuffer bytes) {
-            int next = bytes.position();
-            while (firstLine.length() < MAX_CHUNK_LINE && next < bytes.limit() && firstLine.indexOf("\n") < 0) {
-                firstLine.append((char) (bytes.get(next) & 0xff));
-                next++;
+    private void fieldRead(AnswerGrammar.FieldLine field) throws IOException {
+        headers.putIfAbsent(field.name(), field.value());
+        switch (field.name()) {
+            case CONTENT_LENGTH -> {
+                long value = AnswerGrammar.length(field.value());
+                if (length.isPresent() && length.get() != value) {
+                    throw malformed("two lengths, " + length.get() + " and " + value);
+                }
+                length = Optional.of(value);
+                // Leading zeros are valid.
+                headers.put(CONTENT_LENGTH, Long.toString(value));
+            }
+            case TRANSFER_ENCODING ->
+                coding = Optional.of(coding.map(first -> first + ", ").orElse("") + field.value());
+            case CONNECTION -> {
+                close |= AnswerGrammar.hasElement(field.value(), "close");
+                keepAlive |= AnswerGrammar.hasElement(field.value(), "keep-alive");
             }
-            if (CHUNK_LINE.matcher(firstLine).matches()) {
-                fail("found a chunk in an answer without a transfer coding");
+            default -> {
+                // The other fields say nothing about the end of the content.
             }
         }
+    }
 
-        @Override
-        public boolean contentComplete() {
-            return false;
+    private void headRead() throws IOException {
+        if (status.status() < FIRST_FINAL_STATUS) {
+            restart();
+            return;
         }
-
-        @Override
-        public boolean messageComplete() {
-            complete = true;
-            return true;
+        requireOneFraming();
+        boolean endsWithConnection = hasContent() && length.isEmpty() && coding.isEmpty();
+        boolean persistent = !close && (status.minorVersion() == 1 || keepAlive);
+        head = Optional.of(new AnswerHead(status.status(), headers, endsWithConnection, persistent));
+        leftBytes = length.orElse(0L);
+        if (endsWithConnection) {
+            state = State.CONTENT_UP_TO_THE_END;
+        } else if (hasContent() && coding.isPresent()) {
+            state = State.CHUNK_SIZE;
+        } else {
+            state = hasContent() && leftBytes > 0 ? State.CONTENT : State.COMPLETE;
         }
+    }
 
-        @Override
-        public void earlyEOF() {
-            fail("the connection ended before the answer");
+    private void requireOneFraming() throws IOException {
+        // RFC 9112, section 6.1: the framing of a coded message is faulty in HTTP/1.0.
+        if (coding.isPresent() && !(status.minorVersion() == 1 && coding.get().equalsIgnoreCase(CHUNKED))) {
+            throw malformed("another transfer coding than chunked in HTTP/1.1");
         }
+        if (coding.isPresent() && length.isPresent()) {
+            throw malformed("both a length and a transfer coding");
+        }
+        if (status.status() == NO_CONTENT && (coding.isPresent() || length.orElse(0L) > 0)) {
+            throw malformed("content in an answer with status " + NO_CONTENT);
+        }
+    }
+
+    private boolean hasContent() {
+        return !toHeadRequest && status.status() != NO_CONTENT && status.status() != NOT_MODIFIED;
+    }
 
-        @Override
-        public void badMessage(HttpException failure) {
-            fail(failure.getReason());
+    private void readContent(ByteBuffer bytes) {
+        int count = (int) Math.min(leftBytes, bytes.remaining());
+        bytes.position(bytes.position() + count);
+        contentBytes += count;
+        leftBytes -= count;
+        if (leftBytes == 0) {
+            state = state == State.CHUNK_DATA ? State.CHUNK_END : State.COMPLETE;
         }
+    }
 
-        private void fail(String reason) {
-            if (fault == null) {
-                fault = reason;
+    // A transfer coding whose field is unreadable leaves an answer that seems to end with its connection.
+    private void readFirstLine(ByteBuffer bytes) throws IOException {
+        int next = bytes.position();
+        while (line.length() < MAX_CHUNK_LINE && next < bytes.limit()) {
+            char c = (char) (bytes.get(next) & 0xff);
+            if (c == '\n') {
+                boolean ended = !line.isEmpty() && line.charAt(line.length() - 1) == '\r';
+                if (ended && AnswerGrammar.isChunkSize(line.subSequence(0, line.length() - 1))) {
+                    throw malformed("a chunk in an answer without a transfer coding");
+                }
+                // No later line is of interest.
+                line.append(" ".repeat(MAX_CHUNK_LINE));
+                return;
             }
+            line.append(c);
+            next++;
         }
     }
+
+    private static IOException malformed(String found) {
+        return new IOException("malformed answer: found " + found);
+    }
 }
