--- a/library/src/main/java/org/magnoliabridge/http/AnswerParser.java
+++ b/library/src/main/java/org/magnoliabridge/http/AnswerParser.java
@@ -33,6 +33,7 @@
     // What is left of the content, or of the chunk.
     private long leftBytes;
     private long contentBytes;
+    private boolean firstLineRead;
 
     /** The part of an answer that is due. */
     private enum State {
@@ -114,6 +115,7 @@
         close = false;
         keepAlive = false;
         head = Optional.empty();
+        firstLineRead = false;
     }
 
     private void readLine(ByteBuffer bytes) throws IOException {
@@ -240,15 +242,14 @@
     // A transfer coding whose field is unreadable leaves an answer that seems to end with its connection.
     private void readFirstLine(ByteBuffer bytes) throws IOException {
         int next = bytes.position();
-        while (line.length() < MAX_CHUNK_LINE && next < bytes.limit()) {
+        while (!firstLineRead && line.length() < MAX_CHUNK_LINE && next < bytes.limit()) {
             char c = (char) (bytes.get(next) & 0xff);
             if (c == '\n') {
                 boolean ended = !line.isEmpty() && line.charAt(line.length() - 1) == '\r';
                 if (ended && AnswerGrammar.isChunkSize(line.subSequence(0, line.length() - 1))) {
                     throw malformed("a chunk in an answer without a transfer coding");
                 }
-                // No later line is of interest.
-                line.append(" ".repeat(MAX_CHUNK_LINE));
+                firstLineRead = true;
                 return;
             }
             line.append(c);
