--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -32,6 +32,7 @@
     final Record record;
     final Store store = new Store();
     final List<Node> nodes = new ArrayList<>();
+    final Proxy storeProxy;
     private final HttpServer storeServer;
     private final HttpServer cloud;
     private final Path folder;
@@ -75,6 +76,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> nodes.forEach(n -> n.process.destroyForcibly())));
         folder = Files.createTempDirectory("review-3");
         storeServer = Servers.start(store::handle);
+        storeProxy = new Proxy(storeServer.getAddress());
         cloud = Servers.start(ex -> {
             byte[] body = ex.getRequestBody().readAllBytes();
             record.line("cloud got %s from %s with fence %s: %s", ex.getRequestURI(),
@@ -171,7 +173,7 @@
             fields.put("Listen.Ready", ip + ":" + ready.getPort());
             fields.put("Listen.Directory", ip + ":" + freePort());
             fields.put("InternalPorts.0", Integer.toString(freePort()));
-            fields.put("Platform.Address", Servers.address(storeServer));
+            fields.put("Platform.Address", storeProxy.address());
             fields.put("Cloud.Address", Servers.address(cloud));
             fields.put("Limits.CpuShare", "0.75");
             fields.put("Limits.Cores", "1");
