--- a/review/11/CrossedAnswers.java
+++ b/review/11/CrossedAnswers.java
@@ -13,9 +13,15 @@
  * within a second, and clients of another team read their batch there.
  */
 public final class CrossedAnswers {
-    private static final int READERS = 12;
-    private static final int ROUNDS = 20;
+    private static final int WAITING = 12;
+    private static final int READERS = 60;
+    private static final int ROUNDS = 16;
+    private static final long LAST_ROUND_NANOS = 80_000_000_000L;
     private static final int ITEMS = 60;
+    private static final long READ_BEFORE_KILL_NANOS = 30_000_000L;
+    private static final long ANNOUNCE_PERIOD_NANOS = 1_000_000_000L;
+    private static final long ANNOUNCED_AFTER_KILL_NANOS = 800_000_000L;
+    private static final String ANNOUNCED = "node announced as the batch runner";
     private static final String GROWING = "f1a0b1c2d3e4f506";
     private static final String RUNNING = "a9b8c7d6e5f40312";
 
@@ -23,6 +29,7 @@
     private final AtomicInteger wrong = new AtomicInteger();
     private final AtomicInteger foreign = new AtomicInteger();
     private final AtomicInteger sound = new AtomicInteger();
+    private int announcedBefore;
     private final Map<String, List<String>> items = new ConcurrentHashMap<>();
 
     private CrossedAnswers(Lab.Record record) {
@@ -30,12 +37,13 @@
     }
 
     public static void main(String[] args) throws Exception {
+        long start = System.nanoTime();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status;
         try (Lab.Record record = new Lab.Record(Path.of("review/11/record.txt"));
                 Lab lab = new Lab(record)) {
             try {
-                status = new CrossedAnswers(record).run(lab, trouble);
+                status = new CrossedAnswers(record).run(lab, trouble, start);
             } catch (IllegalStateException | IOException e) {
                 record.line("the case could not run: %s", e);
                 status = 2;
@@ -45,7 +53,7 @@
         System.exit(status);
     }
 
-    private int run(Lab lab, boolean trouble) throws Exception {
+    private int run(Lab lab, boolean trouble, long start) throws Exception {
         lab.store.put("config", "main", Lab.config(1, "team1", "team2"));
         for (int i = 0; i < 3; i++) {
             new Sampler("i-00" + i, Lab.ENGINES, Lab.ZONES[i], Lab.MODEL, lab.store, record);
@@ -67,6 +75,10 @@
         submit(third, "team1", GROWING, ITEMS, 16, 100);
         submit(third, "team2", RUNNING, 2, 1_000, 100);
         for (int round = 1; round <= ROUNDS && foreign.get() == 0; round++) {
+            if (System.nanoTime() - start > LAST_ROUND_NANOS) {
+                record.line("no time for another round");
+                break;
+            }
             round(killed, third, round, trouble);
         }
         record.line("%d answers were sound, %d were those to other requests, %d of these with results of the other team",
@@ -77,30 +89,49 @@
     private void round(Lab.Node killed, Lab.Node third, int round, boolean trouble) throws Exception {
         record.line("round %d", round);
         if (trouble) {
-            killed.kill();
-            killed.start();
-            killed.awaitReady(20_000);
+            restart(killed);
         }
-        Thread.sleep(1_300);
+        long announced = announced(killed, trouble);
         int known = results(third, "team1", GROWING, 0, 0).path("Results").size();
+        // The runner announces itself each second. The second process is to learn of it soon after it has started.
+        long kill = announced + ANNOUNCE_PERIOD_NANOS - ANNOUNCED_AFTER_KILL_NANOS;
         AtomicBoolean go = new AtomicBoolean(true);
-        List<Thread> readers = readers(killed, "team1", GROWING, known, go);
-        Thread.sleep(50);
+        sleepUntil(kill - READ_BEFORE_KILL_NANOS);
+        List<Thread> readers = readers(WAITING, killed, "team1", GROWING, known, go);
+        sleepUntil(kill);
         go.set(false);
         if (trouble) {
-            killed.kill();
-            killed.start();
-            killed.awaitReady(20_000);
+            restart(killed);
         }
         AtomicBoolean goOn = new AtomicBoolean(true);
-        readers.addAll(readers(killed, "team2", RUNNING, 0, goOn));
-        Thread.sleep(1_500);
+        readers.addAll(readers(READERS, killed, "team2", RUNNING, 0, goOn));
+        Thread.sleep(1_200);
         goOn.set(false);
         for (Thread reader : readers) {
             reader.join();
         }
     }
 
+    private void restart(Lab.Node node) throws Exception {
+        announcedBefore = node.logged(ANNOUNCED);
+        node.kill();
+        node.start();
+        node.awaitReady(20_000);
+    }
+
+    /** Waits until a process has learned which node runs the batches. */
+    private long announced(Lab.Node node, boolean trouble) throws Exception {
+        long end = System.nanoTime() + 5_000_000_000L;
+        while (trouble && node.logged(ANNOUNCED) == announcedBefore && System.nanoTime() < end) {
+            Thread.sleep(10);
+        }
+        return System.nanoTime();
+    }
+
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        Thread.sleep(Math.max(0, (nanos - System.nanoTime()) / 1_000_000));
+    }
+
     private static Lab.Node runner(Lab lab) throws IOException {
         for (Lab.Node node : lab.nodes) {
             if (node.logged("this node was elected to run the batches") > 0) {
@@ -138,9 +169,10 @@
         return Lab.json(answer);
     }
 
-    private List<Thread> readers(Lab.Node node, String team, String batch, int after, AtomicBoolean go) {
+    private List<Thread> readers(int count, Lab.Node node, String team, String batch, int after,
+            AtomicBoolean go) {
         List<Thread> readers = new ArrayList<>();
-        for (int i = 0; i < READERS; i++) {
+        for (int i = 0; i < count; i++) {
             readers.add(Thread.ofVirtual().start(() -> {
                 try {
                     while (go.get()) {
