--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchEnds.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchEnds.java
@@ -15,7 +15,7 @@
 import org.magnoliabridge.batch.ReadAnswer;
 import org.magnoliabridge.batch.StoredBatches;
 import org.magnoliabridge.ids.BatchId;
-import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.telemetry.LogFields;
 
@@ -178,7 +178,7 @@
         });
     }
 
-    private void onEnd(NodeId from, byte[] body, Consumer<byte[]> answer) {
+    private void onEnd(ProcessName from, byte[] body, Consumer<byte[]> answer) {
         try {
             scheduler.end(BatchMessages.batch(body));
             // Only the runner acknowledges, so that an end that reaches an earlier runner is sent again.
@@ -191,7 +191,7 @@
     }
 
     // The runner stores the end too, because the node that was asked for it may stop before it could.
-    private void onStop(NodeId from, byte[] body, Consumer<byte[]> answer) {
+    private void onStop(ProcessName from, byte[] body, Consumer<byte[]> answer) {
         try {
             EndRequest request = BatchMessages.endRequest(body);
             boolean known = scheduler.stop(request);
@@ -200,7 +200,10 @@
                 start(request, context.clock().nowMs(), new CompletableFuture<>());
             }
         } catch (MalformedBatchException e) {
-            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed request to stop a batch");
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.PEER, from.node().value())
+                    .log("malformed request to stop a batch");
         }
     }
 }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/BatchRole.java
@@ -14,6 +14,7 @@
 import org.magnoliabridge.batch.RunnerElection.Candidate;
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MemberState.Liveness;
@@ -151,24 +152,33 @@
                 .forEach(id -> peers.sendOneWay(id, method, body));
     }
 
-    private void onAnnouncement(NodeId from, byte[] body) {
+    private void onAnnouncement(ProcessName from, byte[] body) {
         try {
             Announcement announcement = BatchMessages.announcement(body);
-            if (election.onAnnouncement(announcement.runner(), announcement.term())) {
+            if (changesRunner(from, announcement)) {
                 LOG.atInfo()
                         .with(LogFields.PEER, announcement.runner().value())
                         .with(LogFields.VERSION, announcement.term())
                         .log("node announced as the batch runner");
             }
             if (election.isOutdated(announcement.term())) {
-                peers.sendOneWay(from, PeerCalls.Method.ANNOUNCE_RUNNER, announcement());
+                peers.sendOneWay(from.node(), PeerCalls.Method.ANNOUNCE_RUNNER, announcement());
             }
             updateScheduler();
         } catch (MalformedBatchException e) {
-            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed batch runner announcement");
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.PEER, from.node().value())
+                    .log("malformed batch runner announcement");
         }
     }
 
+    private boolean changesRunner(ProcessName from, Announcement announcement) {
+        return announcement.runner().equals(from.node())
+                ? election.onAnnouncement(from, announcement.term())
+                : election.onAnnouncement(announcement.runner(), announcement.term());
+    }
+
     private void updateScheduler() {
         // Another node may still hand over to this one while it is leaving.
         if (resigned) {
--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayCluster.java
@@ -59,8 +59,12 @@
         PeerConnections connections = closer.register(
                 new PeerConnections(settings.nodeId(), joined.incarnation(), secrets, membership, context.clock()));
         membership.connect(connections);
+        context.metrics()
+                .gauge(
+                        "peers.frames.misaddressed",
+                        () -> () -> connections.stats().misaddressed());
         closer.register(new PeerListener(settings.listen().peers(), connections));
-        peers = new PeerCalls(membership, context.loop(), context.metrics());
+        peers = new PeerCalls(joined.incarnation(), membership, context.loop(), context.metrics());
         storeAccess = new StoreAccess(context.clock().nowMs());
         registryReads = new RegistryReads(context.clock().nowMs());
         context.loop().post(() -> publishNodes(joined.peerAddresses()));
@@ -91,9 +95,7 @@
     boolean hasEnded(String processName) {
         Optional<ProcessName> process = ProcessName.parse(processName);
         Stream<ProcessName> known = Stream.concat(
-                Stream.of(context.process()),
-                membership.members().stream()
-                        .map(m -> new ProcessName(m.id(), m.state().incarnation())));
+                Stream.of(context.process()), membership.members().stream().map(Member::process));
         return process.isPresent() && known.anyMatch(process.get()::isBefore);
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/MembershipDriver.java
@@ -14,8 +14,8 @@
 import java.util.stream.Collectors;
 import org.magnoliabridge.core.ControlLoop;
 import org.magnoliabridge.core.MonotonicClock;
-import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.Region;
 import org.magnoliabridge.membership.Item;
 import org.magnoliabridge.membership.Member;
@@ -51,7 +51,7 @@
 
     /** Handles frames of a type that the membership core does not handle. */
     interface FrameHandler {
-        void received(NodeId from, Frame frame);
+        void received(ProcessName from, Frame frame);
     }
 
     /** Receives what the membership core learns from peers. */
@@ -136,11 +136,22 @@
 
     /** Sends a frame of a call; the request id matches the answer to the call. */
     void send(NodeId to, FrameType type, long requestId, byte[] body) {
-        members.stream()
-                .filter(m -> m.id().equals(to))
+        addressOf(to).ifPresent(address -> send(Optional.of(to), address, new Frame(type, self, requestId, body)));
+    }
+
+    /**
+     * Answers a frame of a process; does nothing if its node is unknown. A later process of the node does not get the
+     * answer, because it did not ask.
+     */
+    void answer(ProcessName to, FrameType type, long requestId, byte[] body) {
+        addressOf(to.node()).ifPresent(address -> answer(to, address, new Frame(type, self, requestId, body)));
+    }
+
+    private Optional<String> addressOf(NodeId node) {
+        return members.stream()
+                .filter(m -> m.id().equals(node))
                 .findFirst()
-                .ifPresent(
-                        m -> send(Optional.of(to), m.location().peerAddress(), new Frame(type, self, requestId, body)));
+                .map(m -> m.location().peerAddress());
     }
 
     /** Passes an input to the core and performs the resulting effects. */
@@ -162,7 +173,7 @@
 
     /** Receives a frame on a network thread and passes it to the control thread. */
     @Override
-    public void received(NodeId peer, Incarnation incarnation, Frame frame) {
+    public void received(ProcessName peer, Frame frame) {
         loop.post(() -> {
             FrameHandler handler = handlers.get(frame.type());
             if (handler != null) {
@@ -184,8 +195,7 @@
 
     private void carryOut(MembershipEffect effect) {
         switch (effect) {
-            case MembershipEffect.Send send ->
-                send(send.to(), send.address(), new Frame(send.type(), self, send.requestId(), send.body()));
+            case MembershipEffect.Send send -> send(send);
             case MembershipEffect.Deliver deliver -> listeners.forEach(l -> l.delivered(deliver.item()));
             case MembershipEffect.Confirmed confirmed ->
                 listeners.forEach(l -> l.confirmed(confirmed.versions(), confirmed.confirmedAtMs()));
@@ -208,6 +218,19 @@
         memberListeners.forEach(listener -> listener.accept(members));
     }
 
+    private void send(MembershipEffect.Send send) {
+        Frame frame = new Frame(send.type(), self, send.requestId(), send.body());
+        if (send.to().isPresent() && send.run().isPresent()) {
+            answer(new ProcessName(send.to().get(), send.run().get()), send.address(), frame);
+        } else {
+            send(send.to(), send.address(), frame);
+        }
+    }
+
+    private void answer(ProcessName to, String address, Frame frame) {
+        SocketAddresses.parse(address).ifPresent(target -> peers.send(to, target, frame));
+    }
+
     private void send(Optional<NodeId> to, String address, Frame frame) {
         SocketAddresses.parse(address).ifPresent(target -> peers.send(to, target, frame));
     }
--- a/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/NeighbourReader.java
@@ -16,6 +16,7 @@
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.external.StoredObject;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.telemetry.LogFields;
 
 /**
@@ -82,7 +83,7 @@
     }
 
     /** Answers a neighbour's call with the changes that this node has read from the store. */
-    void answer(NodeId from, byte[] call, Consumer<byte[]> answer) {
+    void answer(ProcessName from, byte[] call, Consumer<byte[]> answer) {
         recordUntilMs = clock.nowMs() + RECORD_AFTER_CALL_MS;
         try {
             if (StoreMessages.call(call) instanceof StoreMessages.Call.Watch watch) {
@@ -92,9 +93,14 @@
                 answer.accept(bounded(StoreMessages.pack(new StoreMessages.Result.Replied(reply))));
                 return;
             }
-            LOG.atWarning().with(LogFields.PEER, from.value()).log("expected a watch call, found another store call");
+            LOG.atWarning()
+                    .with(LogFields.PEER, from.node().value())
+                    .log("expected a watch call, found another store call");
         } catch (PlatformException.Malformed e) {
-            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed watch call");
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.PEER, from.node().value())
+                    .log("malformed watch call");
         }
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerCalls.java
@@ -1,20 +1,28 @@
 package org.magnoliabridge.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.magnoliabridge.core.ControlLoop;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
+import org.magnoliabridge.telemetry.LogFields;
+import org.magnoliabridge.wire.CallNumber;
 import org.magnoliabridge.wire.Frame;
 import org.magnoliabridge.wire.FrameType;
 
 /** Request-response calls between nodes; the first byte of a call's body is the number of its method. */
 final class PeerCalls {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     /** Largest body of a call or answer in bytes; a frame of over 1 MiB with its head is dropped. */
     static final int MAX_BODY_BYTES = 900_000;
 
@@ -23,8 +31,11 @@
     private final MetricRegistry metrics;
     private final Map<Method, Handler> handlers = new EnumMap<>(Method.class);
     // Accessed on the control thread only.
-    private final Map<Long, CompletableFuture<byte[]>> pending = new HashMap<>();
-    private long lastCall;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private CallNumber lastCall;
+
+    /** A call without an answer yet, and the node whose answer it takes. */
+    private record Pending(NodeId to, CompletableFuture<byte[]> answer) {}
 
     /** The methods that a node can call on another node. */
     enum Method {
@@ -56,10 +67,16 @@
          *
          * @param answer accepts the answer exactly once, during the call or later, on any thread
          */
-        void call(NodeId from, byte[] body, Consumer<byte[]> answer);
+        void call(ProcessName from, byte[] body, Consumer<byte[]> answer);
     }
 
-    PeerCalls(MembershipDriver membership, ControlLoop loop, MetricRegistry metrics) {
+    /**
+     * Creates the calls of one start of this node.
+     *
+     * @param run distinguishes this start from earlier ones, whose calls may still be answered
+     */
+    PeerCalls(Incarnation run, MembershipDriver membership, ControlLoop loop, MetricRegistry metrics) {
+        this.lastCall = CallNumber.beforeFirst(run);
         this.membership = membership;
         this.loop = loop;
         this.metrics = metrics;
@@ -80,8 +97,9 @@
     CompletableFuture<byte[]> call(NodeId to, Method method, byte[] body, long timeoutMs) {
         CompletableFuture<byte[]> answer = new CompletableFuture<>();
         loop.post(() -> {
-            long id = ++lastCall;
-            pending.put(id, answer);
+            lastCall = lastCall.next();
+            long id = lastCall.requestId();
+            pending.put(id, new Pending(to, answer));
             membership.send(to, FrameType.CALL, id, withMethodNumber(method, body));
             loop.postDelayed(timeoutMs, () -> expire(id, to, method));
         });
@@ -94,14 +112,14 @@
     }
 
     private void expire(long id, NodeId to, Method method) {
-        CompletableFuture<byte[]> answer = pending.remove(id);
-        if (answer != null) {
+        Pending call = pending.remove(id);
+        if (call != null) {
             metrics.counter("peers.calls.silent." + method).inc();
-            answer.completeExceptionally(new PeerSilentException(to, method.name()));
+            call.answer().completeExceptionally(new PeerSilentException(to, method.name()));
         }
     }
 
-    private void callReceived(NodeId from, Frame frame) {
+    private void callReceived(ProcessName from, Frame frame) {
         Optional<Handler> handler = Optional.of(frame.body())
                 .filter(b -> b.length > 0)
                 .flatMap(b -> Method.of(b[0]))
@@ -115,13 +133,24 @@
                 .call(
                         from,
                         body,
-                        answer -> loop.post(() -> membership.send(from, FrameType.ANSWER, frame.requestId(), answer)));
+                        answer ->
+                                loop.post(() -> membership.answer(from, FrameType.ANSWER, frame.requestId(), answer)));
     }
 
-    private void answerReceived(NodeId from, Frame frame) {
-        CompletableFuture<byte[]> answer = pending.remove(frame.requestId());
-        if (answer != null) {
-            answer.complete(frame.body());
+    private void answerReceived(ProcessName from, Frame frame) {
+        Pending call = pending.get(frame.requestId());
+        boolean foreign = call == null
+                ? !lastCall.isOfThisRun(frame.requestId())
+                : !call.to().equals(from.node());
+        if (foreign) {
+            metrics.counter("peers.answers.foreign").inc();
+            LOG.atWarning()
+                    .atMostEvery(1, TimeUnit.SECONDS)
+                    .with(LogFields.PEER, from.node().value())
+                    .log("answer to a call that this process did not make; ignored");
+        } else if (call != null) {
+            pending.remove(frame.requestId());
+            call.answer().complete(frame.body());
         }
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/PeerStoreCalls.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/PeerStoreCalls.java
@@ -12,7 +12,7 @@
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.StoreMessages;
 import org.magnoliabridge.external.StoreReply;
-import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.telemetry.LogFields;
 
 /**
@@ -51,12 +51,15 @@
     }
 
     /** Makes a call for another node. */
-    void serve(NodeId from, byte[] body, Consumer<byte[]> answer) {
+    void serve(ProcessName from, byte[] body, Consumer<byte[]> answer) {
         StoreMessages.Call call;
         try {
             call = StoreMessages.call(body);
         } catch (PlatformException.Malformed e) {
-            LOG.atWarning().withCause(e).with(LogFields.PEER, from.value()).log("malformed store call");
+            LOG.atWarning()
+                    .withCause(e)
+                    .with(LogFields.PEER, from.node().value())
+                    .log("malformed store call");
             return;
         }
         long limitMs = SERVE_LIMIT_MS + (call instanceof StoreMessages.Call.Watch watch ? watch.waitMs() : 0);
--- a/daemon/src/main/java/org/magnoliabridge/daemon/RunnerDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/RunnerDriver.java
@@ -20,6 +20,7 @@
 import org.magnoliabridge.external.StoreRequest.Priority;
 import org.magnoliabridge.external.StoreRunner;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.WeightVersion;
 import org.magnoliabridge.rollout.MalformedStepException;
 import org.magnoliabridge.rollout.RunnerCore;
@@ -89,12 +90,12 @@
     }
 
     /** Handles a nudge from another node; control thread only. */
-    void nudgeReceived(NodeId from, Frame frame) {
+    void nudgeReceived(ProcessName from, Frame frame) {
         try {
             handle(StepRef.unpackNudge(frame.body()));
         } catch (MalformedStepException e) {
             metrics.counter("peers.malformed.STEP_NUDGE").inc();
-            LOG.atWarning().with(LogFields.PEER, from.value()).log("malformed step nudge");
+            LOG.atWarning().with(LogFields.PEER, from.node().value()).log("malformed step nudge");
         }
     }
 
--- a/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/UsageDriver.java
@@ -20,6 +20,7 @@
 import org.magnoliabridge.external.UsageReports;
 import org.magnoliabridge.ids.InvalidIdException;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.lease.LeaseView;
 import org.magnoliabridge.membership.Item;
@@ -54,7 +55,7 @@
     private final CompletableFuture<Void> handedOver = new CompletableFuture<>();
     // Accessed on the control thread only.
     private boolean membersChanged = true;
-    private List<UsageInput.Peer> copyCandidates = List.of();
+    private List<ProcessName> copyCandidates = List.of();
     private boolean holdsLease;
     private Optional<NodeId> leader = Optional.empty();
     private long leaderFencing;
@@ -144,9 +145,9 @@
     private void refreshMembers() {
         if (membersChanged) {
             membersChanged = false;
-            Map<NodeId, UsageInput.Peer> alive = membership.members().stream()
+            Map<NodeId, ProcessName> alive = membership.members().stream()
                     .filter(Member::isAlive)
-                    .collect(Collectors.toMap(Member::id, UsageDriver::peer));
+                    .collect(Collectors.toMap(Member::id, Member::process));
             copyCandidates = membership.ranked("usage-copies/" + self).stream()
                     .filter(n -> !n.equals(self))
                     .flatMap(n -> Optional.ofNullable(alive.get(n)).stream())
@@ -154,15 +155,11 @@
         }
     }
 
-    private Optional<UsageInput.Peer> peer(NodeId node) {
+    private Optional<ProcessName> peer(NodeId node) {
         return membership.members().stream()
                 .filter(m -> m.id().equals(node) && m.isAlive())
                 .findFirst()
-                .map(UsageDriver::peer);
-    }
-
-    private static UsageInput.Peer peer(Member member) {
-        return new UsageInput.Peer(member.id(), member.state().incarnation());
+                .map(Member::process);
     }
 
     private void handle(UsageInput input) {
@@ -174,7 +171,7 @@
     private void carryOut(UsageEffect effect) {
         switch (effect) {
             case UsageEffect.SendCounts send -> membership.send(send.to(), FrameType.USAGE_COUNTS, send.body());
-            case UsageEffect.SendAck send -> membership.send(send.to(), FrameType.USAGE_ACK, send.body());
+            case UsageEffect.SendAck send -> membership.answer(send.to(), FrameType.USAGE_ACK, 0, send.body());
             case UsageEffect.Store request ->
                 store.run(
                         request.request(),
--- a/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/NeighbourReaderTest.java
@@ -19,7 +19,9 @@
 import org.magnoliabridge.external.PlatformException;
 import org.magnoliabridge.external.RecentChanges;
 import org.magnoliabridge.external.StoredObject;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 
 /** A node that reads the endpoint list for others, and a node that reads it from the first one. */
 class NeighbourReaderTest {
@@ -244,7 +246,7 @@
             nowMs += timeoutMs;
             throw new ExecutionException(new PeerSilentException(first, "READ_CHANGES"));
         }
-        asked.answer(first, call, answers::add);
+        asked.answer(new ProcessName(first, new Incarnation(1)), call, answers::add);
         return answers.getLast();
     }
 
--- a/daemon/src/test/java/org/magnoliabridge/daemon/PeerStoreCallsTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/PeerStoreCallsTest.java
@@ -22,10 +22,12 @@
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.external.StoredObject;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 
 class PeerStoreCallsTest {
-    private static final NodeId FROM = new NodeId("n2");
+    private static final ProcessName FROM = new ProcessName(new NodeId("n2"), new Incarnation(1));
     private static final ObjectKey KEY = new ObjectKey("batches/b1");
 
     private final CountDownLatch storeAnswers = new CountDownLatch(1);
--- a/daemon/src/test/java/org/magnoliabridge/daemon/RunnerCallsTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/RunnerCallsTest.java
@@ -32,7 +32,7 @@
         CountDownLatch released = new CountDownLatch(1);
         try (ControlLoop loop = new ControlLoop("late")) {
             MembershipDriver membership = new MembershipDriver(SELF, core(), loop, () -> 0, new MetricRegistry());
-            PeerCalls peers = new PeerCalls(membership, loop, new MetricRegistry());
+            PeerCalls peers = new PeerCalls(new Incarnation(1), membership, loop, new MetricRegistry());
             loop.post(() -> await(released));
             Optional<byte[]> answer = new RunnerCalls(null, peers, null)
                     .call(new NodeId("n1"), PeerCalls.Method.READ_BATCH, new byte[0], LIMIT_MS);
--- a/daemon/src/test/java/org/magnoliabridge/daemon/UsageDriverTest.java
+++ b/daemon/src/test/java/org/magnoliabridge/daemon/UsageDriverTest.java
@@ -12,6 +12,7 @@
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.Region;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MemberState;
@@ -53,7 +54,8 @@
     private static void join(MembershipDriver membership, NodeId node) {
         for (MembershipEffect effect : core(node).handle(new MembershipInput.Tick(), 0)) {
             if (effect instanceof MembershipEffect.Send ping) {
-                membership.handle(new MembershipInput.Received(node, ping.type(), ping.requestId(), ping.body()));
+                membership.handle(new MembershipInput.Received(
+                        new ProcessName(node, new Incarnation(1)), ping.type(), ping.requestId(), ping.body()));
             }
         }
     }
--- a/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
+++ b/library/src/main/java/org/magnoliabridge/batch/RunnerElection.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 
 /**
  * Elects the node that runs the batches, without waiting for a lease to expire.
@@ -138,7 +139,22 @@
         return isRunner() || (successor.isPresent() && !successorAnnounced);
     }
 
-    /** Handles the announcement of another node; returns whether the runner changed. */
+    /**
+     * Handles what a process announces of itself; returns whether the runner changed. An announcement may arrive after
+     * its process has ended, and does not make a later process of the node the runner.
+     */
+    public boolean onAnnouncement(ProcessName process, long newTerm) {
+        Optional<Incarnation> known = runnerIncarnation;
+        boolean changed = onAnnouncement(process.node(), newTerm);
+        if (newTerm == term && runner.filter(process.node()::equals).isPresent()) {
+            Incarnation announced = process.incarnation();
+            boolean late = !changed && known.filter(k -> k.isAfter(announced)).isPresent();
+            runnerIncarnation = late ? known : Optional.of(announced);
+        }
+        return changed;
+    }
+
+    /** Handles what another node tells of the runner; returns whether the runner changed. */
     public boolean onAnnouncement(NodeId node, long newTerm) {
         boolean wins = newTerm > term
                 || (newTerm == term && runner.map(r -> node.compareTo(r) < 0).orElse(true));
@@ -194,7 +210,8 @@
         if (found.isPresent()) {
             runnerSuspect = false;
             runnerIncarnation = runnerIncarnation.or(() -> found);
-            return found.equals(runnerIncarnation);
+            // The table of members may show an earlier process for a while after the runner has announced itself.
+            return !found.get().isAfter(runnerIncarnation.get());
         }
         if (!suspects.contains(node)) {
             return false;
--- a/library/src/main/java/org/magnoliabridge/membership/ItemDisseminator.java
+++ b/library/src/main/java/org/magnoliabridge/membership/ItemDisseminator.java
@@ -139,7 +139,8 @@
     }
 
     private static MembershipEffect send(Member to, FrameType type, byte[] body) {
-        return new MembershipEffect.Send(Optional.of(to.id()), to.location().peerAddress(), type, 0, body);
+        return new MembershipEffect.Send(
+                Optional.of(to.id()), Optional.empty(), to.location().peerAddress(), type, 0, body);
     }
 
     private record PendingForward(long version, List<NodeId> targets) {}
--- a/library/src/main/java/org/magnoliabridge/membership/Member.java
+++ b/library/src/main/java/org/magnoliabridge/membership/Member.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.membership.MemberState.Liveness;
 
 /**
@@ -16,6 +17,11 @@
         Objects.requireNonNull(location);
     }
 
+    /** Returns the process of the member, as far as this node knows. */
+    public ProcessName process() {
+        return new ProcessName(id, state.incarnation());
+    }
+
     /** Returns whether the member is alive, as far as this node knows. */
     public boolean isAlive() {
         return state.liveness() == Liveness.ALIVE;
--- a/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
@@ -110,6 +110,9 @@
         if (restarted && update.location().isEmpty()) {
             return Optional.empty();
         }
+        if (restarted) {
+            versions.remove(known.id());
+        }
         Member next = new Member(known.id(), merged, location(known, update, restarted), known.loadPermille());
         if (merged.equals(known.state().withStoreChanges(merged.storeChanges()))) {
             // The time that a suspect has to answer goes on.
@@ -161,10 +164,11 @@
         return new MemberUpdate(self, state, Optional.empty());
     }
 
-    /** Records the load and the item versions that a member reported in a ping or ack. */
-    void recordReport(NodeId id, int loadPermille, List<Long> itemVersions) {
+    /** Records the load and the item versions that a member reported in a ping or ack; not those of an ended process. */
+    void recordReport(MemberUpdate sender, int loadPermille, List<Long> itemVersions) {
+        NodeId id = sender.id();
         Member m = members.get(id);
-        if (m == null) {
+        if (m == null || !m.state().incarnation().equals(sender.state().incarnation())) {
             return;
         }
         versions.put(id, itemVersions);
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipCore.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.membership.MemberState.Liveness;
 import org.magnoliabridge.membership.MembershipCodec.Delivery;
 import org.magnoliabridge.membership.MembershipCodec.ItemRequest;
@@ -75,7 +76,7 @@
     public MembershipCore(Member self, List<String> seeds, RandomGenerator random, MembershipSettings settings) {
         this.settings = settings;
         table = new MemberTable(self);
-        probes = new Probes(random);
+        probes = new Probes(self.state().incarnation(), random);
         disseminator = new ItemDisseminator(table, random);
         this.random = random;
         this.seeds = List.copyOf(seeds);
@@ -208,7 +209,7 @@
     private void pingAddress(String address, long nowMs, List<MembershipEffect> effects) {
         long id = probes.start(Optional.empty(), false, nowMs);
         byte[] body = pingBody(Optional.empty(), nowMs);
-        effects.add(new MembershipEffect.Send(Optional.empty(), address, FrameType.PING, id, body));
+        effects.add(new MembershipEffect.Send(Optional.empty(), Optional.empty(), address, FrameType.PING, id, body));
     }
 
     private void ping(Member to, boolean counted, long nowMs, List<MembershipEffect> effects) {
@@ -238,8 +239,9 @@
             switch (r.type()) {
                 case PING -> {
                     PingBody body = MembershipCodec.readPing(r.body());
-                    Member sender = merge(body, r.from(), nowMs, effects);
-                    effects.add(send(sender, FrameType.ACK, r.requestId(), pingBody(Optional.of(sender.id()), nowMs)));
+                    Member sender = merge(body, r.from().node(), nowMs, effects);
+                    effects.add(answer(
+                            r.from(), sender, FrameType.ACK, r.requestId(), pingBody(Optional.of(sender.id()), nowMs)));
                     requestMissing(sender, body, nowMs, effects);
                 }
                 case ACK -> ack(r, nowMs, effects);
@@ -247,10 +249,10 @@
                 case ITEM_REQUEST -> itemRequest(r, effects);
                 case ITEMS -> items(r, nowMs, effects);
                 case LEAVING -> MembershipCodec.readUpdates(r.body()).forEach(u -> mergeUpdate(u, nowMs));
-                default -> effects.add(new MembershipEffect.Malformed(r.from(), r.type()));
+                default -> effects.add(new MembershipEffect.Malformed(r.from().node(), r.type()));
             }
         } catch (MalformedMessageException e) {
-            effects.add(new MembershipEffect.Malformed(r.from(), r.type()));
+            effects.add(new MembershipEffect.Malformed(r.from().node(), r.type()));
         }
     }
 
@@ -258,12 +260,11 @@
             throws MalformedMessageException {
         PingBody body = MembershipCodec.readPing(r.body());
         Optional<Probes.Relay> relay = probes.relay(r.requestId());
-        if (relay.isPresent()) {
-            effects.add(send(relay.get().requester(), FrameType.ACK, relay.get().requestId(), r.body()));
-        }
+        relay.ifPresent(asked -> table.get(asked.requester().node())
+                .ifPresent(m -> effects.add(answer(asked.requester(), m, FrameType.ACK, asked.requestId(), r.body()))));
         Member sender = merge(body, body.sender().id(), nowMs, effects);
         requestMissing(sender, body, nowMs, effects);
-        Optional<Probe> probe = probes.answered(r.requestId(), nowMs);
+        Optional<Probe> probe = probes.answered(r.requestId(), body.sender().id(), nowMs);
         if (probe.isPresent() && relay.isEmpty() && body.confirmationAgeMs() >= 0) {
             // Relative to the time of sending, so that network delay can't make the confirmation look newer.
             long at = probe.get().sentAtMs() - body.confirmationAgeMs();
@@ -274,11 +275,11 @@
     private void relayPing(MembershipInput.Received r, long nowMs, List<MembershipEffect> effects)
             throws MalformedMessageException {
         PingRequest request = MembershipCodec.readPingRequest(r.body());
-        Optional<Member> requester = table.get(r.from());
-        if (requester.isPresent()) {
-            long id = probes.startRelay(requester.get(), r.requestId(), nowMs);
+        if (table.get(r.from().node()).isPresent()) {
+            long id = probes.startRelay(r.from(), r.requestId(), nowMs);
             effects.add(new MembershipEffect.Send(
                     Optional.of(request.node()),
+                    Optional.empty(),
                     request.address(),
                     FrameType.PING,
                     id,
@@ -289,7 +290,7 @@
     private void itemRequest(MembershipInput.Received r, List<MembershipEffect> effects)
             throws MalformedMessageException {
         ItemRequest request = MembershipCodec.readItemRequest(r.body());
-        Optional<Member> peer = table.get(r.from());
+        Optional<Member> peer = table.get(r.from().node());
         if (peer.isEmpty()) {
             return;
         }
@@ -305,7 +306,7 @@
     private void items(MembershipInput.Received r, long nowMs, List<MembershipEffect> effects)
             throws MalformedMessageException {
         Delivery delivery = MembershipCodec.readDelivery(r.body());
-        Optional<Member> peer = table.get(r.from());
+        Optional<Member> peer = table.get(r.from().node());
         if (delivery.name().equals(MEMBER_TABLE)) {
             // 0x90 is an empty MessagePack array.
             MembershipCodec.readUpdates(delivery.payload().orElse(new byte[] {(byte) 0x90}))
@@ -318,7 +319,7 @@
     private Member merge(PingBody body, NodeId from, long nowMs, List<MembershipEffect> effects) {
         mergeUpdate(body.sender(), nowMs);
         body.updates().forEach(u -> mergeUpdate(u, nowMs));
-        table.recordReport(body.sender().id(), body.loadPermille(), body.versions());
+        table.recordReport(body.sender(), body.loadPermille(), body.versions());
         for (Item item : body.items()) {
             if (!Item.PINNED.contains(item.name()) && gossip.add(item)) {
                 effects.add(new MembershipEffect.Deliver(from, item));
@@ -398,7 +399,18 @@
                 sender, disseminator.versions(), table.digest(), others + 1, ageMs, loadPermille, updates, items));
     }
 
+    private static MembershipEffect answer(ProcessName to, Member at, FrameType type, long requestId, byte[] body) {
+        return new MembershipEffect.Send(
+                Optional.of(to.node()),
+                Optional.of(to.incarnation()),
+                at.location().peerAddress(),
+                type,
+                requestId,
+                body);
+    }
+
     private static MembershipEffect send(Member to, FrameType type, long requestId, byte[] body) {
-        return new MembershipEffect.Send(Optional.of(to.id()), to.location().peerAddress(), type, requestId, body);
+        return new MembershipEffect.Send(
+                Optional.of(to.id()), Optional.empty(), to.location().peerAddress(), type, requestId, body);
     }
 }
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipEffect.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipEffect.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.wire.FrameType;
 
@@ -11,10 +12,12 @@
      * Send a frame.
      *
      * @param to empty if the node id behind the address is not known yet
+     * @param run the only start of the node that may get the frame, as it answers that process; empty if any may
      * @param address IP address and port
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Send(Optional<NodeId> to, String address, FrameType type, long requestId, byte[] body)
+    record Send(
+            Optional<NodeId> to, Optional<Incarnation> run, String address, FrameType type, long requestId, byte[] body)
             implements MembershipEffect {}
 
     /**
--- a/library/src/main/java/org/magnoliabridge/membership/MembershipInput.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MembershipInput.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Objects;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.wire.FrameType;
 
 /** An input of {@link MembershipCore}. */
@@ -10,9 +11,9 @@
     /** Time has passed; sent about every 100 ms. */
     record Tick() implements MembershipInput {}
 
-    /** A node sent a frame of one of the types from Ping to Items, or Leaving. */
+    /** A process sent a frame of one of the types from Ping to Items, or Leaving. */
     @SuppressWarnings("ArrayRecordComponent")
-    record Received(NodeId from, FrameType type, long requestId, byte[] body) implements MembershipInput {
+    record Received(ProcessName from, FrameType type, long requestId, byte[] body) implements MembershipInput {
         public Received {
             Objects.requireNonNull(from);
             Objects.requireNonNull(type);
--- a/library/src/main/java/org/magnoliabridge/membership/Probes.java
+++ b/library/src/main/java/org/magnoliabridge/membership/Probes.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
+import org.magnoliabridge.wire.CallNumber;
 
 /** The pings in flight, the order in which members are pinged, and the outcomes of recent pings. */
 final class Probes {
@@ -20,9 +23,10 @@
     private final Map<Long, Probe> inFlight = new HashMap<>();
     private final Map<Long, Relay> relays = new HashMap<>();
     private final Deque<Outcome> outcomes = new ArrayDeque<>();
-    private long nextId;
+    private CallNumber last;
 
-    Probes(RandomGenerator random) {
+    Probes(Incarnation run, RandomGenerator random) {
+        this.last = CallNumber.beforeFirst(run);
         this.random = random;
     }
 
@@ -55,13 +59,14 @@
 
     /** Records a ping and returns its id; only counted pings affect suspicion and the majority. */
     long start(Optional<NodeId> target, boolean counted, long nowMs) {
-        nextId++;
-        inFlight.put(nextId, new Probe(nextId, target, counted, nowMs, false));
-        return nextId;
+        last = last.next();
+        long id = last.requestId();
+        inFlight.put(id, new Probe(id, target, counted, nowMs, false));
+        return id;
     }
 
-    /** Records a ping on behalf of another member and returns its id. */
-    long startRelay(Member requester, long requestId, long nowMs) {
+    /** Records a ping on behalf of another process and returns its id. */
+    long startRelay(ProcessName requester, long requestId, long nowMs) {
         long id = start(Optional.empty(), false, nowMs);
         relays.put(id, new Relay(requester, requestId));
         return id;
@@ -71,14 +76,18 @@
         return Optional.ofNullable(relays.get(id));
     }
 
-    /** Records an answer and returns the ping that it belongs to. */
-    Optional<Probe> answered(long id, long nowMs) {
-        Probe probe = inFlight.remove(id);
+    /** Records the answer of a member and returns the ping that it belongs to; empty if it is not of the pinged one. */
+    Optional<Probe> answered(long id, NodeId by, long nowMs) {
+        Probe probe = inFlight.get(id);
+        if (probe == null || probe.target().filter(t -> !t.equals(by)).isPresent()) {
+            return Optional.empty();
+        }
+        inFlight.remove(id);
         relays.remove(id);
-        if (probe != null && probe.counted()) {
+        if (probe.counted()) {
             outcomes.add(new Outcome(nowMs, true));
         }
-        return Optional.ofNullable(probe);
+        return Optional.of(probe);
     }
 
     /** Returns the counted pings for which indirect pings are now to be requested, each once. */
@@ -125,8 +134,8 @@
     /** A ping in flight; the target is empty if its node id is not known, or if another member requested the ping. */
     record Probe(long id, Optional<NodeId> target, boolean counted, long sentAtMs, boolean indirectRequested) {}
 
-    /** The member that requested an indirect ping, and the id of its own ping, which the answer must carry. */
-    record Relay(Member requester, long requestId) {}
+    /** The process that requested an indirect ping, and the id of its own ping, which the answer must carry. */
+    record Relay(ProcessName requester, long requestId) {}
 
     private record Outcome(long atMs, boolean answered) {}
 }
--- a/library/src/main/java/org/magnoliabridge/usage/CounterTable.java
+++ b/library/src/main/java/org/magnoliabridge/usage/CounterTable.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
 
@@ -23,7 +24,7 @@
     private final Incarnation incarnation;
     private final SortedMap<CounterId, Count> counts = new TreeMap<>();
     private final Map<CounterId, Long> lastChangeMs = new HashMap<>();
-    private final Map<UsageInput.Peer, Map<CounterId, Count>> confirmed = new HashMap<>();
+    private final Map<ProcessName, Map<CounterId, Count>> confirmed = new HashMap<>();
 
     CounterTable(NodeId self, Incarnation incarnation) {
         this.self = self;
@@ -48,7 +49,7 @@
         });
     }
 
-    void confirm(UsageInput.Peer by, Map<CounterId, Count> acked) {
+    void confirm(ProcessName by, Map<CounterId, Count> acked) {
         Map<CounterId, Count> known = confirmed.computeIfAbsent(by, n -> new HashMap<>());
         acked.forEach((id, count) -> known.merge(id, count, Count::max));
     }
@@ -57,7 +58,7 @@
      * Returns counters whose current state the peer has not confirmed, up to {@link #MAX_COUNTERS}: those of this
      * process and, for the leader, also other processes' that have not changed for {@link #FORWARD_AFTER_MS}.
      */
-    SortedMap<CounterId, Count> unconfirmed(UsageInput.Peer peer, boolean leader, long nowMs) {
+    SortedMap<CounterId, Count> unconfirmed(ProcessName peer, boolean leader, long nowMs) {
         Map<CounterId, Count> known = confirmed.getOrDefault(peer, Map.of());
         SortedMap<CounterId, Count> result = new TreeMap<>();
         for (Map.Entry<CounterId, Count> entry : counts.entrySet()) {
@@ -71,11 +72,11 @@
     }
 
     /** Discards the confirmations of all processes but these. */
-    void retainConfirmationsOf(Set<UsageInput.Peer> peers) {
+    void retainConfirmationsOf(Set<ProcessName> peers) {
         confirmed.keySet().retainAll(peers);
     }
 
-    boolean areOwnCountsConfirmedBy(List<UsageInput.Peer> nodes) {
+    boolean areOwnCountsConfirmedBy(List<ProcessName> nodes) {
         return counts.entrySet().stream()
                 .filter(e -> isOwn(e.getKey()))
                 .allMatch(e -> nodes.stream()
--- a/library/src/main/java/org/magnoliabridge/usage/UsageCore.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageCore.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.WindowId;
 
 /**
@@ -35,8 +36,8 @@
     private final Set<Mechanism> mechanisms;
     private final CounterTable table;
     private final UsageSealer sealer;
-    private List<UsageInput.Peer> copyPeers = List.of();
-    private Optional<UsageInput.Peer> leader = Optional.empty();
+    private List<ProcessName> copyPeers = List.of();
+    private Optional<ProcessName> leader = Optional.empty();
     private long nextCopyMs;
     private boolean draining;
     private boolean drainReported;
@@ -117,9 +118,10 @@
     private void confirm(UsageInput.Ack ack) {
         try {
             CountsCodec.Message message = CountsCodec.unpack(ack.body());
-            UsageInput.Peer peer = new UsageInput.Peer(ack.from(), message.addressee());
-            if (copyTargets().contains(peer)) {
-                table.confirm(peer, message.counts());
+            // Copies that an earlier process of the node holds, or held, are none of the addressee's.
+            boolean addressed = message.addressee().equals(ack.from().incarnation());
+            if (addressed && copyTargets().contains(ack.from())) {
+                table.confirm(ack.from(), message.counts());
             }
         } catch (MalformedUsageException e) {
             // The counts stay unconfirmed and are sent again.
@@ -128,10 +130,10 @@
     }
 
     private void sendCopies(long nowMs, List<UsageEffect> effects) {
-        Set<UsageInput.Peer> targets = copyTargets();
+        Set<ProcessName> targets = copyTargets();
         if (nowMs >= nextCopyMs) {
             nextCopyMs = nowMs + (draining ? DRAIN_COPY_INTERVAL_MS : COPY_INTERVAL_MS);
-            for (UsageInput.Peer target : targets) {
+            for (ProcessName target : targets) {
                 boolean isLeader = leader.filter(target::equals).isPresent() && mechanisms.contains(Mechanism.COPIES);
                 Map<CounterId, Count> counts = table.unconfirmed(target, isLeader, nowMs);
                 if (!counts.isEmpty()) {
@@ -146,8 +148,8 @@
         }
     }
 
-    private Set<UsageInput.Peer> copyTargets() {
-        Set<UsageInput.Peer> targets = new LinkedHashSet<>();
+    private Set<ProcessName> copyTargets() {
+        Set<ProcessName> targets = new LinkedHashSet<>();
         if (mechanisms.contains(Mechanism.COPIES)) {
             targets.addAll(copyPeers);
         }
--- a/library/src/main/java/org/magnoliabridge/usage/UsageEffect.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageEffect.java
@@ -4,6 +4,7 @@
 import org.magnoliabridge.external.StoreRequest;
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
 
@@ -13,9 +14,9 @@
     @SuppressWarnings("ArrayRecordComponent")
     record SendCounts(NodeId to, byte[] body) implements UsageEffect {}
 
-    /** Send a usage acknowledgement frame. */
+    /** Send a usage acknowledgement frame to the process whose counts were received. */
     @SuppressWarnings("ArrayRecordComponent")
-    record SendAck(NodeId to, byte[] body) implements UsageEffect {}
+    record SendAck(ProcessName to, byte[] body) implements UsageEffect {}
 
     /** Send a store request with status priority and pass its answer to {@link UsageInput.Reply} with the tag. */
     record Store(long tag, StoreRequest request) implements UsageEffect {}
--- a/library/src/main/java/org/magnoliabridge/usage/UsageInput.java
+++ b/library/src/main/java/org/magnoliabridge/usage/UsageInput.java
@@ -5,8 +5,7 @@
 import java.util.OptionalLong;
 import org.magnoliabridge.external.StoreReply;
 import org.magnoliabridge.ids.FencingToken;
-import org.magnoliabridge.ids.Incarnation;
-import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
 
@@ -24,29 +23,22 @@
         }
     }
 
-    /** Counts received from another node; the body is that of a usage counts frame. */
+    /** Counts received from a process; the body is that of a usage counts frame. */
     @SuppressWarnings("ArrayRecordComponent")
-    record Counts(NodeId from, byte[] body) implements UsageInput {}
+    record Counts(ProcessName from, byte[] body) implements UsageInput {}
 
-    /** Another node has acknowledged counts; the body is that of a usage acknowledgement frame. */
+    /** A process has acknowledged counts; the body is that of a usage acknowledgement frame. */
     @SuppressWarnings("ArrayRecordComponent")
-    record Ack(NodeId from, byte[] body) implements UsageInput {}
+    record Ack(ProcessName from, byte[] body) implements UsageInput {}
 
     /**
-     * The peers that get copies of counts.
+     * The processes that get copies of counts; a copy is lost when its process ends.
      *
      * @param candidates live peers in order of preference, at least 3 if that many exist; the first 2 other than the
      *     leader hold copies of this node's counts
      * @param leader the holder of the usage lease, if known; may be this node
      */
-    record Peers(List<Peer> candidates, Optional<Peer> leader) implements UsageInput {}
-
-    /**
-     * A process that can hold copies of counts.
-     *
-     * @param incarnation changes at least when the node restarts, because its copies are then lost
-     */
-    record Peer(NodeId node, Incarnation incarnation) {}
+    record Peers(List<ProcessName> candidates, Optional<ProcessName> leader) implements UsageInput {}
 
     /**
      * This node holds the usage lease.
--- a/library/src/main/java/org/magnoliabridge/wire/Handshake.java
+++ b/library/src/main/java/org/magnoliabridge/wire/Handshake.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -47,8 +48,7 @@
         byte[] secret = secrets.first();
         Hello hello = hello(answer, secret);
         return new Session(
-                hello.node(),
-                hello.incarnation(),
+                hello.sender(),
                 new MacKey(derive(secret, nonce, hello.nonce(), TO_CALLER)),
                 new MacKey(derive(secret, nonce, hello.nonce(), TO_CALLEE)));
     }
@@ -71,8 +71,7 @@
         byte[] nonce = nonce();
         send(out, nonce, secret);
         return new Session(
-                hello.node(),
-                hello.incarnation(),
+                hello.sender(),
                 new MacKey(derive(secret, hello.nonce(), nonce, TO_CALLEE)),
                 new MacKey(derive(secret, hello.nonce(), nonce, TO_CALLER)));
     }
@@ -100,7 +99,7 @@
             if (unpacker.unpackBinaryHeader() != NONCE_BYTES) {
                 throw new FrameException(FrameException.Reason.MALFORMED);
             }
-            return new Hello(frame.sender(), theirs, unpacker.readPayload(NONCE_BYTES));
+            return new Hello(new ProcessName(frame.sender(), theirs), unpacker.readPayload(NONCE_BYTES));
         } catch (MessagePackException | IllegalArgumentException e) {
             throw new FrameException(FrameException.Reason.MALFORMED);
         }
@@ -117,8 +116,8 @@
     }
 
     @SuppressWarnings("ArrayRecordComponent")
-    private record Hello(NodeId node, Incarnation incarnation, byte[] nonce) {}
+    private record Hello(ProcessName sender, byte[] nonce) {}
 
-    /** The result of a handshake: the peer, its incarnation, and one key per direction. */
-    record Session(NodeId peer, Incarnation incarnation, MacKey readKey, MacKey writeKey) {}
+    /** The result of a handshake: the process of the peer, and one key per direction. */
+    record Session(ProcessName peer, MacKey readKey, MacKey writeKey) {}
 }
--- a/library/src/main/java/org/magnoliabridge/wire/PeerConnections.java
+++ b/library/src/main/java/org/magnoliabridge/wire/PeerConnections.java
@@ -12,6 +12,7 @@
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.wire.PeerEvents.CloseReason;
 
 /**
@@ -61,7 +62,22 @@
      * @param address where the node listens
      * @return false if the frame was dropped
      */
-    public synchronized boolean send(Optional<NodeId> to, InetSocketAddress address, Frame frame) {
+    public boolean send(Optional<NodeId> to, InetSocketAddress address, Frame frame) {
+        return send(to, address, new Outgoing(frame, Optional.empty()));
+    }
+
+    /**
+     * Sends a frame to one start of a node, if it can be queued. A later process of the node does not get it, because
+     * what the frame refers to ended with the process that it is for.
+     *
+     * @param address where the node listens
+     * @return false if the frame was dropped
+     */
+    public boolean send(ProcessName to, InetSocketAddress address, Frame frame) {
+        return send(Optional.of(to.node()), address, new Outgoing(frame, Optional.of(to.incarnation())));
+    }
+
+    private synchronized boolean send(Optional<NodeId> to, InetSocketAddress address, Outgoing frame) {
         if (closed) {
             return false;
         }
--- a/library/src/main/java/org/magnoliabridge/wire/PeerEvents.java
+++ b/library/src/main/java/org/magnoliabridge/wire/PeerEvents.java
@@ -1,12 +1,11 @@
 package org.magnoliabridge.wire;
 
-import org.magnoliabridge.ids.Incarnation;
-import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 
 /** Receives connection events; called on traffic threads, so implementations post to the control loop and return. */
 public interface PeerEvents {
-    /** Called when an authenticated frame was received from a node. */
-    void received(NodeId peer, Incarnation incarnation, Frame frame);
+    /** Called when an authenticated frame was received from a process. */
+    void received(ProcessName peer, Frame frame);
 
     /** Called when a connection was closed; for logs and metrics. */
     void closed(CloseReason reason);
--- a/library/src/main/java/org/magnoliabridge/wire/PeerLink.java
+++ b/library/src/main/java/org/magnoliabridge/wire/PeerLink.java
@@ -7,9 +7,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliabridge.core.MonotonicClock;
+import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
 import org.magnoliabridge.wire.Handshake.Session;
 import org.magnoliabridge.wire.PeerEvents.CloseReason;
@@ -39,7 +41,7 @@
     private final WireStats stats;
     private final Socket socket;
     private final AtomicReference<CloseReason> closed = new AtomicReference<>();
-    private final Queue<Frame> queue = new ArrayDeque<>();
+    private final Queue<Outgoing> queue = new ArrayDeque<>();
     private final long openedAtMs;
     private int queuedBytes;
     private boolean probed;
@@ -76,19 +78,19 @@
     }
 
     /** Queues a frame; returns false if it is too large, the link is closed or its queue is full. */
-    boolean send(Frame frame) {
-        if (frame.body().length > FrameCodec.MAX_BODY_BYTES) {
+    boolean send(Outgoing frame) {
+        if (frame.bodyBytes() > FrameCodec.MAX_BODY_BYTES) {
             stats.dropped.increment();
             return false;
         }
         synchronized (queue) {
-            boolean full = queue.size() >= MAX_QUEUED_FRAMES || queuedBytes + frame.body().length > MAX_QUEUED_BYTES;
+            boolean full = queue.size() >= MAX_QUEUED_FRAMES || queuedBytes + frame.bodyBytes() > MAX_QUEUED_BYTES;
             if (closed.get() != null || full) {
                 stats.dropped.increment();
                 return false;
             }
             queue.add(frame);
-            queuedBytes += frame.body().length;
+            queuedBytes += frame.bodyBytes();
             queue.notifyAll();
             return true;
         }
@@ -100,7 +102,7 @@
 
     /** Returns the peer; null before the handshake. */
     NodeId peer() {
-        return session == null ? null : session.peer();
+        return session == null ? null : session.peer().node();
     }
 
     /** Sends a heartbeat if the peer does not answer; closes the connection after a time limit. */
@@ -125,10 +127,14 @@
         if (silent) {
             close(CloseReason.SILENT);
         } else if (probe) {
-            send(new Frame(FrameType.HELLO, handshake.self(), PROBE, NO_BODY));
+            sendHeartbeat(PROBE);
         }
     }
 
+    private void sendHeartbeat(long kind) {
+        send(new Outgoing(new Frame(FrameType.HELLO, handshake.self(), kind, NO_BODY), Optional.empty()));
+    }
+
     void close(CloseReason reason) {
         if (!closed.compareAndSet(null, reason)) {
             return;
@@ -153,7 +159,7 @@
                     new DataInputStream(new BufferedInputStream(socket.getInputStream(), READ_BUFFER_BYTES));
             OutputStream out = socket.getOutputStream();
             Session agreed = caller ? handshake.call(in, out) : handshake.accept(in, out);
-            if (expected != null && !expected.equals(agreed.peer())) {
+            if (expected != null && !expected.equals(agreed.peer().node())) {
                 close(CloseReason.WRONG_NODE);
                 return;
             }
@@ -179,7 +185,7 @@
         for (long sequence = 1; closed.get() == null; sequence++) {
             byte[] bytes = FrameCodec.read(in, FrameCodec.MAX_BYTES);
             Frame frame = FrameCodec.decode(bytes, sequence, agreed.readKey());
-            if (!frame.sender().equals(agreed.peer())) {
+            if (!frame.sender().equals(agreed.peer().node())) {
                 throw new FrameException(FrameException.Reason.WRONG_SENDER);
             }
             stats.bytesReceived.add(Integer.BYTES + bytes.length);
@@ -192,9 +198,9 @@
                 authenticated.run();
             }
             if (frame.type() != FrameType.HELLO) {
-                events.received(agreed.peer(), agreed.incarnation(), frame);
+                events.received(agreed.peer(), frame);
             } else if (frame.requestId() == PROBE) {
-                send(new Frame(FrameType.HELLO, handshake.self(), ECHO, NO_BODY));
+                sendHeartbeat(ECHO);
             }
         }
     }
@@ -202,7 +208,7 @@
     private void write(OutputStream out, Session agreed) {
         try {
             for (long sequence = 1; ; sequence++) {
-                Frame frame = next();
+                Frame frame = next(agreed.peer().incarnation());
                 if (frame == null) {
                     return;
                 }
@@ -218,16 +224,26 @@
         }
     }
 
-    private Frame next() throws InterruptedException {
+    /** Waits for the next frame that the peer may get; returns null once the link is closed. */
+    private Frame next(Incarnation peer) throws InterruptedException {
         synchronized (queue) {
-            while (queue.isEmpty()) {
+            Outgoing outgoing = null;
+            while (outgoing == null) {
                 if (closed.get() != null) {
                     return null;
                 }
-                queue.wait();
+                outgoing = queue.poll();
+                if (outgoing == null) {
+                    queue.wait();
+                } else {
+                    queuedBytes -= outgoing.bodyBytes();
+                    if (!outgoing.isFor(peer)) {
+                        stats.misaddressed.increment();
+                        outgoing = null;
+                    }
+                }
             }
-            Frame frame = queue.remove();
-            queuedBytes -= frame.body().length;
+            Frame frame = outgoing.frame();
             boolean echo = frame.type() == FrameType.HELLO && frame.requestId() == ECHO;
             if (unansweredSinceMs == 0 && !echo) {
                 unansweredSinceMs = Math.max(1, clock.nowMs());
--- a/library/src/main/java/org/magnoliabridge/wire/WireStats.java
+++ b/library/src/main/java/org/magnoliabridge/wire/WireStats.java
@@ -10,6 +10,7 @@
     final LongAdder bytesSent = new LongAdder();
     final LongAdder bytesReceived = new LongAdder();
     final LongAdder dropped = new LongAdder();
+    final LongAdder misaddressed = new LongAdder();
     final LongAdder closeFailures = new LongAdder();
     private final Map<CloseReason, LongAdder> closed = new ConcurrentHashMap<>();
     private final Map<FrameException.Reason, LongAdder> rejected = new ConcurrentHashMap<>();
@@ -37,6 +38,11 @@
         return dropped.sum();
     }
 
+    /** Returns the number of frames not sent because the process that they were for has been replaced. */
+    public long misaddressed() {
+        return misaddressed.sum();
+    }
+
     /** Returns the number of connections closed for this reason. */
     public long closedFor(CloseReason reason) {
         LongAdder count = closed.get(reason);
--- a/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
+++ b/library/src/test/java/org/magnoliabridge/batch/RunnerElectionTest.java
@@ -18,6 +18,7 @@
 import org.magnoliabridge.batch.RunnerElection.Change;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 
 class RunnerElectionTest {
     private static final NodeId A = new NodeId("a");
@@ -156,6 +157,36 @@
         assertThat(election.term(), is(5L));
     }
 
+    /** Guards against a role that nobody has because an announcement arrived after its process had been replaced. */
+    @Test
+    void lateAnnouncementDoesNotMakeTheNextProcessTheRunner() {
+        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(A, new Incarnation(2), SMALL, true));
+        update(election, 1_900, restarted);
+        election.onAnnouncement(new ProcessName(A, new Incarnation(1)), 4);
+        assertThat(update(election, 2_000, restarted), is(Change.ELECTED));
+        assertThat(election.term(), is(5L));
+        assertThat(election.onAnnouncement(new ProcessName(A, new Incarnation(1)), 4), is(false));
+        assertThat(election.isRunner(), is(true));
+    }
+
+    /** Guards against a runner that is replaced by the late announcement of its earlier process. */
+    @Test
+    void lateAnnouncementDoesNotReplaceTheNextProcess() {
+        List<Candidate> restarted = List.of(candidate(B, SMALL), new Candidate(A, new Incarnation(2), SMALL, true));
+        election.onAnnouncement(new ProcessName(A, new Incarnation(2)), 4);
+        election.onAnnouncement(new ProcessName(A, new Incarnation(1)), 4);
+        assertThat(update(election, 2_000, restarted), is(Change.NONE));
+        assertThat(election.runner(), is(Optional.of(A)));
+    }
+
+    /** Guards against a runner that is replaced because it announced itself before the table of members shows it. */
+    @Test
+    void runnerThatTheTableDoesNotShowYetStays() {
+        election.onAnnouncement(new ProcessName(A, new Incarnation(2)), 4);
+        assertThat(update(election, 2_000, equal(B, A)), is(Change.NONE));
+        assertThat(election.runner(), is(Optional.of(A)));
+    }
+
     /** Guards against handovers that all nodes ignore because a restarted runner counts terms anew. */
     @Test
     void restartedRunnerIsToldTheTerm() {
--- a/library/src/test/java/org/magnoliabridge/membership/Cluster.java
+++ b/library/src/test/java/org/magnoliabridge/membership/Cluster.java
@@ -17,9 +17,9 @@
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.Region;
 import org.magnoliabridge.membership.MemberState.Liveness;
-import org.magnoliabridge.wire.FrameType;
 
 /**
  * Many cores on a virtual clock and a simulated network with delay, loss and partitions; 60% of the nodes are in the
@@ -224,15 +224,18 @@
             boolean lost = to == null || random.nextDouble() < loss || cut.test(index, to);
             if (!lost) {
                 long delayMs = region(index) == region(to) ? 1 : 15;
-                at(nowMs + delayMs, () -> receive(to, send.type(), send.requestId(), send.body(), bytes));
+                at(nowMs + delayMs, () -> receive(to, send, bytes));
             }
         }
 
-        private void receive(int to, FrameType type, long requestId, byte[] body, long bytes) {
+        private void receive(int to, MembershipEffect.Send frame, long bytes) {
             Node target = nodes.get(to);
-            if (target != null && !frozen.contains(to)) {
+            boolean present = target != null && !frozen.contains(to);
+            if (present
+                    && frame.run().map(run -> run.value() == target.incarnation).orElse(true)) {
                 target.receivedBytes += bytes;
-                target.input(new MembershipInput.Received(id(index), type, requestId, body));
+                ProcessName sender = new ProcessName(id(index), new Incarnation(incarnation));
+                target.input(new MembershipInput.Received(sender, frame.type(), frame.requestId(), frame.body()));
             }
         }
     }
--- a/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/membership/MembershipCoreTest.java
@@ -2,11 +2,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -17,6 +19,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -25,13 +28,16 @@
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.Region;
 import org.magnoliabridge.membership.MemberState.Liveness;
+import org.magnoliabridge.wire.CallNumber;
 import org.magnoliabridge.wire.FrameType;
 
 class MembershipCoreTest {
     private static final List<Liveness> STATES = List.of(Liveness.ALIVE, Liveness.SUSPECT, Liveness.DEAD);
     private static final NodeId OTHER = new NodeId("other");
+    private static final ProcessName OTHER_PROCESS = new ProcessName(OTHER, new Incarnation(1));
     private static final MemberState ALIVE = new MemberState(new Incarnation(1), 0, Liveness.ALIVE, false);
 
     private static MemberState state(int bits) {
@@ -129,7 +135,7 @@
                 List.of(),
                 new Random(1),
                 MembershipSettings.FAST);
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         Map<NodeId, String> listed = new TreeMap<>();
         for (int i = 0; i < 8; i++) {
             listed.put(new NodeId("n" + i), "10.0.0." + i + ":7000");
@@ -152,11 +158,11 @@
         byte[] altered = ping();
         altered[at % altered.length] ^= (byte) (random.length + 1);
         for (FrameType type : FrameType.values()) {
-            core().handle(new MembershipInput.Received(OTHER, type, 1, random), 0);
-            core().handle(new MembershipInput.Received(OTHER, type, 1, altered), 0);
+            core().handle(new MembershipInput.Received(OTHER_PROCESS, type, 1, random), 0);
+            core().handle(new MembershipInput.Received(OTHER_PROCESS, type, 1, altered), 0);
         }
         List<MembershipEffect> effects =
-                core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, new byte[] {1}), 0);
+                core().handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, new byte[] {1}), 0);
         assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
     }
 
@@ -164,7 +170,8 @@
     @Test
     void capacitiesArriveWithPingsAndTables() throws MalformedMessageException {
         MembershipCore core = core();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(1_500, report("third", 360))), 0);
+        core.handle(
+                new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, pingOf(1_500, report("third", 360))), 0);
         assertThat(capacity(core, "other"), is(1_500));
         assertThat(capacity(core, "third"), is(360));
         List<MemberUpdate> table = List.of(report("a", 750), new MemberUpdate(OTHER, ALIVE, Optional.empty()));
@@ -193,15 +200,16 @@
     void capacityIsLearnedAfterAReportWithoutIt() {
         MembershipCore core = core();
         NodeId third = new NodeId("third");
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(0, report("third", 0))), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, pingOf(0, report("third", 0))), 0);
         assertThat(capacity(core, "third"), is(0));
         byte[] own = pingFrom(report("third", 360));
-        List<MembershipEffect> effects = core.handle(new MembershipInput.Received(third, FrameType.PING, 1, own), 0);
+        List<MembershipEffect> effects = core.handle(
+                new MembershipInput.Received(new ProcessName(third, new Incarnation(1)), FrameType.PING, 1, own), 0);
         assertThat(capacity(core, "third"), is(360));
         assertThat(effects.stream().anyMatch(MembershipEffect.Changed.class::isInstance), is(true));
         MemberState suspected = ALIVE.with(Liveness.SUSPECT);
         MemberUpdate report = new MemberUpdate(third, suspected, Optional.of(location("third")));
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, pingOf(0, report)), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, pingOf(0, report)), 0);
         assertThat(capacity(core, "third"), is(360));
     }
 
@@ -214,7 +222,7 @@
         negative[negative.length - 1] = (byte) 0xff;
         for (byte[] body : List.of(missing, negative)) {
             List<MembershipEffect> effects =
-                    core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, body), 0);
+                    core().handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, body), 0);
             assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
         }
     }
@@ -224,17 +232,17 @@
     void latestReportAboutTheStoreCounts() throws MalformedMessageException {
         MembershipCore core = core();
         MemberUpdate lost = report("third", 360).withStoreChanges(2);
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(report("third", 360))), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping(report("third", 360))), 0);
         assertThat("not reported", storeServes(core, "third"), is(true));
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(lost)), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping(lost)), 0);
         assertThat(storeServes(core, "third"), is(false));
         for (int changes : new int[] {0, 1}) {
             MemberUpdate older = report("third", 360).withStoreChanges(changes);
-            core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(older)), 0);
+            core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping(older)), 0);
             assertThat(storeServes(core, "third"), is(false));
         }
         byte[] again = ping(new MemberUpdate(new NodeId("third"), ALIVE.withStoreChanges(3), Optional.empty()));
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, again), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, again), 0);
         assertThat(storeServes(core, "third"), is(true));
         assertThat(MembershipCodec.readUpdates(MembershipCodec.packUpdates(List.of(lost))), equalTo(List.of(lost)));
     }
@@ -243,14 +251,14 @@
     @Test
     void ownLossOfTheStoreIsGossiped() throws MalformedMessageException {
         MembershipCore core = core();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         boolean expected = true;
         for (boolean serves : new boolean[] {true, false, false, true, false}) {
             core.handle(new MembershipInput.StoreServing(serves), 0);
             expected = serves;
             assertThat(storeServes(core, "self"), is(expected));
             List<MembershipEffect> effects =
-                    core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+                    core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
             MembershipEffect.Send ack = (MembershipEffect.Send) effects.getFirst();
             assertThat(MembershipCodec.readPing(ack.body()).sender().state().storeServes(), is(expected));
         }
@@ -278,12 +286,15 @@
     @Test
     void reportAboutTheStoreDoesNotProlongASuspicion() {
         MembershipCore core = fastCore();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         for (long now = 0; now <= 1_900; now += 100) {
             core.handle(new MembershipInput.Tick(), now);
             MemberState state = ALIVE.with(Liveness.SUSPECT).withStoreChanges((int) (now / 100));
             byte[] body = pingFrom(report("third", 0), new MemberUpdate(OTHER, state, Optional.empty()));
-            core.handle(new MembershipInput.Received(new NodeId("third"), FrameType.PING, 1, body), now);
+            core.handle(
+                    new MembershipInput.Received(
+                            new ProcessName(new NodeId("third"), new Incarnation(1)), FrameType.PING, 1, body),
+                    now);
         }
         assertThat(liveness(core), is(Liveness.DEAD));
     }
@@ -297,7 +308,7 @@
         negative[negative.length - 1] = (byte) 0xff;
         for (byte[] body : List.of(missing, negative)) {
             List<MembershipEffect> effects =
-                    core().handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, body), 0);
+                    core().handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, body), 0);
             assertThat(effects.get(0), instanceOf(MembershipEffect.Malformed.class));
         }
     }
@@ -306,14 +317,14 @@
     @Test
     void answersThatWaitWhileThisNodeIsBusyCount() {
         MembershipCore core = fastCore();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         List<Long> pings = pingsToOther(core.handle(new MembershipInput.Tick(), 0));
         assertThat(pings.isEmpty(), is(false));
         for (long now = 1_000; now <= 20_000; now += 1_000) {
             List<Long> next = pingsToOther(core.handle(new MembershipInput.Tick(), now));
             assertThat(liveness(core), is(Liveness.ALIVE));
             for (long id : pings) {
-                core.handle(new MembershipInput.Received(OTHER, FrameType.ACK, id, ping()), now);
+                core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.ACK, id, ping()), now);
             }
             pings = next;
         }
@@ -323,7 +334,7 @@
     @Test
     void busyNodeDetectsAMemberThatIsGone() {
         MembershipCore core = fastCore();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         for (long now = 0; now <= 2_000; now += 1_000) {
             core.handle(new MembershipInput.Tick(), now);
         }
@@ -338,7 +349,7 @@
     @Test
     void timelyNodeDetectsAMemberThatIsGone() {
         MembershipCore core = fastCore();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         for (long now = 0; now <= 400; now += 100) {
             core.handle(new MembershipInput.Tick(), now);
         }
@@ -349,13 +360,125 @@
         assertThat(liveness(core), is(Liveness.DEAD));
     }
 
+    /**
+     * Guards against an answer to a ping of an earlier process that answers a ping of this one: the configuration would
+     * count as confirmed later than it was, and a member as alive that is not.
+     */
+    @Test
+    void answerToAPingOfAnEarlierProcessIsIgnored() {
+        MembershipCore core = fastCore();
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
+        long own = pingsToOther(core.handle(new MembershipInput.Tick(), 0)).getFirst();
+        byte[] confirmed = confirmedPing(OTHER);
+        for (long earlier :
+                List.of(new CallNumber(new Incarnation(4), (int) own).requestId(), Integer.toUnsignedLong((int) own))) {
+            assertThat(
+                    core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.ACK, earlier, confirmed), 10),
+                    everyItem(not(instanceOf(MembershipEffect.Confirmed.class))));
+        }
+        assertThat(
+                core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.ACK, own, confirmed), 10),
+                hasItem(instanceOf(MembershipEffect.Confirmed.class)));
+    }
+
+    /** Guards against a member that counts as alive because another one answered with the number of its ping. */
+    @Test
+    void answerOfAnotherMemberThanThePingedOneIsIgnored() {
+        MembershipCore core = fastCore();
+        NodeId third = new NodeId("third");
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
+        long own = pingsToOther(core.handle(new MembershipInput.Tick(), 0)).getFirst();
+        ProcessName thirdProcess = new ProcessName(third, new Incarnation(1));
+        assertThat(
+                core.handle(new MembershipInput.Received(thirdProcess, FrameType.ACK, own, confirmedPing(third)), 10),
+                everyItem(not(instanceOf(MembershipEffect.Confirmed.class))));
+    }
+
+    /** Guards against an answer that goes to a later process than the one that asked, directly or for another node. */
+    @Test
+    void answersGoToTheProcessThatAsked() {
+        MembershipCore core = core();
+        Optional<Incarnation> asker = Optional.of(new Incarnation(1));
+        List<MembershipEffect> acks =
+                core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
+        assertThat(((MembershipEffect.Send) acks.getFirst()).run(), is(asker));
+        NodeId third = new NodeId("third");
+        byte[] request = MembershipCodec.pack(new MembershipCodec.PingRequest(third, "third"));
+        MembershipEffect.Send ping = (MembershipEffect.Send)
+                core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING_REQUEST, 77, request), 0)
+                        .getFirst();
+        // The node that asked has started again when the answer comes.
+        byte[] restarted = pingFrom(new MemberUpdate(
+                OTHER, new MemberState(new Incarnation(2), 0, Liveness.ALIVE, false), Optional.of(location("other"))));
+        core.handle(
+                new MembershipInput.Received(new ProcessName(OTHER, new Incarnation(2)), FrameType.PING, 1, restarted),
+                0);
+        MembershipEffect.Send relayed = core
+                .handle(
+                        new MembershipInput.Received(
+                                new ProcessName(third, new Incarnation(1)),
+                                FrameType.ACK,
+                                ping.requestId(),
+                                confirmedPing(third)),
+                        1)
+                .stream()
+                .flatMap(e ->
+                        e instanceof MembershipEffect.Send s && s.requestId() == 77 ? Stream.of(s) : Stream.empty())
+                .findFirst()
+                .orElseThrow();
+        assertThat(relayed.to(), is(Optional.of(OTHER)));
+        assertThat(relayed.run(), is(asker));
+    }
+
+    /** Guards against item versions of an ended process that count as those of the next one, which has no items yet. */
+    @Test
+    void versionsOfAnEndedProcessAreForgotten() {
+        MembershipCore core = core();
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, versionPing(1, 9)), 0);
+        assertThat(core.membersBehind(Item.BUNDLE, 9), equalTo(List.of()));
+        core.handle(
+                new MembershipInput.Received(
+                        new ProcessName(OTHER, new Incarnation(2)), FrameType.PING, 1, versionPing(2, 0)),
+                0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, versionPing(1, 9)), 0);
+        assertThat(core.membersBehind(Item.BUNDLE, 9), equalTo(List.of(OTHER)));
+        // Learnt from a third node, before the next process has reported anything.
+        MemberUpdate again = new MemberUpdate(
+                OTHER, new MemberState(new Incarnation(3), 0, Liveness.ALIVE, false), Optional.of(location("other")));
+        core.handle(
+                new MembershipInput.Received(
+                        new ProcessName(OTHER, new Incarnation(2)), FrameType.PING, 1, versionPing(2, 9)),
+                0);
+        core.handle(
+                new MembershipInput.Received(
+                        new ProcessName(new NodeId("third"), new Incarnation(1)),
+                        FrameType.PING,
+                        1,
+                        pingFrom(report("third", 0), again)),
+                0);
+        assertThat(core.membersBehind(Item.BUNDLE, 9), hasItem(OTHER));
+    }
+
+    private static byte[] versionPing(long start, long version) {
+        MemberState state = new MemberState(new Incarnation(start), 0, Liveness.ALIVE, false);
+        MemberUpdate sender = new MemberUpdate(OTHER, state, Optional.of(location("other")));
+        return MembershipCodec.pack(
+                new MembershipCodec.PingBody(sender, List.of(version, version), 0, 2, -1, 0, List.of(), List.of()));
+    }
+
+    private static byte[] confirmedPing(NodeId sender) {
+        MemberUpdate update = new MemberUpdate(sender, ALIVE, Optional.of(location(sender.value())));
+        return MembershipCodec.pack(
+                new MembershipCodec.PingBody(update, List.of(0L, 0L), 0, 2, 100, 0, List.of(), List.of()));
+    }
+
     /** Guards against a live node that stays dead in the tables of the others. */
     @Test
     void refutesReportOfItsOwnDeath() {
         MembershipCore core = core();
         MemberState dead = new MemberState(new Incarnation(5), 3, Liveness.DEAD, false);
         MemberUpdate report = new MemberUpdate(new NodeId("self"), dead, Optional.empty());
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping(report)), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping(report)), 0);
         MemberState mine = core.members().stream()
                 .filter(m -> m.id().value().equals("self"))
                 .findFirst()
@@ -368,7 +491,7 @@
     @Test
     void announcesThatItLeaves() {
         MembershipCore core = core();
-        core.handle(new MembershipInput.Received(OTHER, FrameType.PING, 1, ping()), 0);
+        core.handle(new MembershipInput.Received(OTHER_PROCESS, FrameType.PING, 1, ping()), 0);
         List<MembershipEffect> effects = core.handle(new MembershipInput.Leave(), 0);
         List<FrameType> sent = new ArrayList<>();
         for (MembershipEffect effect : effects) {
--- a/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
@@ -20,6 +20,7 @@
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.ids.WindowId;
 import org.magnoliabridge.sim.SimStore;
@@ -27,6 +28,7 @@
 class UsageCoreTest {
     private static final long WINDOW_MS = 1_000;
     private static final NodeId OTHER = new NodeId("n2");
+    private static final ProcessName OTHER_PROCESS = new ProcessName(OTHER, new Incarnation(1));
     private static final TeamId TEAM = new TeamId("t");
     private static final WindowId FIRST = new WindowId(0);
     private final SimStore store = new SimStore();
@@ -54,8 +56,8 @@
         TreeMap<CounterId, Count> counts = new TreeMap<>();
         counts.put(late, new Count(2, 3, 4));
         byte[] body = CountsCodec.pack(new Incarnation(1), counts);
-        run(new UsageInput.Counts(OTHER, body), 12_001);
-        run(new UsageInput.Counts(OTHER, body), 12_002);
+        run(new UsageInput.Counts(OTHER_PROCESS, body), 12_001);
+        run(new UsageInput.Counts(OTHER_PROCESS, body), 12_002);
         ticks(12_100, 14_000);
         List<SealedWindow> sealed = new ArrayList<>();
         for (var object : store.objects.values()) {
@@ -71,8 +73,8 @@
     /** Guards against a shutdown that loses counts: every peer and the leader must have confirmed them. */
     @Test
     void drainsOnlyWhenEveryPeerHasConfirmed() {
-        UsageInput.Peer peer = new UsageInput.Peer(OTHER, new Incarnation(1));
-        UsageInput.Peer leader = new UsageInput.Peer(new NodeId("n3"), new Incarnation(1));
+        ProcessName peer = new ProcessName(OTHER, new Incarnation(1));
+        ProcessName leader = new ProcessName(new NodeId("n3"), new Incarnation(1));
         run(new UsageInput.Peers(List.of(peer), Optional.of(leader)), 0);
         deliver(0);
         run(new UsageInput.Drain(), 10);
@@ -81,19 +83,56 @@
                 .map(e -> (UsageEffect.SendCounts) e)
                 .toList();
         assertThat(sent, hasSize(2));
-        run(new UsageInput.Ack(leader.node(), ack(sent.getFirst().body(), 1)), 20);
+        run(new UsageInput.Ack(leader, ack(sent.getFirst().body(), 1)), 20);
         // The peer has restarted since and lost its copies, so its earlier confirmation is invalid.
-        run(new UsageInput.Ack(OTHER, ack(sent.getFirst().body(), 0)), 20);
+        run(
+                new UsageInput.Ack(
+                        new ProcessName(OTHER, new Incarnation(0)),
+                        ack(sent.getFirst().body(), 0)),
+                20);
         assertThat(effects, not(hasItem(new UsageEffect.Drained())));
-        run(new UsageInput.Ack(OTHER, ack(sent.getFirst().body(), 1)), 30);
+        run(new UsageInput.Ack(peer, ack(sent.getFirst().body(), 1)), 30);
         assertThat(effects, hasItem(new UsageEffect.Drained()));
     }
 
+    /**
+     * Guards against counts that are lost: an acknowledgement counts only if the process that holds the copies sent it, and
+     * an acknowledgement to an earlier process of this node confirms nothing of this one.
+     */
+    @Test
+    void acknowledgementsPairProcesses() throws MalformedUsageException {
+        ProcessName peer = new ProcessName(OTHER, new Incarnation(2));
+        run(new UsageInput.Peers(List.of(peer), Optional.of(peer)), 0);
+        deliver(0);
+        run(new UsageInput.Drain(), 10);
+        byte[] sent = ((UsageEffect.SendCounts) effects.getFirst()).body();
+        run(new UsageInput.Ack(OTHER_PROCESS, ack(sent, 2)), 20);
+        run(new UsageInput.Ack(peer, ack(sent, 1)), 20);
+        TreeMap<CounterId, Count> earlier = new TreeMap<>();
+        CountsCodec.unpack(sent)
+                .counts()
+                .forEach((id, count) ->
+                        earlier.put(new CounterId(id.window(), id.node(), new Incarnation(0), id.team()), count));
+        run(new UsageInput.Ack(peer, CountsCodec.pack(new Incarnation(2), earlier)), 20);
+        assertThat(effects, not(hasItem(new UsageEffect.Drained())));
+        run(new UsageInput.Ack(peer, ack(sent, 2)), 30);
+        assertThat(effects, hasItem(new UsageEffect.Drained()));
+    }
+
+    /** Guards against an acknowledgement that goes to a later process than the one whose counts were received. */
+    @Test
+    void acknowledgesTheProcessThatSentTheCounts() throws MalformedUsageException {
+        TreeMap<CounterId, Count> counts = new TreeMap<>();
+        counts.put(new CounterId(FIRST, OTHER, new Incarnation(1), TEAM), new Count(2, 3, 4));
+        run(new UsageInput.Counts(OTHER_PROCESS, CountsCodec.pack(new Incarnation(1), counts)), 10);
+        assertThat(((UsageEffect.SendAck) effects.getFirst()).to(), is(OTHER_PROCESS));
+    }
+
     /** Guards against the leader taking one of the two places for copies: then two failures could lose counts. */
     @Test
     void copiesCountsToTheLeaderAndTwoPeers() {
-        List<UsageInput.Peer> candidates = Stream.of("n1", "n3", "n2", "n4", "n5")
-                .map(n -> new UsageInput.Peer(new NodeId(n), new Incarnation(1)))
+        List<ProcessName> candidates = Stream.of("n1", "n3", "n2", "n4", "n5")
+                .map(n -> new ProcessName(new NodeId(n), new Incarnation(1)))
                 .toList();
         deliver(0);
         run(new UsageInput.Peers(candidates, Optional.of(candidates.get(1))), 2_000);
@@ -123,7 +162,7 @@
         for (int cut = 0; cut < body.length; cut++) {
             byte[] part = Arrays.copyOf(body, cut);
             assertThrows(MalformedUsageException.class, () -> CountsCodec.unpack(part));
-            run(new UsageInput.Counts(OTHER, part), 0);
+            run(new UsageInput.Counts(OTHER_PROCESS, part), 0);
         }
         assertThat(effects, empty());
         assertThat(core.malformedMessages(), is((long) body.length));
--- a/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageWorld.java
@@ -10,6 +10,7 @@
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.sim.Fault;
 import org.magnoliabridge.sim.SimWorld;
@@ -71,10 +72,10 @@
             nodes.get(1 - leader).grantLease(fencing + 1_000);
         }
         for (Node node : nodes) {
-            List<UsageInput.Peer> copies = IntStream.range(1, NODES)
+            List<ProcessName> copies = IntStream.range(1, NODES)
                     .mapToObj(i -> nodes.get((node.number + i) % NODES).peer())
                     .toList();
-            Optional<UsageInput.Peer> leading = Optional.of(nodes.get(leader).peer());
+            Optional<ProcessName> leading = Optional.of(nodes.get(leader).peer());
             UsageInput.Peers peers = new UsageInput.Peers(copies, leading);
             node.host.after(0, () -> node.handle(peers));
         }
@@ -121,8 +122,8 @@
             host.after(TRAFFIC_INTERVAL_MS + number, this::generateTraffic);
         }
 
-        UsageInput.Peer peer() {
-            return new UsageInput.Peer(new NodeId("n" + number), new Incarnation(starts));
+        ProcessName peer() {
+            return new ProcessName(new NodeId("n" + number), new Incarnation(starts));
         }
 
         String process() {
@@ -150,6 +151,13 @@
             }
         }
 
+        // A frame for one process does not reach a later one of the same node.
+        private void handleAs(ProcessName process, UsageInput input) {
+            if (peer().equals(process)) {
+                handle(input);
+            }
+        }
+
         void handle(UsageInput input) {
             core.handle(input, now).forEach(this::perform);
         }
@@ -159,7 +167,7 @@
         }
 
         private void perform(UsageEffect effect) {
-            NodeId self = new NodeId("n" + number);
+            ProcessName self = peer();
             switch (effect) {
                 case UsageEffect.Store s -> storeCall(host, s.request(), r -> handle(new UsageInput.Reply(s.tag(), r)));
                 case UsageEffect.SendCounts c ->
@@ -169,8 +177,8 @@
                     });
                 case UsageEffect.SendAck a ->
                     sendMessage(host, "ack", () -> {
-                        Node to = node(a.to());
-                        to.host.after(0, () -> to.handle(new UsageInput.Ack(self, a.body())));
+                        Node to = node(a.to().node());
+                        to.host.after(0, () -> to.handleAs(a.to(), new UsageInput.Ack(self, a.body())));
                     });
                 case UsageEffect.Report r -> {
                     long sendBeforeMs = leaseUntilMs;
--- a/library/src/test/java/org/magnoliabridge/wire/PeerConnectionsTest.java
+++ b/library/src/test/java/org/magnoliabridge/wire/PeerConnectionsTest.java
@@ -31,6 +31,7 @@
 import org.magnoliabridge.core.MonotonicClock;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.wire.PeerEvents.CloseReason;
 
 class PeerConnectionsTest {
@@ -66,15 +67,19 @@
         private final BlockingQueue<CloseReason> closes = new LinkedBlockingQueue<>();
 
         private Node(String name, ClusterSecrets secrets) throws IOException {
+            this(name, secrets, 1);
+        }
+
+        private Node(String name, ClusterSecrets secrets, long start) throws IOException {
             this.name = name;
-            connections = closer.register(
-                    new PeerConnections(new NodeId(name), new Incarnation(1), secrets, this, MonotonicClock.system()));
+            connections = closer.register(new PeerConnections(
+                    new NodeId(name), new Incarnation(start), secrets, this, MonotonicClock.system()));
             listener = closer.register(new PeerListener(ANY_PORT, connections));
         }
 
         @Override
-        public void received(NodeId peer, Incarnation incarnation, Frame frame) {
-            texts.add(peer + ":" + new String(frame.body(), StandardCharsets.UTF_8));
+        public void received(ProcessName peer, Frame frame) {
+            texts.add(peer.node() + ":" + new String(frame.body(), StandardCharsets.UTF_8));
         }
 
         @Override
@@ -86,6 +91,10 @@
             return connections.send(Optional.of(new NodeId(to)), address, frame(name, text));
         }
 
+        private void sendToStart(String to, long start, InetSocketAddress address, String text) {
+            connections.send(new ProcessName(new NodeId(to), new Incarnation(start)), address, frame(name, text));
+        }
+
         private String nextText() throws InterruptedException {
             return texts.poll(WAIT_S, TimeUnit.SECONDS);
         }
@@ -107,6 +116,20 @@
         assertThat(a.nextText(), equalTo("b:ack"));
     }
 
+    /** Guards against a frame for an ended process that the next process of its node gets. */
+    @Test
+    void frameForAnEndedProcessIsNotSentToTheNextOne() throws Exception {
+        Node a = new Node("a", OLD);
+        Node second = new Node("b", OLD, 2);
+        a.sendToStart("b", 1, second.listener.address(), "dialled for the first");
+        a.sendToStart("b", 2, second.listener.address(), "for the second");
+        assertThat(second.nextText(), equalTo("a:for the second"));
+        a.sendToStart("b", 1, second.listener.address(), "for the first");
+        a.send("b", second.listener.address(), "for any");
+        assertThat(second.nextText(), equalTo("a:for any"));
+        assertThat(a.connections.stats().misaddressed(), is(2L));
+    }
+
     /** Guards the replacement of a secret: nodes with the old and the new first secret understand each other. */
     @Test
     void acceptsTwoSecretsAndNoThird() throws Exception {
--- a/standins/src/main/java/org/magnoliabridge/measure/MembershipCluster.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/MembershipCluster.java
@@ -10,6 +10,7 @@
 import org.magnoliabridge.ids.DataCentre;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.Region;
 import org.magnoliabridge.membership.Member;
 import org.magnoliabridge.membership.MemberState;
@@ -49,6 +50,10 @@
         }
     }
 
+    private static ProcessName process(int node) {
+        return new ProcessName(id(node), new Incarnation(1));
+    }
+
     private static NodeId id(int node) {
         return new NodeId("node-" + node);
     }
@@ -88,7 +93,7 @@
                 sentBytes += send.body().length + FRAME_BYTES;
                 int to = Optional.ofNullable(byAddress.get(send.address())).orElseThrow();
                 MembershipInput received =
-                        new MembershipInput.Received(id(node), send.type(), send.requestId(), send.body());
+                        new MembershipInput.Received(process(node), send.type(), send.requestId(), send.body());
                 at(nowMs + DELAY_MS, () -> input(to, received));
             }
         }
--- a/standins/src/main/java/org/magnoliabridge/measure/UsageBytes.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/UsageBytes.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.usage.Count;
 import org.magnoliabridge.usage.UsageCore;
@@ -30,20 +31,20 @@
     }
 
     private static double bytesPerSecond(int teams) {
-        List<UsageInput.Peer> peers = new ArrayList<>();
+        List<ProcessName> peers = new ArrayList<>();
         Map<NodeId, UsageCore> cores = new HashMap<>();
         for (int i = 0; i < NODES; i++) {
             NodeId node = new NodeId("node-" + i);
-            peers.add(new UsageInput.Peer(node, new Incarnation(1)));
+            peers.add(new ProcessName(node, new Incarnation(1)));
             cores.put(node, new UsageCore(node, new Incarnation(1), UsageTimes.withoutDueTime(60_000)));
         }
         long bytes = 0;
         UsageInput members = new UsageInput.Peers(peers, Optional.of(peers.get(0)));
-        for (UsageInput.Peer peer : peers) {
+        for (ProcessName peer : peers) {
             bytes += deliver(cores, peer.node(), members, 0);
         }
         for (long nowMs = 0; nowMs < SECONDS * 1_000L; nowMs += TICK_MS) {
-            for (UsageInput.Peer peer : peers) {
+            for (ProcessName peer : peers) {
                 for (int team = 0; team < teams; team++) {
                     UsageInput delivered = new UsageInput.Delivered(new TeamId("team-" + team), new Count(1, 500, 0));
                     bytes += deliver(cores, peer.node(), delivered, nowMs);
@@ -56,12 +57,14 @@
 
     private static long deliver(Map<NodeId, UsageCore> cores, NodeId node, UsageInput input, long nowMs) {
         long bytes = 0;
+        ProcessName process = new ProcessName(node, new Incarnation(1));
         for (UsageEffect effect : cores.get(node).handle(input, nowMs)) {
             if (effect instanceof UsageEffect.SendCounts send) {
-                bytes +=
-                        send.body().length + deliver(cores, send.to(), new UsageInput.Counts(node, send.body()), nowMs);
+                bytes += send.body().length
+                        + deliver(cores, send.to(), new UsageInput.Counts(process, send.body()), nowMs);
             } else if (effect instanceof UsageEffect.SendAck ack) {
-                bytes += ack.body().length + deliver(cores, ack.to(), new UsageInput.Ack(node, ack.body()), nowMs);
+                bytes += ack.body().length
+                        + deliver(cores, ack.to().node(), new UsageInput.Ack(process, ack.body()), nowMs);
             }
         }
         return bytes;
--- a/standins/src/main/java/org/magnoliabridge/measure/UsageWindowBytes.java
+++ b/standins/src/main/java/org/magnoliabridge/measure/UsageWindowBytes.java
@@ -7,6 +7,7 @@
 import org.magnoliabridge.ids.FencingToken;
 import org.magnoliabridge.ids.Incarnation;
 import org.magnoliabridge.ids.NodeId;
+import org.magnoliabridge.ids.ProcessName;
 import org.magnoliabridge.ids.TeamId;
 import org.magnoliabridge.usage.Count;
 import org.magnoliabridge.usage.UsageCore;
@@ -31,7 +32,7 @@
 
     /** The leader, which holds the usage lease all the time. */
     private static final class Leader {
-        private final UsageInput.Peer peer = new UsageInput.Peer(new NodeId("leader"), new Incarnation(1));
+        private final ProcessName peer = new ProcessName(new NodeId("leader"), new Incarnation(1));
         private final UsageCore core =
                 new UsageCore(peer.node(), peer.incarnation(), UsageTimes.withoutDueTime(WINDOW_MS));
         private final MemoryObjects store = new MemoryObjects();
@@ -63,7 +64,9 @@
             effects.addAll(sender.handle(new UsageInput.Tick(), WINDOW_MS + TICK_MS));
             for (UsageEffect effect : effects) {
                 if (effect instanceof UsageEffect.SendCounts send) {
-                    handle(new UsageInput.Counts(node, send.body()), WINDOW_MS + TICK_MS);
+                    handle(
+                            new UsageInput.Counts(new ProcessName(node, new Incarnation(1)), send.body()),
+                            WINDOW_MS + TICK_MS);
                 }
             }
         }
