Mark the end of every answer by a length or a last chunk, never by the end of its connection

Cause: Undertow frames an answer of unknown length by the end of its connection whenever it does not keep the connection: for a caller that closes, while the node is not ready or drains, and in HTTP/1.0. The node marked a stream that broke off by closing the connection, which tells nothing in this framing. The kernel ends the connections of a killed process in the same orderly way, so the kind of close cannot tell it either.

Change: edge.AnswerFraming, before the handlers of all servers of both products, decides the framing when the head is committed: a length if it is known, else chunks, also on a connection that closes. A caller of HTTP/1.0 understands no chunks; its stream is held within the node's memory until it is complete and sent with its length, and a failure is sent in its place (edge.StreamedAnswer). An answer that is neither is not written.

--- a/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
+++ b/daemon/src/main/java/org/magnoliabridge/daemon/GatewayServers.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.magnoliabridge.edge.AnswerFraming;
 import org.magnoliabridge.edge.ServerPort;
 import org.magnoliabridge.edge.UnreadBodies;
 import org.magnoliabridge.gateway.CallerLimits;
@@ -124,7 +125,7 @@
     private void open(ServerPort port, InetSocketAddress address, HttpHandler handler) throws IOException {
         HttpOpenListener listener =
                 new HttpOpenListener(buffers, OptionMap.create(UndertowOptions.BUFFER_PIPELINED_DATA, true));
-        listener.setRootHandler(guard.guard(new UnreadBodies(handler)));
+        listener.setRootHandler(guard.guard(new UnreadBodies(new AnswerFraming(handler))));
         listeners.add(listener);
         int room = guard.room(port);
         OptionMap options = OptionMap.builder()
--- a/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerHandler.java
@@ -145,7 +145,7 @@
 
     private void serve(HttpServerExchange exchange, ReceivedRequest received, Cancellation cancellation) {
         RequestStart start = received.start();
-        Reply reply = new Reply(exchange);
+        Reply reply = new Reply(exchange, dependencies.memory());
         String outcome = "ok";
         try {
             try {
--- a/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
+++ b/library/src/main/java/org/magnoliabridge/edge/CallerServer.java
@@ -43,7 +43,7 @@
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_LIMIT_MS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_LIMIT_MS)
-                .setHandler(new UnreadBodies(new CallerHandler(dependencies, gate, activeCalls)))
+                .setHandler(new UnreadBodies(new AnswerFraming(new CallerHandler(dependencies, gate, activeCalls))))
                 .build();
         undertow.start();
     }
--- a/library/src/main/java/org/magnoliabridge/edge/OperatorServer.java
+++ b/library/src/main/java/org/magnoliabridge/edge/OperatorServer.java
@@ -38,7 +38,7 @@
                 .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
                 .setIoThreads(1)
                 .setWorkerThreads(1)
-                .setHandler(new UnreadBodies(this::handle))
+                .setHandler(new UnreadBodies(new AnswerFraming(this::handle)))
                 .build();
         undertow.start();
     }
--- a/library/src/main/java/org/magnoliabridge/edge/Reply.java
+++ b/library/src/main/java/org/magnoliabridge/edge/Reply.java
@@ -4,10 +4,12 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import org.magnoliabridge.calls.FailureAnswer;
+import org.magnoliabridge.memory.Content;
+import org.magnoliabridge.memory.NodeMemory;
 
 /** Writes the answer to a caller; each method blocks until the bytes are passed to the network. */
 final class Reply {
@@ -15,12 +17,18 @@
     private static final String RETRY_AFTER = "retry-after";
     private static final long MS_PER_SECOND = 1_000;
 
+    private static final int OK = 200;
+    private static final Map<String, String> EVENT_STREAM =
+            Map.of("content-type", "text/event-stream", "cache-control", "no-store");
+
     private final HttpServerExchange exchange;
-    private OutputStream stream;
+    private final NodeMemory memory;
+    private Optional<StreamedAnswer> stream = Optional.empty();
     private int status;
 
-    Reply(HttpServerExchange exchange) {
+    Reply(HttpServerExchange exchange, NodeMemory memory) {
         this.exchange = exchange;
+        this.memory = memory;
     }
 
     /** Returns the value of the header Retry-After, whole seconds. */
@@ -35,11 +43,15 @@
 
     /** Sends a complete response. */
     void send(int code, Map<String, String> headers, byte[] body) throws IOException {
+        send(code, headers, Content.of(body));
+    }
+
+    private void send(int code, Map<String, String> headers, Content body) throws IOException {
         begin(code, headers);
         boolean bodyless = exchange.getRequestMethod().toString().equals("HEAD") || code == 204 || code == 304;
         if (!bodyless) {
-            exchange.setResponseContentLength(body.length);
-            exchange.getOutputStream().write(body);
+            exchange.setResponseContentLength(body.size());
+            body.newInputStream().transferTo(exchange.getOutputStream());
         }
         exchange.getOutputStream().close();
     }
@@ -50,10 +62,15 @@
 
     /** Sends a failure as a complete response, or as an error event if a stream has started. */
     void sendFailure(FailureAnswer failure) throws IOException {
-        if (stream != null) {
-            sendEvent(new String(failure.body(), StandardCharsets.UTF_8));
-            stream.close();
-            return;
+        if (stream.isPresent()) {
+            switch (stream.get()) {
+                case StreamedAnswer.Sent sent -> {
+                    sendEvent(new String(failure.body(), StandardCharsets.UTF_8));
+                    sent.end();
+                    return;
+                }
+                case StreamedAnswer.Held held -> held.close();
+            }
         }
         Map<String, String> headers = failure.retryAfterMs() > 0
                 ? Map.of("content-type", JSON_TYPE, RETRY_AFTER, retryAfter(failure.retryAfterMs()))
@@ -63,26 +80,38 @@
 
     /** Sends one event of a stream; the first one starts the stream. */
     void sendEvent(String data) throws IOException {
-        if (stream == null) {
-            begin(200, Map.of("content-type", "text/event-stream", "cache-control", "no-store"));
-            stream = exchange.getOutputStream();
+        if (stream.isEmpty()) {
+            stream = Optional.of(StreamedAnswer.begin(exchange, memory));
+            if (stream.get() instanceof StreamedAnswer.Sent) {
+                putHead(OK, EVENT_STREAM);
+            }
         }
-        stream.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
-        stream.flush();
+        stream.get().write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
     }
 
     /** Ends a stream. */
     void endStream() throws IOException {
-        stream.close();
+        switch (stream.orElseThrow()) {
+            case StreamedAnswer.Sent sent -> sent.end();
+            case StreamedAnswer.Held held -> {
+                try (held) {
+                    send(OK, EVENT_STREAM, held.content());
+                }
+            }
+        }
     }
 
     private void begin(int code, Map<String, String> headers) {
+        putHead(code, headers);
+        exchange.startBlocking();
+    }
+
+    private void putHead(int code, Map<String, String> headers) {
         status = code;
         exchange.setStatusCode(code);
         headers.forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
         if (!exchange.getResponseHeaders().contains(Headers.CONTENT_TYPE)) {
             exchange.getResponseHeaders().put(new HttpString("x-content-type-options"), "nosniff");
         }
-        exchange.startBlocking();
     }
 }
--- a/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
+++ b/library/src/main/java/org/magnoliabridge/membership/MemberTable.java
@@ -164,7 +164,7 @@
         return new MemberUpdate(self, state, Optional.empty());
     }
 
-    /** Records the load and the item versions that a member reported in a ping or ack; not those of an ended process. */
+    /** Records the load and the item versions that a member reported in a ping or ack, unless its process has ended. */
     void recordReport(MemberUpdate sender, int loadPermille, List<Long> itemVersions) {
         NodeId id = sender.id();
         Member m = members.get(id);
--- a/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
+++ b/library/src/test/java/org/magnoliabridge/usage/UsageCoreTest.java
@@ -96,8 +96,8 @@
     }
 
     /**
-     * Guards against counts that are lost: an acknowledgement counts only if the process that holds the copies sent it, and
-     * an acknowledgement to an earlier process of this node confirms nothing of this one.
+     * Guards against counts that are lost: an acknowledgement counts only if the process that holds the copies sent it,
+     * and an acknowledgement to an earlier process of this node confirms nothing of this one.
      */
     @Test
     void acknowledgementsPairProcesses() throws MalformedUsageException {
